--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/command/ControlMain.java
@@ -0,0 +1,29 @@
+package org.cuminreach.control.command;
+
+import java.util.List;
+import org.cuminreach.runtime.launch.Launcher;
+
+/** Entry point of {@code cuminreach-control}. */
+public final class ControlMain {
+    private ControlMain() {}
+
+    /**
+     * Runs a command and exits with its code.
+     *
+     * @param arguments the command line
+     */
+    public static void main(String[] arguments) {
+        Launcher launcher =
+                Launcher.of(
+                        "cuminreach-control",
+                        List.of(
+                                new InitialiseCommand(),
+                                new ServeCommand(),
+                                new CheckCommand(),
+                                new SubmitCommand(),
+                                ReadCommand.status(),
+                                ReadCommand.history(),
+                                ReadCommand.document()));
+        System.exit(launcher.run(arguments, System.out, System.err));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/command/InitialiseCommand.java
@@ -0,0 +1,68 @@
+package org.cuminreach.control.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.cuminreach.control.ControlSettings;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.runtime.launch.Command;
+import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.wire.ConfigurationCodec;
+
+/** Prepares the empty data folder of a first control of a new mesh. */
+final class InitialiseCommand implements Command {
+    @Override
+    public String name() {
+        return "initialise";
+    }
+
+    @Override
+    public String summary() {
+        return "Prepare the data folder of a first control of a new mesh; never after a lost disk";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        SettingsOption.declare(parser);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out, PrintStream err) {
+        Optional<ControlSettings> settings = SettingsOption.read(options, err);
+        if (settings.isEmpty()) {
+            return ExitCode.REFUSED;
+        }
+        try (DataFolder folder = DataFolder.open(settings.get().dataFolder())) {
+            return initialise(settings.get(), folder, out, err);
+        } catch (IOException unusable) {
+            err.println("the data folder cannot be used: " + unusable.getMessage());
+            return ExitCode.REFUSED;
+        }
+    }
+
+    private static int initialise(
+            ControlSettings settings, DataFolder folder, PrintStream out, PrintStream err)
+            throws IOException {
+        if (folder.identity().isPresent()) {
+            err.println(settings.dataFolder() + " holds the data of a control already");
+            return ExitCode.REFUSED;
+        }
+        List<Member> members =
+                settings.controls().stream()
+                        .map(peer -> new Member(peer.name(), peer.replicaAddress(), true))
+                        .toList();
+        byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
+        DurableState first = DurableState.first(new Membership(members), state);
+        folder.saveSnapshot(first.snapshot().orElseThrow(), false);
+        folder.saveIdentity(settings.name());
+        out.println("initialised " + settings.dataFolder() + " for " + settings.name());
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/command/ServeCommand.java
@@ -0,0 +1,60 @@
+package org.cuminreach.control.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.cuminreach.control.ControlProcess;
+import org.cuminreach.control.ControlSettings;
+import org.cuminreach.runtime.launch.Command;
+import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.log.LogSetup;
+
+/** Runs a control until it is told to stop. */
+final class ServeCommand implements Command {
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String summary() {
+        return "Run a control";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        SettingsOption.declare(parser);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out, PrintStream err) {
+        Optional<ControlSettings> settings = SettingsOption.read(options, err);
+        if (settings.isEmpty()) {
+            return ExitCode.REFUSED;
+        }
+        LogSetup.apply(settings.get().log());
+        CountDownLatch stopped = new CountDownLatch(1);
+        try {
+            ControlProcess process = ControlProcess.start(settings.get());
+            Runtime.getRuntime()
+                    .addShutdownHook(
+                            new Thread(
+                                    () -> {
+                                        process.stop();
+                                        stopped.countDown();
+                                    }));
+            stopped.await();
+            return ExitCode.DONE;
+        } catch (IOException | CompletionException unusable) {
+            err.println("the control cannot start: " + unusable.getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/command/SubmitCommand.java
@@ -0,0 +1,169 @@
+package org.cuminreach.control.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.asynchttpclient.Response;
+import org.cuminreach.control.operator.OperatorHandler;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.launch.Command;
+import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsFile;
+
+/** Submits a document and can wait until it is in force everywhere. */
+final class SubmitCommand implements Command {
+    private static final String CONTROLS = "controls";
+    private static final String DOCUMENT = "document";
+    private static final String BASED_ON = "based-on";
+    private static final String KEY = "key";
+    private static final String OPERATOR = "operator";
+    private static final String WAIT = "wait";
+    private static final long POLL_MILLIS = 100;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    @Override
+    public String name() {
+        return "submit";
+    }
+
+    @Override
+    public String summary() {
+        return "Submit a document; it is accepted whole or refused with every reason";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        parser.accepts(CONTROLS, "Operator addresses of the controls, separated by commas")
+                .withRequiredArg()
+                .required();
+        parser.accepts(DOCUMENT, "Document file").withRequiredArg().required();
+        parser.accepts(BASED_ON, "Document version that this one was made from")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .required();
+        parser.accepts(KEY, "Idempotency key; the same key gets the first answer again")
+                .withRequiredArg();
+        parser.accepts(OPERATOR, "Name for the history")
+                .withRequiredArg()
+                .defaultsTo(System.getProperty("user.name", "operator"));
+        parser.accepts(WAIT, "Seconds to wait until it is in force everywhere")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(0L);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out, PrintStream err) {
+        Optional<String> text =
+                SettingsFile.readText(Path.of((String) options.valueOf(DOCUMENT)), err);
+        Optional<ControlClient> client = ControlClient.of((String) options.valueOf(CONTROLS));
+        if (text.isEmpty() || client.isEmpty()) {
+            err.println("submit: needs a document and addresses such as 10.0.0.1:7003");
+            return ExitCode.USAGE;
+        }
+        try (ControlClient opened = client.get()) {
+            return submit(opened, text.get(), options, out, err);
+        } catch (IOException unclosed) {
+            err.println("submit: " + unclosed.getMessage());
+            return ExitCode.REFUSED;
+        }
+    }
+
+    private static int submit(
+            ControlClient client, String text, OptionSet options, PrintStream out, PrintStream err)
+            throws JsonProcessingException {
+        String key =
+                options.has(KEY) ? (String) options.valueOf(KEY) : UUID.randomUUID().toString();
+        Map<String, String> headers =
+                Map.of(
+                        OperatorHandler.KEY_HEADER,
+                        key,
+                        OperatorHandler.OPERATOR_HEADER,
+                        (String) options.valueOf(OPERATOR));
+        Optional<Response> response =
+                client.post("/documents?basedOn=" + options.valueOf(BASED_ON), headers, text);
+        if (response.isEmpty()) {
+            err.println("submit: no control answered; ask again with --key " + key);
+            return ExitCode.UNKNOWN;
+        }
+        out.print(response.get().getResponseBody());
+        return switch (response.get().getStatusCode()) {
+            case 200 -> awaitEverywhere(client, response.get(), options, out, err);
+            case 504 -> {
+                err.println("submit: the outcome is not known; ask again with --key " + key);
+                yield ExitCode.UNKNOWN;
+            }
+            default -> ExitCode.REFUSED;
+        };
+    }
+
+    private static int awaitEverywhere(
+            ControlClient client,
+            Response accepted,
+            OptionSet options,
+            PrintStream out,
+            PrintStream err)
+            throws JsonProcessingException {
+        long version = MAPPER.readTree(accepted.getResponseBody()).path("version").longValue();
+        long begunMillis = ProcessClock.monotonicMillis();
+        long deadlineMillis = begunMillis + (Long) options.valueOf(WAIT) * 1_000;
+        while (ProcessClock.monotonicMillis() < deadlineMillis) {
+            Optional<Response> status = client.get("/status");
+            if (status.isPresent()
+                    && lagging(MAPPER.readTree(status.get().getResponseBody()), version)
+                            .isEmpty()) {
+                long tookMillis = ProcessClock.monotonicMillis() - begunMillis;
+                out.println("in force everywhere after " + tookMillis + " ms");
+                return ExitCode.DONE;
+            }
+            if (!pause()) {
+                return ExitCode.REFUSED;
+            }
+        }
+        if ((Long) options.valueOf(WAIT) == 0) {
+            return ExitCode.DONE;
+        }
+        String missing =
+                client.get("/status")
+                        .map(status -> laggingIn(status.getResponseBody(), version))
+                        .orElse("unknown, no control answers");
+        err.println("submit: not yet in force on: " + missing);
+        return ExitCode.REFUSED;
+    }
+
+    private static String laggingIn(String status, long version) {
+        try {
+            return lagging(MAPPER.readTree(status), version);
+        } catch (JsonProcessingException malformed) {
+            return "unknown: " + malformed.getOriginalMessage();
+        }
+    }
+
+    private static String lagging(JsonNode status, long version) {
+        StringBuilder names = new StringBuilder();
+        for (JsonNode node : status.path("nodes")) {
+            if (node.path("version").longValue() < version) {
+                names.append(names.isEmpty() ? "" : ", ").append(node.path("node").asText());
+            }
+        }
+        return names.toString();
+    }
+
+    private static boolean pause() {
+        try {
+            Thread.sleep(POLL_MILLIS);
+            return true;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of {@code cuminreach-control}. */
+package org.cuminreach.control.command;
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
@@ -0,0 +1,130 @@
+package org.cuminreach.control.operator;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cuminreach.control.node.MeshSessions;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.configuration.HistoryEntry;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.wire.generated.NodeHolding;
+
+/** What operators may read. */
+public final class OperatorView {
+    private final String name;
+    private final ReplicaDriver replica;
+    private final MeshSessions sessions;
+
+    private OperatorView(String name, ReplicaDriver replica, MeshSessions sessions) {
+        this.name = name;
+        this.replica = replica;
+        this.sessions = sessions;
+    }
+
+    /**
+     * Returns the view of a control.
+     *
+     * @param name name of the control
+     * @param replica the agreed configuration
+     * @param sessions the nodes
+     * @return the view
+     */
+    public static OperatorView create(String name, ReplicaDriver replica, MeshSessions sessions) {
+        return new OperatorView(name, replica, sessions);
+    }
+
+    /**
+     * Returns the state of the mesh as this control sees it.
+     *
+     * @return a JSON object as text
+     */
+    public String statusJson() {
+        long nowMillis = ProcessClock.monotonicMillis();
+        MeshConfiguration configuration = replica.configuration();
+        ObjectNode status = OperatorJson.object();
+        status.put("control", name)
+                .put("identity", replica.self())
+                .put("leader", replica.leader().orElse(""))
+                .put("term", replica.term())
+                .put("hasQuorum", replica.hasQuorum(nowMillis))
+                .put("commitIndex", replica.commitIndex())
+                .put("version", configuration.version())
+                .put("documentVersion", configuration.documentVersion())
+                .put("sessions", sessions.sessionCount());
+        putMembers(status.putArray("members"));
+        putRollouts(status.putArray("rollouts"), configuration);
+        putTargets(status.putArray("targets"));
+        putNodes(status.putArray("nodes"), configuration.version());
+        return status.toPrettyString() + "\n";
+    }
+
+    HttpAnswer status() {
+        return HttpAnswer.of(200, "application/json", statusJson());
+    }
+
+    HttpAnswer currentDocument() {
+        MeshConfiguration configuration = replica.configuration();
+        return HttpAnswer.of(200, "application/json", configuration.documentText())
+                .with("X-Cuminreach-Document-Version", configuration.documentVersion());
+    }
+
+    HttpAnswer history() {
+        ObjectNode body = OperatorJson.object();
+        ArrayNode entries = body.putArray("history");
+        for (HistoryEntry entry : replica.history()) {
+            entries.addObject()
+                    .put("version", entry.version())
+                    .put("atMillis", entry.atMillis())
+                    .put("actor", entry.actor())
+                    .put("event", entry.event());
+        }
+        return OperatorJson.of(200, body);
+    }
+
+    private void putMembers(ArrayNode members) {
+        for (Member member : replica.membership().members()) {
+            members.addObject()
+                    .put("identity", member.id())
+                    .put("address", member.address().toString())
+                    .put("voter", member.voter());
+        }
+    }
+
+    private static void putRollouts(ArrayNode rollouts, MeshConfiguration configuration) {
+        for (RolloutProgress progress : configuration.rollouts()) {
+            rollouts.addObject()
+                    .put("service", progress.service())
+                    .put("version", progress.version())
+                    .put("phase", progress.phase().name())
+                    .put("sharePerMille", progress.sharePerMille())
+                    .put("startedMillis", progress.startedMillis())
+                    .put("steppedMillis", progress.steppedMillis())
+                    .put("reason", progress.reason());
+        }
+    }
+
+    private void putTargets(ArrayNode targets) {
+        for (Announcement announcement : sessions.announcements()) {
+            targets.addObject()
+                    .put("node", announcement.node())
+                    .put("service", announcement.service())
+                    .put("version", announcement.version())
+                    .put("dataCentre", announcement.dataCentre())
+                    .put("phase", announcement.phase().name());
+        }
+    }
+
+    private void putNodes(ArrayNode nodes, long version) {
+        for (NodeHolding holding : sessions.holdings().values()) {
+            nodes.addObject()
+                    .put("node", holding.getNode())
+                    .put("version", holding.getVersion())
+                    .put("appliedMillis", holding.getApplied())
+                    .put("current", holding.getVersion() >= version);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Operators as peers: their HTTP interface. */
+package org.cuminreach.control.operator;
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerEvents.java
@@ -0,0 +1,37 @@
+package org.cuminreach.control.replica;
+
+import java.util.List;
+import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.wire.generated.NodeHolding;
+
+/** Hears what other controls say besides the replicated log. */
+public interface PeerEvents {
+    /**
+     * Returns what this control tells another one that it has just reached.
+     *
+     * @return every announcement known here
+     */
+    List<Announcement> ownAnnouncements();
+
+    /**
+     * Another control passed on announcements.
+     *
+     * @param announcements the announcements
+     */
+    void announced(List<Announcement> announcements);
+
+    /**
+     * Another control passed on evidence, because this one leads.
+     *
+     * @param evidence the evidence
+     */
+    void saw(List<Evidence> evidence);
+
+    /**
+     * Another control told which versions its nodes hold.
+     *
+     * @param holdings the version of each node
+     */
+    void hold(List<NodeHolding> holdings);
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -0,0 +1,311 @@
+package org.cuminreach.control.replica;
+
+import io.netty.channel.Channel;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.AgreementCodec;
+import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.MalformedFrameException;
+import org.cuminreach.wire.MembershipCodec;
+import org.cuminreach.wire.frame.FrameConnection;
+import org.cuminreach.wire.frame.FrameEndpoints;
+import org.cuminreach.wire.frame.FrameListener;
+import org.cuminreach.wire.generated.ControlHello;
+import org.cuminreach.wire.generated.Frame;
+import org.cuminreach.wire.generated.Heartbeat;
+import org.cuminreach.wire.generated.SubmissionAnswer;
+import org.cuminreach.wire.generated.SubmissionForward;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The links to the other controls. Each control dials every other and sends over the connections it
+ * dialled; a receiver accepts only what is meant for its own identity.
+ */
+public final class PeerLinks implements PeerNetwork {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PeerLinks.class);
+    private static final long FORWARD_TIMEOUT_MILLIS = 5_000;
+
+    /** A dialled connection to one control. */
+    private static final class Link {
+        private final Address address;
+        private volatile FrameConnection connection;
+        private volatile boolean dialling;
+
+        Link(Address address) {
+            this.address = address;
+        }
+    }
+
+    private final String self;
+    private final Address operatorAddress;
+    private final FrameEndpoints endpoints;
+    private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<SubmitResult>> forwarded = new ConcurrentHashMap<>();
+    private final AtomicLong lastCorrelation = new AtomicLong();
+    private volatile ReplicaDriver replica;
+    private volatile PeerEvents events;
+
+    private PeerLinks(String self, Address operatorAddress, FrameEndpoints endpoints) {
+        this.self = self;
+        this.operatorAddress = operatorAddress;
+        this.endpoints = endpoints;
+    }
+
+    /**
+     * Returns links that are not yet open.
+     *
+     * @param self identity of this control
+     * @param operatorAddress where operators reach this control
+     * @param endpoints opens connections
+     * @return the links
+     */
+    public static PeerLinks create(String self, Address operatorAddress, FrameEndpoints endpoints) {
+        return new PeerLinks(self, operatorAddress, endpoints);
+    }
+
+    /**
+     * Starts to listen for other controls.
+     *
+     * @param address where to listen
+     * @param newReplica the replica that their messages go to
+     * @param newEvents hears what else they say
+     * @return completes when listening
+     */
+    public CompletableFuture<Channel> listen(
+            Address address, ReplicaDriver newReplica, PeerEvents newEvents) {
+        replica = newReplica;
+        events = newEvents;
+        return endpoints.listen(address, Incoming::new);
+    }
+
+    @Override
+    public void follow(Membership membership) {
+        for (Member member : membership.members()) {
+            if (!member.id().equals(self)) {
+                links.computeIfAbsent(member.id(), id -> new Link(member.address()));
+            }
+        }
+        links.entrySet()
+                .removeIf(
+                        link -> {
+                            boolean removed = membership.member(link.getKey()).isEmpty();
+                            if (removed && link.getValue().connection != null) {
+                                link.getValue().connection.close();
+                            }
+                            return removed;
+                        });
+    }
+
+    @Override
+    public boolean send(String to, Frame frame) {
+        Link link = links.get(to);
+        FrameConnection connection = link == null ? null : link.connection;
+        return connection != null && connection.send(frame);
+    }
+
+    /**
+     * Sends a frame to every other control.
+     *
+     * @param frame the frame
+     */
+    public void broadcast(Frame frame) {
+        links.keySet().forEach(id -> send(id, frame));
+    }
+
+    /**
+     * Dials the controls that are not connected and keeps the other connections alive.
+     *
+     * @param nowMillis present time
+     */
+    public void tick(long nowMillis) {
+        Frame heartbeat = Frame.heartbeat(new Heartbeat(nowMillis));
+        links.forEach(
+                (id, link) -> {
+                    if (link.connection != null) {
+                        link.connection.send(heartbeat);
+                    } else if (!link.dialling) {
+                        dial(id, link);
+                    }
+                });
+    }
+
+    /**
+     * Hands a command to the leader, wherever it is.
+     *
+     * @param command the command
+     * @param nowMillis present time
+     * @return completes with what came of it, within a bounded time
+     */
+    public CompletableFuture<SubmitResult> submit(MeshCommand command, long nowMillis) {
+        CompletableFuture<SubmitResult> result =
+                replica.isLeader()
+                        ? replica.propose(command, nowMillis)
+                        : forward(replica.leader(), command);
+        return result.completeOnTimeout(
+                new SubmitResult.Unknown("it was not decided in time"),
+                FORWARD_TIMEOUT_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<SubmitResult> forward(Optional<String> leader, MeshCommand command) {
+        if (leader.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    new SubmitResult.NotRun("the controls have no leader now"));
+        }
+        long correlation = lastCorrelation.incrementAndGet();
+        CompletableFuture<SubmitResult> result = new CompletableFuture<>();
+        forwarded.put(correlation, result);
+        result.whenComplete((done, failure) -> forwarded.remove(correlation));
+        Frame frame =
+                Frame.submissionForward(
+                        new SubmissionForward(correlation, ConfigurationCodec.toStruct(command)));
+        if (!send(leader.get(), frame)) {
+            result.complete(new SubmitResult.NotRun("the leader cannot be reached"));
+        }
+        return result;
+    }
+
+    private void dial(String id, Link link) {
+        link.dialling = true;
+        endpoints
+                .connect(link.address, new Outgoing(id, link))
+                .whenComplete((channel, failure) -> link.dialling = false);
+    }
+
+    /** Hears of a connection that this control dialled. */
+    private final class Outgoing implements FrameListener {
+        private final String id;
+        private final Link link;
+
+        Outgoing(String id, Link link) {
+            this.id = id;
+            this.link = link;
+        }
+
+        @Override
+        public void opened(FrameConnection connection) {
+            connection.send(
+                    Frame.controlHello(new ControlHello(self, id, operatorAddress.toString())));
+            connection.send(MembershipCodec.toFrame(events.ownAnnouncements()));
+            link.connection = connection;
+            LOGGER.info("event=control_connected control={}", id);
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            LOGGER.trace("event=control_alive control={}", id);
+        }
+
+        @Override
+        public void closed(FrameConnection connection) {
+            link.connection = null;
+            LOGGER.info("event=control_disconnected control={}", id);
+        }
+    }
+
+    /** Hears of a connection that another control dialled. */
+    private final class Incoming implements FrameListener {
+        private String from = "";
+
+        @Override
+        public void opened(FrameConnection connection) {
+            LOGGER.debug("event=control_dialled remote={}", connection.remote());
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame)
+                throws MalformedFrameException {
+            if (frame.getSetField() == Frame._Fields.CONTROL_HELLO) {
+                greet(connection, frame.getControlHello());
+                return;
+            }
+            if (from.isEmpty()) {
+                throw new MalformedFrameException("a control must say hello first");
+            }
+            handle(connection, frame);
+        }
+
+        @Override
+        public void closed(FrameConnection connection) {
+            LOGGER.debug("event=control_gone control={}", from);
+        }
+
+        private void greet(FrameConnection connection, ControlHello hello) {
+            if (!hello.getTo().equals(self)) {
+                LOGGER.warn(
+                        "event=control_refused from={} meant_for={} self={}",
+                        hello.getId(),
+                        hello.getTo(),
+                        self);
+                connection.close();
+                return;
+            }
+            from = hello.getId();
+        }
+
+        private void handle(FrameConnection connection, Frame frame)
+                throws MalformedFrameException {
+            switch (frame.getSetField()) {
+                case AGREEMENT ->
+                        replica.receive(
+                                from,
+                                AgreementCodec.toMessage(frame.getAgreement()),
+                                ProcessClock.monotonicMillis());
+                case SUBMISSION_FORWARD -> propose(frame.getSubmissionForward());
+                case SUBMISSION_ANSWER -> answer(frame.getSubmissionAnswer());
+                case ANNOUNCEMENTS ->
+                        events.announced(MembershipCodec.toAnnouncements(frame.getAnnouncements()));
+                case EVIDENCE -> events.saw(MembershipCodec.toEvidence(frame.getEvidence()));
+                case HOLDINGS -> events.hold(frame.getHoldings().getHoldings());
+                case HEARTBEAT -> connection.send(frame);
+                default ->
+                        throw new MalformedFrameException(
+                                "no control sends " + frame.getSetField());
+            }
+        }
+
+        private void propose(SubmissionForward forward) throws MalformedFrameException {
+            MeshCommand command = ConfigurationCodec.toCommand(forward.getCommand());
+            replica.propose(command, ProcessClock.monotonicMillis())
+                    .thenAccept(result -> send(from, toFrame(forward.getCorrelation(), result)));
+        }
+
+        private void answer(SubmissionAnswer answer) throws MalformedFrameException {
+            CompletableFuture<SubmitResult> waiting = forwarded.get(answer.getCorrelation());
+            if (waiting == null) {
+                return;
+            }
+            if (answer.isSetOutcome()) {
+                waiting.complete(
+                        new SubmitResult.Decided(
+                                ConfigurationCodec.toOutcome(answer.getOutcome())));
+            } else if (answer.isNotRun()) {
+                waiting.complete(new SubmitResult.NotRun(answer.getReason()));
+            } else {
+                waiting.complete(new SubmitResult.Unknown(answer.getReason()));
+            }
+        }
+    }
+
+    private static Frame toFrame(long correlation, SubmitResult result) {
+        SubmissionAnswer answer = new SubmissionAnswer(correlation);
+        switch (result) {
+            case SubmitResult.Decided decided ->
+                    answer.setOutcome(ConfigurationCodec.toStruct(decided.outcome()));
+            case SubmitResult.NotRun notRun -> answer.setNotRun(true).setReason(notRun.reason());
+            case SubmitResult.Unknown unknown ->
+                    answer.setNotRun(false).setReason(unknown.reason());
+        }
+        return Frame.submissionAnswer(answer);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/package-info.java
@@ -0,0 +1,2 @@
+/** The other controls as peers: the replicated log and what controls tell each other. */
+package org.cuminreach.control.replica;
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/rollout/EvidenceCollector.java
@@ -0,0 +1,49 @@
+package org.cuminreach.control.rollout;
+
+import java.util.List;
+import org.cuminreach.control.replica.PeerLinks;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.wire.MembershipCodec;
+
+/** Brings the evidence of nodes to the leader, where the judge works. */
+public final class EvidenceCollector {
+    private final ReplicaDriver replica;
+    private final PeerLinks peers;
+    private final RolloutConductor conductor;
+
+    private EvidenceCollector(ReplicaDriver replica, PeerLinks peers, RolloutConductor conductor) {
+        this.replica = replica;
+        this.peers = peers;
+        this.conductor = conductor;
+    }
+
+    /**
+     * Returns a collector.
+     *
+     * @param replica tells who leads
+     * @param peers reach the leader
+     * @param conductor works when this control leads
+     * @return the collector
+     */
+    public static EvidenceCollector create(
+            ReplicaDriver replica, PeerLinks peers, RolloutConductor conductor) {
+        return new EvidenceCollector(replica, peers, conductor);
+    }
+
+    /**
+     * Takes evidence of a node of this control.
+     *
+     * @param evidence the evidence; lost when there is no leader
+     */
+    public void collect(List<Evidence> evidence) {
+        if (replica.isLeader()) {
+            conductor.add(evidence);
+        } else {
+            replica.leader()
+                    .ifPresent(
+                            leader ->
+                                    peers.send(leader, MembershipCodec.toEvidenceFrame(evidence)));
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Rollouts: the judge at work on the leader. */
+package org.cuminreach.control.rollout;
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/storage/package-info.java
@@ -0,0 +1,2 @@
+/** The data folder: the only place where a control keeps anything. */
+package org.cuminreach.control.storage;
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
@@ -0,0 +1,86 @@
+package org.cuminreach.decisions.agreement;
+
+import java.util.List;
+import java.util.Optional;
+
+/** A follower's work: matching its log to the leader's. */
+final class Followership {
+    private final ReplicaState state;
+
+    Followership(ReplicaState state) {
+        this.state = state;
+    }
+
+    void append(long nowMillis, String from, Message.AppendRequest request) {
+        if (refusedAsOld(from, request.term(), request.round())) {
+            return;
+        }
+        state.heardLeader(nowMillis);
+        state.setLeader(Optional.of(from));
+        if (request.previousIndex() < state.log.snapshot().lastIndex()) {
+            respond(from, true, state.log.snapshot().lastIndex(), request.round());
+            return;
+        }
+        boolean matches =
+                state.log.termAt(request.previousIndex()).orElse(-1) == request.previousTerm();
+        if (!matches) {
+            respond(from, false, refusalHint(request.previousIndex()), request.round());
+            return;
+        }
+        appendNew(request.entries());
+        long match = request.previousIndex() + request.entries().size();
+        state.commitTo(Math.min(request.commitIndex(), match));
+        respond(from, true, match, request.round());
+    }
+
+    void install(long nowMillis, String from, Message.SnapshotRequest request) {
+        if (refusedAsOld(from, request.term(), request.round())) {
+            return;
+        }
+        state.heardLeader(nowMillis);
+        state.setLeader(Optional.of(from));
+        if (request.snapshot().lastIndex() > state.commitIndex()) {
+            state.install(request.snapshot());
+        }
+        respond(from, true, request.snapshot().lastIndex(), request.round());
+    }
+
+    private boolean refusedAsOld(String from, long term, long round) {
+        if (term >= state.term()) {
+            return false;
+        }
+        respond(from, false, state.log.lastIndex(), round);
+        return true;
+    }
+
+    /** Skips a whole conflicting term: every entry of it is to be replaced. */
+    private long refusalHint(long previousIndex) {
+        if (previousIndex > state.log.lastIndex()) {
+            return state.log.lastIndex();
+        }
+        long conflicting = state.log.termAt(previousIndex).orElse(0);
+        long hint = previousIndex - 1;
+        while (hint > state.commitIndex() && state.log.termAt(hint).orElse(-1) == conflicting) {
+            hint--;
+        }
+        return hint;
+    }
+
+    private void appendNew(List<LogEntry> entries) {
+        for (int at = 0; at < entries.size(); at++) {
+            LogEntry entry = entries.get(at);
+            boolean present = state.log.termAt(entry.index()).orElse(-1) == entry.term();
+            if (!present) {
+                if (entry.index() <= state.log.lastIndex()) {
+                    state.truncateFrom(entry.index());
+                }
+                state.append(entries.subList(at, entries.size()));
+                return;
+            }
+        }
+    }
+
+    private void respond(String to, boolean success, long matchIndex, long round) {
+        state.send(to, new Message.AppendResponse(state.term(), success, matchIndex, round));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Leadership.java
@@ -0,0 +1,199 @@
+package org.cuminreach.decisions.agreement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** A leader's work: replication, commit, heartbeats and confirmations by a quorum. */
+final class Leadership {
+    /** A confirmation that waits for a quorum to answer a broadcast. */
+    private record Waiting(String from, long confirmation, long index, long round) {}
+
+    private final ReplicaState state;
+    private final Map<String, Progress> progress = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final long openingIndex;
+    private long round;
+    private long broadcastMillis;
+
+    Leadership(ReplicaState state, long nowMillis) {
+        this.state = state;
+        this.openingIndex = state.log.lastIndex() + 1;
+        propose(nowMillis, new Payload.Opening());
+    }
+
+    long propose(long nowMillis, Payload payload) {
+        long index = state.log.lastIndex() + 1;
+        state.append(List.of(new LogEntry(index, state.term(), payload)));
+        followMembership(nowMillis);
+        broadcast(nowMillis, false);
+        advanceCommit();
+        return index;
+    }
+
+    void tick(long nowMillis) {
+        if (nowMillis - broadcastMillis >= state.settings.heartbeatMillis()) {
+            broadcast(nowMillis, true);
+        }
+    }
+
+    boolean hasQuorum(long nowMillis) {
+        long span = state.settings.electionTimeoutMillis();
+        return state.membership()
+                .quorumPasses(
+                        voter ->
+                                voter.equals(state.self)
+                                        || progress.containsKey(voter)
+                                                && progress.get(voter)
+                                                        .heardWithin(nowMillis, span));
+    }
+
+    /** Tells whether an entry of this leader's own term is committed. */
+    boolean opened() {
+        return state.commitIndex() >= openingIndex;
+    }
+
+    /** Returns how far a replica's log is known to match, or empty for a stranger. */
+    OptionalLong matchIndex(String member) {
+        Progress known = progress.get(member);
+        return known == null ? OptionalLong.empty() : OptionalLong.of(known.matchIndex());
+    }
+
+    void receive(long nowMillis, String from, Message.AppendResponse response) {
+        Progress peer = progress.get(from);
+        if (peer == null) {
+            return;
+        }
+        peer.heard(nowMillis, response.round());
+        if (response.success()) {
+            peer.matched(response.matchIndex());
+            advanceCommit();
+        } else {
+            peer.refused(response.matchIndex());
+        }
+        answerConfirmations();
+        if (peer.nextIndex() <= state.log.lastIndex()) {
+            sendEntries(from, peer);
+        }
+    }
+
+    void confirm(long nowMillis, String from, long confirmation) {
+        boolean outstanding = !waiting.isEmpty();
+        waiting.add(new Waiting(from, confirmation, confirmedIndex(), round + 1));
+        if (!outstanding) {
+            broadcast(nowMillis, true);
+        }
+        answerConfirmations();
+    }
+
+    private long confirmedIndex() {
+        return Math.max(state.commitIndex(), openingIndex);
+    }
+
+    private void followMembership(long nowMillis) {
+        for (Member member : state.membership().members()) {
+            if (!member.id().equals(state.self)) {
+                progress.computeIfAbsent(
+                        member.id(), id -> new Progress(state.log.lastIndex() + 1, nowMillis));
+            }
+        }
+        progress.keySet().removeIf(id -> state.membership().member(id).isEmpty());
+    }
+
+    private void broadcast(long nowMillis, boolean resend) {
+        round++;
+        broadcastMillis = nowMillis;
+        progress.forEach(
+                (id, peer) -> {
+                    if (resend || !peer.awaitingResponse()) {
+                        sendEntries(id, peer);
+                    }
+                });
+    }
+
+    private void sendEntries(String to, Progress peer) {
+        peer.sent();
+        long previous = peer.nextIndex() - 1;
+        OptionalLong previousTerm = state.log.termAt(previous);
+        if (previousTerm.isEmpty()) {
+            state.send(to, new Message.SnapshotRequest(state.term(), state.log.snapshot(), round));
+            return;
+        }
+        List<LogEntry> batch =
+                state.log.batchFrom(peer.nextIndex(), state.settings.largestBatchBytes());
+        state.send(
+                to,
+                new Message.AppendRequest(
+                        state.term(),
+                        previous,
+                        previousTerm.getAsLong(),
+                        batch,
+                        state.commitIndex(),
+                        round));
+    }
+
+    private void advanceCommit() {
+        for (long index = state.log.lastIndex(); index > state.commitIndex(); index--) {
+            if (state.log.termAt(index).orElseThrow() != state.term()) {
+                return;
+            }
+            long candidate = index;
+            boolean synced =
+                    state.membership()
+                            .quorumPasses(
+                                    voter ->
+                                            voter.equals(state.self)
+                                                    || matched(voter) >= candidate);
+            if (synced) {
+                state.commitTo(index);
+                return;
+            }
+        }
+    }
+
+    private long matched(String voter) {
+        return matchIndex(voter).orElse(0);
+    }
+
+    private void answerConfirmations() {
+        boolean answered = false;
+        Iterator<Waiting> iterator = waiting.iterator();
+        while (iterator.hasNext()) {
+            Waiting next = iterator.next();
+            boolean confirmed =
+                    opened()
+                            && state.membership()
+                                    .quorumPasses(voter -> ackedRound(voter) >= next.round());
+            if (!confirmed) {
+                break;
+            }
+            iterator.remove();
+            answered = true;
+            answer(next);
+        }
+        if (answered && !waiting.isEmpty()) {
+            broadcast(broadcastMillis, true);
+        }
+    }
+
+    private long ackedRound(String voter) {
+        if (voter.equals(state.self)) {
+            return round;
+        }
+        Progress peer = progress.get(voter);
+        return peer == null ? 0 : peer.ackedRound();
+    }
+
+    private void answer(Waiting next) {
+        if (next.from().equals(state.self)) {
+            state.emit(new Effect.Confirmed(next.confirmation(), next.index()));
+            return;
+        }
+        state.send(
+                next.from(),
+                new Message.ConfirmResponse(state.term(), next.confirmation(), next.index()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/ReplicaState.java
@@ -0,0 +1,159 @@
+package org.cuminreach.decisions.agreement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** State and elementary steps that every role of a replica shares. */
+final class ReplicaState {
+    final String self;
+    final AgreementSettings settings;
+    final RandomGenerator random;
+    final EntryLog log;
+    private final List<Effect> effects = new ArrayList<>();
+
+    private long term;
+    private Optional<String> vote;
+    private Optional<String> leader = Optional.empty();
+    private long commitIndex;
+    private long appliedIndex;
+    private Membership membership;
+    private long electionDeadlineMillis;
+    private long leaderHeardMillis = Long.MIN_VALUE / 2;
+
+    ReplicaState(
+            String self, AgreementSettings settings, RandomGenerator random, DurableState durable) {
+        this.self = self;
+        this.settings = settings;
+        this.random = random;
+        Snapshot snapshot =
+                durable.snapshot()
+                        .orElseGet(() -> new Snapshot(0, 0, Membership.none(), new byte[0]));
+        this.log = new EntryLog(snapshot, durable.entries());
+        this.term = durable.term();
+        this.vote = durable.vote();
+        this.commitIndex = snapshot.lastIndex();
+        this.appliedIndex = snapshot.lastIndex();
+        this.membership = log.membershipAt(log.lastIndex());
+    }
+
+    long term() {
+        return term;
+    }
+
+    Optional<String> vote() {
+        return vote;
+    }
+
+    Optional<String> leader() {
+        return leader;
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    long appliedIndex() {
+        return appliedIndex;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    void emit(Effect effect) {
+        effects.add(effect);
+    }
+
+    void send(String to, Message message) {
+        effects.add(new Effect.Send(to, message));
+    }
+
+    List<Effect> drain() {
+        List<Effect> drained = List.copyOf(effects);
+        effects.clear();
+        return drained;
+    }
+
+    void enterTerm(long newTerm, Optional<String> newVote) {
+        term = newTerm;
+        vote = newVote;
+        effects.add(new Effect.SaveVote(term, vote));
+    }
+
+    void setLeader(Optional<String> newLeader) {
+        if (!leader.equals(newLeader)) {
+            leader = newLeader;
+            effects.add(new Effect.LeaderChanged(term, leader));
+        }
+    }
+
+    void heardLeader(long nowMillis) {
+        leaderHeardMillis = nowMillis;
+        resetElectionDeadline(nowMillis);
+    }
+
+    boolean leaderHeardWithin(long nowMillis, long spanMillis) {
+        return nowMillis - leaderHeardMillis < spanMillis;
+    }
+
+    void resetElectionDeadline(long nowMillis) {
+        long timeout = settings.electionTimeoutMillis();
+        electionDeadlineMillis = nowMillis + timeout + random.nextLong(timeout);
+    }
+
+    boolean electionDue(long nowMillis) {
+        return nowMillis >= electionDeadlineMillis;
+    }
+
+    /** Tells whether another log with this end is at least as complete as this one. */
+    boolean upToDate(long lastIndex, long lastTerm) {
+        if (lastTerm != log.lastTerm()) {
+            return lastTerm > log.lastTerm();
+        }
+        return lastIndex >= log.lastIndex();
+    }
+
+    void append(List<LogEntry> entries) {
+        entries.forEach(log::append);
+        effects.add(new Effect.SaveEntries(List.copyOf(entries)));
+        membership = log.membershipAt(log.lastIndex());
+    }
+
+    void truncateFrom(long index) {
+        if (index <= commitIndex) {
+            throw new IllegalStateException(
+                    "committed entry " + index + " would be cut; commit index is " + commitIndex);
+        }
+        log.truncateFrom(index);
+        membership = log.membershipAt(log.lastIndex());
+    }
+
+    void commitTo(long index) {
+        if (index <= commitIndex) {
+            return;
+        }
+        commitIndex = index;
+        while (appliedIndex < commitIndex) {
+            appliedIndex++;
+            effects.add(new Effect.Apply(log.get(appliedIndex)));
+        }
+    }
+
+    void install(Snapshot snapshot) {
+        log.replaceBy(snapshot);
+        commitIndex = snapshot.lastIndex();
+        appliedIndex = snapshot.lastIndex();
+        membership = snapshot.membership();
+        effects.add(new Effect.SaveSnapshot(snapshot, false));
+        effects.add(new Effect.Restore(snapshot));
+    }
+
+    void compact(long index, byte[] state) {
+        long indexTerm = log.termAt(index).orElseThrow();
+        Snapshot snapshot = new Snapshot(index, indexTerm, log.membershipAt(index), state);
+        log.compactTo(snapshot);
+        effects.add(new Effect.SaveSnapshot(snapshot, true));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHolder.java
@@ -0,0 +1,81 @@
+package org.cuminreach.decisions.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.document.Route;
+import org.cuminreach.settings.Fault;
+
+/**
+ * The configuration in force on a node. A newer one replaces it in one step, whole; an older one or
+ * one with a gap never does.
+ */
+public final class ConfigurationHolder {
+    private volatile MeshConfiguration inForce = MeshConfiguration.empty();
+
+    private ConfigurationHolder() {}
+
+    /**
+     * Returns a holder without a configuration.
+     *
+     * @return an empty holder, at version 0
+     */
+    public static ConfigurationHolder empty() {
+        return new ConfigurationHolder();
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration
+     */
+    public MeshConfiguration inForce() {
+        return inForce;
+    }
+
+    /**
+     * Offers a configuration.
+     *
+     * @param offered the configuration
+     * @return whether it is in force now
+     */
+    public synchronized OfferOutcome offer(MeshConfiguration offered) {
+        long current = inForce.version();
+        if (offered.version() <= current) {
+            return new OfferOutcome.NotNewer(current);
+        }
+        List<Fault> faults = gaps(offered);
+        if (!faults.isEmpty()) {
+            return new OfferOutcome.Refused(current, faults);
+        }
+        inForce = offered;
+        return new OfferOutcome.Applied(offered.version(), current);
+    }
+
+    private static List<Fault> gaps(MeshConfiguration offered) {
+        List<Fault> faults = new ArrayList<>();
+        MeshDocument document = offered.document();
+        for (Route route : document.routes()) {
+            if (document.service(route.service()).isEmpty()) {
+                faults.add(
+                        new Fault(
+                                "routes." + route.name(),
+                                "its service " + route.service() + " is missing"));
+            }
+        }
+        for (RolloutProgress progress : offered.rollouts()) {
+            Optional<String> wanted =
+                    document.service(progress.service())
+                            .flatMap(service -> service.rollout())
+                            .map(rollout -> rollout.version());
+            if (!wanted.equals(Optional.of(progress.version()))) {
+                faults.add(
+                        new Fault(
+                                "rollouts." + progress.service(),
+                                "its version " + progress.version() + " is missing"));
+            }
+        }
+        return faults;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -0,0 +1,291 @@
+package org.cuminreach.decisions.configuration;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cuminreach.document.DocumentReader;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.document.Rollout;
+import org.cuminreach.document.Service;
+import org.cuminreach.settings.Fault;
+import org.cuminreach.settings.Reading;
+
+/**
+ * The state that the log's commands build, the same on each control. Deterministic: it depends on
+ * the commands and their indexes alone. Not safe for use by several threads at once.
+ */
+public final class MeshState {
+    private static final int REMEMBERED_ANSWERS = 10_000;
+    private static final int HISTORY_ENTRIES = 1_000;
+    private static final int LONGEST_KEY = 200;
+
+    private final Map<String, SubmissionOutcome> answers = new LinkedHashMap<>();
+    private final Set<TakenBackVersion> takenBack = new LinkedHashSet<>();
+    private final Deque<HistoryEntry> history = new ArrayDeque<>();
+    private MeshConfiguration configuration;
+
+    private MeshState(MeshStateImage image) {
+        MeshDocument document =
+                switch (DocumentReader.read(image.documentText())) {
+                    case Reading.Sound<MeshDocument> sound -> sound.value();
+                    case Reading.Faulty<MeshDocument> faulty ->
+                            throw new IllegalStateException(
+                                    "an accepted document no longer reads: " + faulty.faults());
+                };
+        configuration =
+                new MeshConfiguration(
+                        image.version(),
+                        image.documentVersion(),
+                        document,
+                        image.documentText(),
+                        image.rollouts());
+        image.answers().forEach(answer -> answers.put(answer.key(), answer.outcome()));
+        takenBack.addAll(image.takenBack());
+        history.addAll(image.history());
+    }
+
+    /**
+     * Restores a state.
+     *
+     * @param image the state to restore
+     * @return the state
+     * @throws IllegalStateException when the image's document does not read
+     */
+    public static MeshState of(MeshStateImage image) {
+        return new MeshState(image);
+    }
+
+    /**
+     * Returns the whole state, for a snapshot.
+     *
+     * @return an immutable copy
+     */
+    public MeshStateImage image() {
+        List<MeshStateImage.RememberedAnswer> remembered = new ArrayList<>();
+        answers.forEach(
+                (key, outcome) ->
+                        remembered.add(new MeshStateImage.RememberedAnswer(key, outcome)));
+        return new MeshStateImage(
+                configuration.version(),
+                configuration.documentVersion(),
+                configuration.documentText(),
+                configuration.rollouts(),
+                List.copyOf(takenBack),
+                remembered,
+                List.copyOf(history));
+    }
+
+    /**
+     * Returns the configuration.
+     *
+     * @return the configuration after the latest command
+     */
+    public MeshConfiguration configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns the history.
+     *
+     * @return the latest entries, oldest first
+     */
+    public List<HistoryEntry> history() {
+        return List.copyOf(history);
+    }
+
+    /**
+     * Finds the answer that an earlier submission got.
+     *
+     * @param key idempotency key
+     * @return its answer, or empty when unknown
+     */
+    public Optional<SubmissionOutcome> answer(String key) {
+        return Optional.ofNullable(answers.get(key));
+    }
+
+    /**
+     * Applies a command.
+     *
+     * @param index index of its log entry
+     * @param command the command
+     * @return the answer to a submission, or empty for other commands
+     */
+    public Optional<SubmissionOutcome> apply(long index, MeshCommand command) {
+        return switch (command) {
+            case MeshCommand.SubmitDocument submission -> Optional.of(submit(index, submission));
+            case MeshCommand.StepRollout step -> {
+                stepRollout(index, step);
+                yield Optional.empty();
+            }
+        };
+    }
+
+    private SubmissionOutcome submit(long index, MeshCommand.SubmitDocument submission) {
+        SubmissionOutcome first = answers.get(submission.key());
+        if (first != null) {
+            return first;
+        }
+        SubmissionOutcome outcome = judge(index, submission);
+        remember(submission.key(), outcome);
+        return outcome;
+    }
+
+    private SubmissionOutcome judge(long index, MeshCommand.SubmitDocument submission) {
+        if (submission.key().isEmpty() || submission.key().length() > LONGEST_KEY) {
+            Fault fault = new Fault("key", "must have 1 to " + LONGEST_KEY + " characters");
+            return new SubmissionOutcome.RefusedAsFaulty(List.of(fault));
+        }
+        if (submission.basedOn() != configuration.documentVersion()) {
+            return new SubmissionOutcome.RefusedAsStale(configuration.documentVersion());
+        }
+        return switch (DocumentReader.read(submission.text())) {
+            case Reading.Faulty<MeshDocument> faulty ->
+                    new SubmissionOutcome.RefusedAsFaulty(faulty.faults());
+            case Reading.Sound<MeshDocument> sound -> accept(index, submission, sound.value());
+        };
+    }
+
+    private SubmissionOutcome accept(
+            long index, MeshCommand.SubmitDocument submission, MeshDocument document) {
+        List<Fault> faults = refuseTakenBack(document);
+        if (!faults.isEmpty()) {
+            return new SubmissionOutcome.RefusedAsFaulty(faults);
+        }
+        configuration =
+                new MeshConfiguration(
+                        index,
+                        index,
+                        document,
+                        submission.text(),
+                        rolloutsOf(document, submission.atMillis()));
+        record(index, submission.atMillis(), submission.operator(), "document accepted");
+        return new SubmissionOutcome.Accepted(index);
+    }
+
+    private List<Fault> refuseTakenBack(MeshDocument document) {
+        List<Fault> faults = new ArrayList<>();
+        for (int at = 0; at < document.services().size(); at++) {
+            Service service = document.services().get(at);
+            String path = "services[" + at + "]";
+            if (takenBack.contains(new TakenBackVersion(service.name(), service.version()))) {
+                faults.add(new Fault(path + ".version", takenBackReason(service.version())));
+            }
+            service.rollout()
+                    .filter(rollout -> isNewlyWanted(service.name(), rollout.version()))
+                    .ifPresent(
+                            rollout ->
+                                    faults.add(
+                                            new Fault(
+                                                    path + ".rollout.version",
+                                                    takenBackReason(rollout.version()))));
+        }
+        return faults;
+    }
+
+    /** A document may still name the version whose taking back it has seen. */
+    private boolean isNewlyWanted(String service, String version) {
+        boolean wantedBefore =
+                configuration
+                        .rollout(service)
+                        .map(progress -> progress.version().equals(version))
+                        .orElse(false);
+        return takenBack.contains(new TakenBackVersion(service, version)) && !wantedBefore;
+    }
+
+    private static String takenBackReason(String version) {
+        return "is \"" + version + "\", which was taken back; give the mended build a new name";
+    }
+
+    private List<RolloutProgress> rolloutsOf(MeshDocument document, long atMillis) {
+        List<RolloutProgress> progress = new ArrayList<>();
+        for (Service service : document.services()) {
+            service.rollout()
+                    .ifPresent(wanted -> progress.add(progressOf(service, wanted, atMillis)));
+        }
+        return progress;
+    }
+
+    private RolloutProgress progressOf(Service service, Rollout wanted, long atMillis) {
+        RolloutProgress fresh =
+                new RolloutProgress(
+                        service.name(),
+                        wanted.version(),
+                        RolloutPhase.MOVING,
+                        0,
+                        atMillis,
+                        atMillis,
+                        "accepted");
+        return configuration
+                .rollout(service.name())
+                .filter(known -> known.version().equals(wanted.version()))
+                .orElse(fresh);
+    }
+
+    private void stepRollout(long index, MeshCommand.StepRollout step) {
+        Optional<RolloutProgress> known =
+                configuration
+                        .rollout(step.service())
+                        .filter(progress -> progress.version().equals(step.version()))
+                        .filter(progress -> progress.phase() != RolloutPhase.TAKEN_BACK);
+        if (known.isEmpty()) {
+            return;
+        }
+        RolloutProgress next =
+                new RolloutProgress(
+                        step.service(),
+                        step.version(),
+                        step.phase(),
+                        step.sharePerMille(),
+                        known.get().startedMillis(),
+                        step.atMillis(),
+                        step.reason());
+        if (step.phase() == RolloutPhase.TAKEN_BACK) {
+            takenBack.add(new TakenBackVersion(step.service(), step.version()));
+        }
+        replaceRollout(index, next);
+        record(index, step.atMillis(), "rollout judge", describe(step));
+    }
+
+    private void replaceRollout(long index, RolloutProgress next) {
+        List<RolloutProgress> rollouts = new ArrayList<>(configuration.rollouts());
+        rollouts.replaceAll(
+                progress -> progress.service().equals(next.service()) ? next : progress);
+        configuration =
+                new MeshConfiguration(
+                        index,
+                        configuration.documentVersion(),
+                        configuration.document(),
+                        configuration.documentText(),
+                        rollouts);
+    }
+
+    private static String describe(MeshCommand.StepRollout step) {
+        return "%s version %s: %s, share %d per mille: %s"
+                .formatted(
+                        step.service(),
+                        step.version(),
+                        step.phase(),
+                        step.sharePerMille(),
+                        step.reason());
+    }
+
+    private void remember(String key, SubmissionOutcome outcome) {
+        answers.put(key, outcome);
+        if (answers.size() > REMEMBERED_ANSWERS) {
+            answers.remove(answers.keySet().iterator().next());
+        }
+    }
+
+    private void record(long index, long atMillis, String actor, String event) {
+        history.add(new HistoryEntry(index, atMillis, actor, event));
+        if (history.size() > HISTORY_ENTRIES) {
+            history.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
@@ -0,0 +1,61 @@
+package org.cuminreach.decisions.membership;
+
+import org.cuminreach.settings.Address;
+
+/**
+ * What the node beside a target says of it.
+ *
+ * @param node name of the node, unique in the mesh
+ * @param incarnation start time of the node's process in milliseconds since the epoch; a later
+ *     process of the same name has a higher one
+ * @param sequence counts the announcements of one process
+ * @param service name of the target's service
+ * @param version version of the target
+ * @param dataCentre where it runs
+ * @param inbound address where the node takes calls for the target
+ * @param slots calls that the target runs at once
+ * @param phase where the target stands
+ */
+public record Announcement(
+        String node,
+        long incarnation,
+        long sequence,
+        String service,
+        String version,
+        String dataCentre,
+        Address inbound,
+        int slots,
+        TargetPhase phase) {
+    /**
+     * Tells whether this announcement is later than another of the same node.
+     *
+     * @param other the other
+     * @return true when this one replaces the other
+     */
+    public boolean isLaterThan(Announcement other) {
+        if (incarnation != other.incarnation) {
+            return incarnation > other.incarnation;
+        }
+        return sequence > other.sequence;
+    }
+
+    /**
+     * Returns this announcement with another phase.
+     *
+     * @param newPhase the phase
+     * @param newSequence the sequence of the new announcement
+     * @return the new announcement
+     */
+    public Announcement with(TargetPhase newPhase, long newSequence) {
+        return new Announcement(
+                node,
+                incarnation,
+                newSequence,
+                service,
+                version,
+                dataCentre,
+                inbound,
+                slots,
+                newPhase);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
@@ -0,0 +1,57 @@
+package org.cuminreach.decisions.retry;
+
+import java.util.random.RandomGenerator;
+
+/** Decides whether a call is tried again. Only what cannot run twice by it is. */
+public final class RetryPolicy {
+    private static final int MOST_ATTEMPTS = 3;
+    private static final long LONGEST_DELAY_MILLIS = 20;
+
+    private RetryPolicy() {}
+
+    /**
+     * Decides what to do after an attempt.
+     *
+     * @param outcome what came of the attempt
+     * @param progress how far the call has come, this attempt included
+     * @param budget budget of this node
+     * @param random source of the jitter
+     * @return the decision
+     */
+    public static RetryDecision decide(
+            AttemptOutcome outcome,
+            CallProgress progress,
+            RetryBudget budget,
+            RandomGenerator random) {
+        return switch (outcome) {
+            case AttemptOutcome.Answered answered -> new RetryDecision.Answer();
+            case AttemptOutcome.NotRun notRun ->
+                    retryOrGiveUp(honest(notRun, progress), "not_run", progress, budget, random);
+            case AttemptOutcome.MayHaveRun mayHaveRun ->
+                    progress.idempotent()
+                            ? retryOrGiveUp(mayHaveRun, "idempotent", progress, budget, random)
+                            : new RetryDecision.GiveUp(mayHaveRun);
+        };
+    }
+
+    /** A refusal after an attempt that may have run must not claim that the call has not run. */
+    private static AttemptOutcome honest(AttemptOutcome.NotRun notRun, CallProgress progress) {
+        return progress.mayHaveRunBefore()
+                ? new AttemptOutcome.MayHaveRun("earlier_attempt_then_" + notRun.reason())
+                : notRun;
+    }
+
+    private static RetryDecision retryOrGiveUp(
+            AttemptOutcome outcome,
+            String reason,
+            CallProgress progress,
+            RetryBudget budget,
+            RandomGenerator random) {
+        long delay = random.nextLong(LONGEST_DELAY_MILLIS + 1);
+        boolean hasTime = progress.remainingMillis() > delay;
+        if (progress.attempts() >= MOST_ATTEMPTS || !hasTime || !budget.spend()) {
+            return new RetryDecision.GiveUp(outcome);
+        }
+        return new RetryDecision.Retry(delay, reason);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
@@ -0,0 +1,21 @@
+package org.cuminreach.decisions.routing;
+
+import org.cuminreach.settings.Address;
+
+/**
+ * What a node knows of a target when it chooses.
+ *
+ * @param node name of the node beside the target
+ * @param dataCentre where it runs
+ * @param inbound address where its node takes calls
+ * @param slots calls that the target runs at once, at least 1
+ * @param outstanding calls of this node that wait for its answer
+ * @param distrustedUntilMillis time until which it is avoided after failures, in milliseconds
+ */
+public record TargetView(
+        String node,
+        String dataCentre,
+        Address inbound,
+        int slots,
+        int outstanding,
+        long distrustedUntilMillis) {}
--- /dev/null
+++ b/document/src/main/java/org/cuminreach/settings/CheckedJson.java
@@ -0,0 +1,74 @@
+package org.cuminreach.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/** Parses JSON with comments and hands it to a reader that checks each field. */
+public final class CheckedJson {
+    private static final int DEEPEST_NESTING = 32;
+
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder(
+                            com.fasterxml.jackson.core.JsonFactory.builder()
+                                    .streamReadConstraints(
+                                            StreamReadConstraints.builder()
+                                                    .maxNestingDepth(DEEPEST_NESTING)
+                                                    .build())
+                                    .build())
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private CheckedJson() {}
+
+    /**
+     * Reads one JSON object.
+     *
+     * @param <T> type of the value
+     * @param text JSON, comments allowed
+     * @param reader builds the value from the checked fields; its result is dropped when any field
+     *     was at fault
+     * @return the value, or every fault
+     */
+    public static <T> Reading<T> read(String text, Function<CheckedObject, T> reader) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(text);
+        } catch (JsonProcessingException malformed) {
+            return new Reading.Faulty<>(List.of(new Fault("$", describe(malformed))));
+        }
+        if (!root.isObject()) {
+            return new Reading.Faulty<>(List.of(new Fault("$", "must be a JSON object")));
+        }
+        List<Fault> faults = new ArrayList<>();
+        CheckedObject object = new CheckedObject("", root, faults);
+        T value = reader.apply(object);
+        object.refuseUnknownFields();
+        if (!faults.isEmpty()) {
+            return new Reading.Faulty<>(faults);
+        }
+        return new Reading.Sound<>(value);
+    }
+
+    private static String describe(JsonProcessingException malformed) {
+        String place = "";
+        if (malformed.getLocation() != null) {
+            place =
+                    " at line "
+                            + malformed.getLocation().getLineNr()
+                            + ", column "
+                            + malformed.getLocation().getColumnNr();
+        }
+        return "is not valid JSON" + place + ": " + malformed.getOriginalMessage();
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/cuminreach/settings/CheckedObject.java
@@ -0,0 +1,305 @@
+package org.cuminreach.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * One JSON object whose fields are read by name and type. A field at fault is noted and a harmless
+ * stand-in is returned, so that one pass finds every fault.
+ */
+public final class CheckedObject {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?");
+
+    private final String path;
+    private final JsonNode node;
+    private final List<Fault> faults;
+    private final Set<String> known = new HashSet<>();
+
+    CheckedObject(String path, JsonNode node, List<Fault> faults) {
+        this.path = path;
+        this.node = node;
+        this.faults = faults;
+    }
+
+    /**
+     * Tells whether a field is there and not null.
+     *
+     * @param field name of the field
+     * @return true when it holds a value
+     */
+    public boolean has(String field) {
+        known.add(field);
+        return node.hasNonNull(field);
+    }
+
+    /**
+     * Reads a required text.
+     *
+     * @param field name of the field
+     * @return the text, or an empty one when at fault
+     */
+    public String text(String field) {
+        if (!has(field)) {
+            fault(field, "is missing; a text is needed");
+            return "";
+        }
+        JsonNode value = node.get(field);
+        if (!value.isTextual()) {
+            fault(field, "is " + value + "; a text is needed");
+            return "";
+        }
+        return value.textValue();
+    }
+
+    /**
+     * Reads a text that may be absent.
+     *
+     * @param field name of the field
+     * @param absent value when the field is absent
+     * @return the text
+     */
+    public String text(String field, String absent) {
+        return has(field) ? text(field) : absent;
+    }
+
+    /**
+     * Reads a required name: lower-case letters, digits, dots and hyphens, 63 at most.
+     *
+     * @param field name of the field
+     * @return the name
+     */
+    public String name(String field) {
+        int faultsBefore = faults.size();
+        String text = text(field);
+        if (faults.size() == faultsBefore && !NAME.matcher(text).matches()) {
+            fault(
+                    field,
+                    "is \""
+                            + text
+                            + "\"; a name has 1 to 63 lower-case letters, digits, dots or hyphens");
+        }
+        return text;
+    }
+
+    /**
+     * Reads a required choice.
+     *
+     * @param <E> type of the choice
+     * @param field name of the field
+     * @param absent value when the field is absent
+     * @return the constant whose lower-case name stands in the field
+     */
+    public <E extends Enum<E>> E choice(String field, E absent) {
+        if (!has(field)) {
+            return absent;
+        }
+        String text = text(field);
+        List<String> allowed = new ArrayList<>();
+        for (E constant : absent.getDeclaringClass().getEnumConstants()) {
+            String written = constant.name().toLowerCase(java.util.Locale.ROOT);
+            if (written.equals(text)) {
+                return constant;
+            }
+            allowed.add(written);
+        }
+        fault(field, "is \"" + text + "\"; allowed are " + String.join(", ", allowed));
+        return absent;
+    }
+
+    /**
+     * Reads a whole number that may be absent.
+     *
+     * @param field name of the field
+     * @param absent value when the field is absent
+     * @param lowest lowest allowed
+     * @param highest highest allowed
+     * @return the number
+     */
+    public long number(String field, long absent, long lowest, long highest) {
+        return has(field) ? number(field, lowest, highest) : absent;
+    }
+
+    /**
+     * Reads a required whole number.
+     *
+     * @param field name of the field
+     * @param lowest lowest allowed
+     * @param highest highest allowed
+     * @return the number, or the lowest allowed when at fault
+     */
+    public long number(String field, long lowest, long highest) {
+        String allowed = "; allowed is a whole number from " + lowest + " to " + highest;
+        if (!has(field)) {
+            fault(field, "is missing" + allowed);
+            return lowest;
+        }
+        JsonNode value = node.get(field);
+        boolean inRange =
+                value.isIntegralNumber()
+                        && value.canConvertToLong()
+                        && value.longValue() >= lowest
+                        && value.longValue() <= highest;
+        if (!inRange) {
+            fault(field, "is " + value + allowed);
+            return lowest;
+        }
+        return value.longValue();
+    }
+
+    /**
+     * Reads a flag that may be absent.
+     *
+     * @param field name of the field
+     * @param absent value when the field is absent
+     * @return the flag
+     */
+    public boolean flag(String field, boolean absent) {
+        if (!has(field)) {
+            return absent;
+        }
+        JsonNode value = node.get(field);
+        if (!value.isBoolean()) {
+            fault(field, "is " + value + "; allowed are true and false");
+            return absent;
+        }
+        return value.booleanValue();
+    }
+
+    /**
+     * Reads a required point in time such as {@code 2026-12-04T10:00:00Z}.
+     *
+     * @param field name of the field
+     * @return the time, or the epoch when at fault
+     */
+    public Instant time(String field) {
+        String text = text(field);
+        try {
+            return Instant.parse(text);
+        } catch (DateTimeParseException malformed) {
+            fault(field, "is \"" + text + "\"; a time such as 2026-12-04T10:00:00Z is needed");
+            return Instant.EPOCH;
+        }
+    }
+
+    /**
+     * Reads a required address.
+     *
+     * @param field name of the field
+     * @return the address, or port 1 of the loopback number when at fault
+     */
+    public Address address(String field) {
+        return toAddress(field, text(field));
+    }
+
+    /**
+     * Reads a required list of addresses with at least one entry.
+     *
+     * @param field name of the field
+     * @return the addresses
+     */
+    public List<Address> addresses(String field) {
+        List<Address> addresses = new ArrayList<>();
+        int index = 0;
+        for (JsonNode entry : array(field)) {
+            addresses.add(toAddress(field + "[" + index + "]", entry.asText()));
+            index++;
+        }
+        if (index == 0) {
+            fault(field, "needs at least one address such as 10.0.0.1:7000");
+        }
+        return addresses;
+    }
+
+    /**
+     * Reads an object that may be absent.
+     *
+     * @param <T> type of the value
+     * @param field name of the field
+     * @param reader builds the value
+     * @return the value, or empty when absent or not an object
+     */
+    public <T> Optional<T> object(String field, Function<CheckedObject, T> reader) {
+        if (!has(field)) {
+            return Optional.empty();
+        }
+        return readObject(field, node.get(field), reader);
+    }
+
+    /**
+     * Reads a list of objects that may be absent.
+     *
+     * @param <T> type of an entry
+     * @param field name of the field
+     * @param reader builds one entry
+     * @return the entries, in the order of the file
+     */
+    public <T> List<T> objects(String field, Function<CheckedObject, T> reader) {
+        List<T> values = new ArrayList<>();
+        int index = 0;
+        for (JsonNode entry : array(field)) {
+            readObject(field + "[" + index + "]", entry, reader).ifPresent(values::add);
+            index++;
+        }
+        return values;
+    }
+
+    /**
+     * Notes a fault of this object.
+     *
+     * @param field field at fault
+     * @param reason what is wrong and what is allowed
+     */
+    public void fault(String field, String reason) {
+        faults.add(new Fault(path + field, reason));
+    }
+
+    void refuseUnknownFields() {
+        node.fieldNames()
+                .forEachRemaining(
+                        field -> {
+                            if (!known.contains(field)) {
+                                fault(field, "is not a known field");
+                            }
+                        });
+    }
+
+    private <T> Optional<T> readObject(
+            String field, JsonNode value, Function<CheckedObject, T> reader) {
+        if (!value.isObject()) {
+            fault(field, "is " + value + "; an object is needed");
+            return Optional.empty();
+        }
+        CheckedObject child = new CheckedObject(path + field + ".", value, faults);
+        T result = reader.apply(child);
+        child.refuseUnknownFields();
+        return Optional.of(result);
+    }
+
+    private JsonNode array(String field) {
+        if (!has(field)) {
+            return com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.arrayNode();
+        }
+        JsonNode value = node.get(field);
+        if (!value.isArray()) {
+            fault(field, "is " + value + "; a list is needed");
+            return com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.arrayNode();
+        }
+        return value;
+    }
+
+    private Address toAddress(String field, String text) {
+        Optional<Address> address = Address.parse(text);
+        if (address.isEmpty()) {
+            fault(field, "is \"" + text + "\"; an address such as 10.0.0.1:7000 is needed");
+        }
+        return address.orElse(new Address("127.0.0.1", 1));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -0,0 +1,202 @@
+package org.cuminreach.node;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.node.caller.CallerHandler;
+import org.cuminreach.node.caller.EvidenceLog;
+import org.cuminreach.node.control.ControlSession;
+import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.target.TargetAnnouncer;
+import org.cuminreach.node.target.TargetGuard;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.administration.AdministrationHandler;
+import org.cuminreach.runtime.administration.Readiness;
+import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.wire.frame.FrameEndpoints;
+import org.cuminreach.wire.frame.TrafficCounter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Puts the parts of a node together and lets time pass for them. */
+public final class NodeProcess {
+    private static final Logger LOGGER = LoggerFactory.getLogger(NodeProcess.class);
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final long SILENCE_MILLIS = 3_000;
+    private static final long SESSION_TICK_MILLIS = 500;
+    private static final long GUARD_TICK_MILLIS = 20;
+    private static final long STOP_POLL_MILLIS = 20;
+    private static final long LEAVE_MILLIS = 500;
+
+    private final NodeSettings settings;
+    private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final TrafficCounter controlTraffic = TrafficCounter.zero();
+    private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private final MeshView view = MeshView.empty();
+    private final EvidenceLog evidence = EvidenceLog.empty();
+    private final HttpSender sender = HttpSender.create(eventLoops);
+    private final TargetAnnouncer announcer;
+    private final TargetGuard guard;
+    private final ControlSession session;
+    private HttpServer callers;
+    private HttpServer inbound;
+
+    private NodeProcess(NodeSettings settings) {
+        this.settings = settings;
+        announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
+        guard = TargetGuard.create(settings.target(), sender);
+        session =
+                ControlSession.create(
+                        settings,
+                        holder,
+                        view,
+                        evidence,
+                        announcer,
+                        FrameEndpoints.create(eventLoops, controlTraffic, SILENCE_MILLIS),
+                        timer,
+                        new Random());
+    }
+
+    /**
+     * Starts a node and returns once all its addresses listen.
+     *
+     * @param settings its settings
+     * @return the running node
+     */
+    public static NodeProcess start(NodeSettings settings) {
+        NodeProcess process = new NodeProcess(settings);
+        process.listen();
+        process.session.dial();
+        process.startTicking();
+        LOGGER.info("event=node_started name={}", settings.name());
+        return process;
+    }
+
+    /**
+     * Stops the node gracefully: the lease is given up first, then running calls end.
+     *
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void stop() throws InterruptedException {
+        announcer.enter(TargetPhase.GONE);
+        session.announce();
+        session.stop();
+        LOGGER.info("event=node_stopping running={}", guard.running());
+        Thread.sleep(Math.min(LEAVE_MILLIS, settings.stopMillis()));
+        guard.drain();
+        callers.beginClosing();
+        inbound.beginClosing();
+        long deadlineMillis = ProcessClock.monotonicMillis() + settings.stopMillis();
+        while (inProgress() > 0 && ProcessClock.monotonicMillis() < deadlineMillis) {
+            Thread.sleep(STOP_POLL_MILLIS);
+        }
+        LOGGER.info("event=node_stopped cut={}", inProgress());
+        close();
+    }
+
+    private void close() {
+        timer.shutdownNow();
+        callers.close();
+        inbound.close();
+        try {
+            sender.close();
+        } catch (IOException unclosed) {
+            LOGGER.debug("event=sender_unclosed", unclosed);
+        }
+        EventLoops.stop(eventLoops);
+    }
+
+    private int inProgress() {
+        return callers.inProgress() + inbound.inProgress();
+    }
+
+    private void listen() {
+        CallerHandler callerHandler =
+                CallerHandler.create(settings.dataCentre(), holder, view, sender, evidence, timer);
+        callers = HttpServer.listen(settings.callerAddress(), eventLoops, callerHandler).join();
+        inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, guard).join();
+        HttpServer.listen(
+                        settings.administrationAddress(),
+                        eventLoops,
+                        AdministrationHandler.of(metrics(), this::readiness, this::statusJson))
+                .join();
+    }
+
+    private void startTicking() {
+        timer.scheduleWithFixedDelay(
+                () -> session.tick(ProcessClock.wallMillis()),
+                SESSION_TICK_MILLIS,
+                SESSION_TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        timer.scheduleWithFixedDelay(
+                () -> guard.tick(ProcessClock.monotonicMillis()),
+                GUARD_TICK_MILLIS,
+                GUARD_TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private Readiness readiness() {
+        boolean ready = holder.inForce().version() > 0;
+        return new Readiness(ready, ready ? "holds a configuration" : "no configuration yet");
+    }
+
+    private String statusJson() {
+        return """
+                {"node": "%s", "configuration": %d, "welcomed": %b, "readyTargets": %d, \
+                "running": %d, "waiting": %d, "controlSentBytes": %d, "controlReceivedBytes": %d}
+                """
+                .formatted(
+                        settings.name(),
+                        holder.inForce().version(),
+                        session.isWelcomed(),
+                        view.readyCount(),
+                        guard.running(),
+                        guard.waiting(),
+                        controlTraffic.sentBytes(),
+                        controlTraffic.receivedBytes());
+    }
+
+    private PrometheusRegistry metrics() {
+        PrometheusRegistry registry = new PrometheusRegistry();
+        gauge(
+                registry,
+                "cuminreach_node_configuration_version",
+                "Configuration version in force",
+                () -> holder.inForce().version());
+        gauge(registry, "cuminreach_node_ready_targets", "Targets seen", view::readyCount);
+        gauge(registry, "cuminreach_node_running_calls", "Calls at the target", guard::running);
+        gauge(registry, "cuminreach_node_waiting_calls", "Calls that wait", guard::waiting);
+        gauge(
+                registry,
+                "cuminreach_node_control_sent_bytes",
+                "Bytes sent to controls",
+                controlTraffic::sentBytes);
+        gauge(
+                registry,
+                "cuminreach_node_control_received_bytes",
+                "Bytes received from controls",
+                controlTraffic::receivedBytes);
+        return registry;
+    }
+
+    private static void gauge(
+            PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -0,0 +1,285 @@
+package org.cuminreach.node.caller;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.retry.AttemptOutcome;
+import org.cuminreach.decisions.retry.CallProgress;
+import org.cuminreach.decisions.retry.RetryBudget;
+import org.cuminreach.decisions.retry.RetryDecision;
+import org.cuminreach.decisions.retry.RetryPolicy;
+import org.cuminreach.decisions.routing.RouteTable;
+import org.cuminreach.decisions.routing.TargetChoice;
+import org.cuminreach.decisions.routing.TargetChooser;
+import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.decisions.routing.VersionChooser;
+import org.cuminreach.document.Route;
+import org.cuminreach.document.Service;
+import org.cuminreach.node.http.CallAnswers;
+import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.HttpHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes calls for any service and brings each to one target, or says truly what came of it. */
+public final class CallerHandler implements HttpHandler {
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerHandler.class);
+    private static final Set<String> IDEMPOTENT_METHODS =
+            Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+    private static final int NO_TARGET_RETRY_MILLIS = 1_000;
+
+    /** The routes of the configuration in force, built once for each version. */
+    private record Routes(MeshConfiguration configuration, RouteTable table) {}
+
+    private final String dataCentre;
+    private final ConfigurationHolder holder;
+    private final MeshView view;
+    private final HttpSender sender;
+    private final EvidenceLog evidence;
+    private final ScheduledExecutorService timer;
+    private final RetryBudget budget = RetryBudget.full();
+    private volatile Routes routes =
+            new Routes(
+                    MeshConfiguration.empty(), RouteTable.of(MeshConfiguration.empty().document()));
+
+    private CallerHandler(
+            String dataCentre,
+            ConfigurationHolder holder,
+            MeshView view,
+            HttpSender sender,
+            EvidenceLog evidence,
+            ScheduledExecutorService timer) {
+        this.dataCentre = dataCentre;
+        this.holder = holder;
+        this.view = view;
+        this.sender = sender;
+        this.evidence = evidence;
+        this.timer = timer;
+    }
+
+    /**
+     * Returns the handler of a node's callers.
+     *
+     * @param dataCentre where the node runs
+     * @param holder configuration in force
+     * @param view the targets as the node sees them
+     * @param sender sends calls to other nodes
+     * @param evidence receives what the calls met
+     * @param timer waits between attempts
+     * @return the handler
+     */
+    public static CallerHandler create(
+            String dataCentre,
+            ConfigurationHolder holder,
+            MeshView view,
+            HttpSender sender,
+            EvidenceLog evidence,
+            ScheduledExecutorService timer) {
+        return new CallerHandler(dataCentre, holder, view, sender, evidence, timer);
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        Routes current = currentRoutes();
+        Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
+        String requestId =
+                call.header(
+                        MeshHeaders.REQUEST_ID,
+                        Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        if (route.isEmpty()) {
+            LOGGER.info(
+                    "event=call_refused request={} configuration={} reason=no_route host={} path={}",
+                    requestId,
+                    current.configuration().version(),
+                    call.header("Host", ""),
+                    call.path());
+            return CompletableFuture.completedFuture(
+                    CallAnswers.notRun(404, "no_route", Optional.empty()));
+        }
+        budget.earn();
+        CallAttempts attempts =
+                new CallAttempts(
+                        call,
+                        route.get(),
+                        requestId,
+                        call.header(MeshHeaders.CALLER, call.remoteHost()),
+                        route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
+                        nowMillis + timeoutMillis(call, route.get()),
+                        current.configuration().version(),
+                        CallAnswers.number(call, MeshHeaders.ATTEMPTS, 0));
+        return attempt(attempts, current.configuration());
+    }
+
+    private Routes currentRoutes() {
+        MeshConfiguration inForce = holder.inForce();
+        Routes known = routes;
+        if (known.configuration().version() != inForce.version()) {
+            known = new Routes(inForce, RouteTable.of(inForce.document()));
+            routes = known;
+        }
+        return known;
+    }
+
+    private static long timeoutMillis(HttpCall call, Route route) {
+        int left = CallAnswers.number(call, MeshHeaders.REMAINING_MILLIS, route.timeoutMillis());
+        return Math.min(left, route.timeoutMillis());
+    }
+
+    private CompletableFuture<HttpAnswer> attempt(
+            CallAttempts attempts, MeshConfiguration configuration) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        Service service =
+                configuration.document().service(attempts.route().service()).orElseThrow();
+        String version = VersionChooser.choose(configuration, service, ThreadLocalRandom.current());
+        List<TargetView> targets = view.targets(service.name(), version);
+        TargetChoice choice =
+                TargetChooser.choose(
+                        targets,
+                        attempts.tried(),
+                        dataCentre,
+                        nowMillis,
+                        ThreadLocalRandom.current());
+        return switch (choice) {
+            case TargetChoice.NoTarget none -> {
+                AttemptOutcome outcome =
+                        attempts.mayHaveRun()
+                                ? new AttemptOutcome.MayHaveRun(none.reason())
+                                : new AttemptOutcome.NotRun(none.reason(), NO_TARGET_RETRY_MILLIS);
+                yield CompletableFuture.completedFuture(giveUp(attempts, outcome));
+            }
+            case TargetChoice.Chosen chosen ->
+                    send(attempts, configuration, version, chosen.target(), chosen.reason());
+        };
+    }
+
+    private CompletableFuture<HttpAnswer> send(
+            CallAttempts attempts,
+            MeshConfiguration configuration,
+            String version,
+            TargetView target,
+            String reason) {
+        long begunMillis = ProcessClock.monotonicMillis();
+        long begunNanos = System.nanoTime();
+        attempts.begin(target.node());
+        LOGGER.info(
+                "event=call_routed request={} configuration={} route={} version={} node={} attempt={}"
+                        + " reason={}",
+                attempts.requestId(),
+                attempts.configurationVersion(),
+                attempts.route().name(),
+                version,
+                target.node(),
+                attempts.attempts(),
+                reason);
+        long remaining = attempts.remainingMillis(begunMillis);
+        view.begun(target.node());
+        return sender.send(
+                        target.inbound(), attempts.call(), headers(attempts, remaining), remaining)
+                .thenCompose(
+                        sent -> {
+                            long micros = (System.nanoTime() - begunNanos) / 1_000;
+                            note(attempts, version, target, sent, micros);
+                            return decide(attempts, configuration, version, sent);
+                        });
+    }
+
+    private HttpHeaders headers(CallAttempts attempts, long remainingMillis) {
+        return MeshHeaders.endToEnd(attempts.call().headers())
+                .set(MeshHeaders.REQUEST_ID, attempts.requestId())
+                .set(MeshHeaders.CALLER, attempts.caller())
+                .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
+                .set(MeshHeaders.ATTEMPTS, attempts.attempts());
+    }
+
+    private void note(
+            CallAttempts attempts,
+            String version,
+            TargetView target,
+            SendOutcome sent,
+            long micros) {
+        boolean reached = sent instanceof SendOutcome.Whole;
+        view.ended(target.node(), reached, ProcessClock.monotonicMillis());
+        AttemptOutcome outcome = CallAnswers.outcome(sent);
+        boolean failed =
+                switch (outcome) {
+                    case AttemptOutcome.Answered answered -> answered.status() >= 500;
+                    case AttemptOutcome.MayHaveRun mayHaveRun -> true;
+                    case AttemptOutcome.NotRun notRun -> false;
+                };
+        if (!(outcome instanceof AttemptOutcome.NotRun)) {
+            evidence.add(
+                    attempts.route().service(), version, attempts.route().name(), failed, micros);
+        }
+    }
+
+    private CompletableFuture<HttpAnswer> decide(
+            CallAttempts attempts,
+            MeshConfiguration configuration,
+            String version,
+            SendOutcome sent) {
+        AttemptOutcome outcome = CallAnswers.outcome(sent);
+        CallProgress progress =
+                new CallProgress(
+                        attempts.idempotent(),
+                        attempts.mayHaveRun(),
+                        attempts.attempts(),
+                        attempts.remainingMillis(ProcessClock.monotonicMillis()));
+        if (outcome instanceof AttemptOutcome.MayHaveRun) {
+            attempts.noteMayHaveRun();
+        }
+        RetryDecision decision =
+                RetryPolicy.decide(outcome, progress, budget, ThreadLocalRandom.current());
+        return switch (decision) {
+            case RetryDecision.Answer answer ->
+                    CompletableFuture.completedFuture(
+                            CallAnswers.answered(
+                                    ((SendOutcome.Whole) sent).answer(),
+                                    attempts.requestId(),
+                                    configuration.version(),
+                                    version));
+            case RetryDecision.GiveUp giveUp ->
+                    CompletableFuture.completedFuture(giveUp(attempts, giveUp.outcome()));
+            case RetryDecision.Retry retry -> {
+                LOGGER.info(
+                        "event=call_retried request={} attempt={} reason={} delay_ms={}",
+                        attempts.requestId(),
+                        attempts.attempts(),
+                        retry.reason(),
+                        retry.delayMillis());
+                yield after(retry.delayMillis())
+                        .thenCompose(waited -> attempt(attempts, configuration));
+            }
+        };
+    }
+
+    private CompletableFuture<Void> after(long millis) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        timer.schedule(() -> done.complete(null), millis, TimeUnit.MILLISECONDS);
+        return done;
+    }
+
+    private static HttpAnswer giveUp(CallAttempts attempts, AttemptOutcome outcome) {
+        LOGGER.info(
+                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}",
+                attempts.requestId(),
+                attempts.configurationVersion(),
+                attempts.route().name(),
+                attempts.attempts(),
+                outcome);
+        return CallAnswers.refused(outcome, attempts.requestId());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Callers as peers: their calls for any service, routed. */
+package org.cuminreach.node.caller;
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/command/ServeCommand.java
@@ -0,0 +1,62 @@
+package org.cuminreach.node.command;
+
+import java.io.PrintStream;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.cuminreach.node.NodeProcess;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.runtime.launch.Command;
+import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.log.LogSetup;
+
+/** Runs a node until it is told to stop; then stops gracefully. */
+final class ServeCommand implements Command {
+    @Override
+    public String name() {
+        return "serve";
+    }
+
+    @Override
+    public String summary() {
+        return "Run a node";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        SettingsOption.declare(parser);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out, PrintStream err) {
+        Optional<NodeSettings> settings = SettingsOption.read(options, err);
+        if (settings.isEmpty()) {
+            return ExitCode.REFUSED;
+        }
+        LogSetup.apply(settings.get().log());
+        CountDownLatch stopped = new CountDownLatch(1);
+        try {
+            NodeProcess process = NodeProcess.start(settings.get());
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process, stopped)));
+            stopped.await();
+            return ExitCode.DONE;
+        } catch (CompletionException unusable) {
+            err.println("the node cannot start: " + unusable.getCause().getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return ExitCode.DONE;
+        }
+    }
+
+    private static void stop(NodeProcess process, CountDownLatch stopped) {
+        try {
+            process.stop();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        stopped.countDown();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/command/StatusCommand.java
@@ -0,0 +1,50 @@
+package org.cuminreach.node.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.runtime.launch.Command;
+import org.cuminreach.runtime.launch.ExitCode;
+
+/** Prints the status of a running node. */
+final class StatusCommand implements Command {
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String summary() {
+        return "Print the status of the running node";
+    }
+
+    @Override
+    public void declareOptions(OptionParser parser) {
+        SettingsOption.declare(parser);
+    }
+
+    @Override
+    public int run(OptionSet options, PrintStream out, PrintStream err) {
+        Optional<NodeSettings> settings = SettingsOption.read(options, err);
+        if (settings.isEmpty()) {
+            return ExitCode.REFUSED;
+        }
+        String url = "http://" + settings.get().administrationAddress() + "/status";
+        try (AsyncHttpClient client = Dsl.asyncHttpClient()) {
+            out.print(client.prepareGet(url).execute().get().getResponseBody());
+            return ExitCode.DONE;
+        } catch (IOException | ExecutionException unanswered) {
+            err.println("status: the node does not answer: " + unanswered.getMessage());
+            return ExitCode.REFUSED;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return ExitCode.REFUSED;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of {@code cuminreach-node}. */
+package org.cuminreach.node.command;
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -0,0 +1,77 @@
+package org.cuminreach.node.http;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Locale;
+
+/** The headers by which a call carries its state through the mesh. */
+public final class MeshHeaders {
+    /** Identity of the call in logs. */
+    public static final String REQUEST_ID = "X-Cuminreach-Request-Id";
+
+    /** Name of the caller. */
+    public static final String CALLER = "X-Cuminreach-Caller";
+
+    /** Time left until the caller gives up, in milliseconds. */
+    public static final String REMAINING_MILLIS = "X-Cuminreach-Remaining-Millis";
+
+    /** Attempts made so far for this call, on every node that it passed. */
+    public static final String ATTEMPTS = "X-Cuminreach-Attempts";
+
+    /** Outcome as the mesh knows it: {@code answered}, {@code not-run} or {@code may-have-run}. */
+    public static final String OUTCOME = "X-Cuminreach-Outcome";
+
+    /** Configuration version under which the call was routed. */
+    public static final String CONFIGURATION = "X-Cuminreach-Configuration";
+
+    /** Version of the target that answered. */
+    public static final String TARGET_VERSION = "X-Cuminreach-Target-Version";
+
+    /** Value of {@link #OUTCOME}: a target answered whole. */
+    public static final String ANSWERED = "answered";
+
+    /** Value of {@link #OUTCOME}: no target can have begun the call. */
+    public static final String NOT_RUN = "not-run";
+
+    /** Value of {@link #OUTCOME}: a target may have run the call. */
+    public static final String MAY_HAVE_RUN = "may-have-run";
+
+    private static final List<String> HOP_BY_HOP =
+            List.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "content-length",
+                    "expect");
+
+    private MeshHeaders() {}
+
+    /**
+     * Copies the headers that travel from end to end.
+     *
+     * @param headers headers of a request or an answer
+     * @return a copy without those that belong to one connection
+     */
+    public static HttpHeaders endToEnd(HttpHeaders headers) {
+        HttpHeaders copy = new DefaultHttpHeaders();
+        List<String> named = headers.getAll(HttpHeaderNames.CONNECTION);
+        headers.forEach(
+                header -> {
+                    String name = header.getKey().toLowerCase(Locale.ROOT);
+                    boolean ofConnection =
+                            HOP_BY_HOP.contains(name)
+                                    || named.stream().anyMatch(name::equalsIgnoreCase);
+                    if (!ofConnection) {
+                        copy.add(header.getKey(), header.getValue());
+                    }
+                });
+        return copy;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/http/SendOutcome.java
@@ -0,0 +1,27 @@
+package org.cuminreach.node.http;
+
+import org.cuminreach.runtime.http.HttpAnswer;
+
+/** What came of sending a call over one connection. */
+public sealed interface SendOutcome {
+    /**
+     * A whole answer arrived.
+     *
+     * @param answer the answer
+     */
+    record Whole(HttpAnswer answer) implements SendOutcome {}
+
+    /**
+     * No byte of the call was sent.
+     *
+     * @param reason why
+     */
+    record NeverSent(String reason) implements SendOutcome {}
+
+    /**
+     * The call was sent, or may have been, and no whole answer arrived.
+     *
+     * @param reason why
+     */
+    record Lost(String reason) implements SendOutcome {}
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -0,0 +1,101 @@
+package org.cuminreach.node.settings;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.cuminreach.runtime.log.LogSettings;
+import org.cuminreach.settings.Address;
+import org.cuminreach.settings.CheckedObject;
+
+/**
+ * Settings of a node process.
+ *
+ * @param name name of the node, unique in the mesh
+ * @param dataCentre where it runs
+ * @param callerAddress where callers reach it by HTTP
+ * @param inboundAddress where other nodes bring calls for its target
+ * @param administrationAddress where its metrics and health are read by HTTP
+ * @param controls addresses of the controls
+ * @param target the target beside it
+ * @param stopMillis longest time a planned stop waits for running calls, in milliseconds
+ * @param log settings of the log
+ */
+public record NodeSettings(
+        String name,
+        String dataCentre,
+        Address callerAddress,
+        Address inboundAddress,
+        Address administrationAddress,
+        List<Address> controls,
+        Target target,
+        long stopMillis,
+        LogSettings log) {
+    private static final int MOST_SLOTS = 10_000;
+    private static final long DEFAULT_STOP_MILLIS = 30_000;
+    private static final long LONGEST_STOP_MILLIS = 600_000;
+
+    /**
+     * The target beside the node.
+     *
+     * @param service name of its service
+     * @param version its version
+     * @param address where it answers HTTP
+     * @param slots calls it runs at once
+     */
+    public record Target(String service, String version, Address address, int slots) {}
+
+    /** Copies the list. */
+    public NodeSettings {
+        controls = List.copyOf(controls);
+    }
+
+    /**
+     * Reads the settings.
+     *
+     * @param object the settings file
+     * @return the settings
+     */
+    public static NodeSettings read(CheckedObject object) {
+        if (!object.has("target")) {
+            object.fault("target", "is missing; an object is needed");
+        }
+        Address none = new Address("127.0.0.1", 1);
+        NodeSettings settings =
+                new NodeSettings(
+                        object.name("name"),
+                        object.name("dataCentre"),
+                        object.address("callerAddress"),
+                        object.address("inboundAddress"),
+                        object.address("administrationAddress"),
+                        object.addresses("controls"),
+                        object.object("target", NodeSettings::readTarget)
+                                .orElse(new Target("", "", none, 1)),
+                        object.number("stopMillis", DEFAULT_STOP_MILLIS, 0, LONGEST_STOP_MILLIS),
+                        LogSettings.read(object));
+        settings.refuseEqualAddresses(object);
+        return settings;
+    }
+
+    private static Target readTarget(CheckedObject object) {
+        return new Target(
+                object.name("service"),
+                object.name("version"),
+                object.address("address"),
+                (int) object.number("slots", 1, MOST_SLOTS));
+    }
+
+    private void refuseEqualAddresses(CheckedObject object) {
+        Set<Address> taken = new HashSet<>();
+        taken.add(callerAddress);
+        refuseTaken(object, taken, "inboundAddress", inboundAddress);
+        refuseTaken(object, taken, "administrationAddress", administrationAddress);
+        refuseTaken(object, taken, "target.address", target.address());
+    }
+
+    private static void refuseTaken(
+            CheckedObject object, Set<Address> taken, String field, Address address) {
+        if (!taken.add(address)) {
+            object.fault(field, "is " + address + ", which another address of this process uses");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a node process. */
+package org.cuminreach.node.settings;
--- /dev/null
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -0,0 +1,133 @@
+package org.cuminreach.runtime.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminreach.settings.Address;
+
+/** Listens on one address and answers HTTP/1.1 requests of bounded size. */
+public final class HttpServer {
+    /** Most bytes that the body of a request may have. */
+    public static final int LARGEST_BODY_BYTES = 8 * 1024 * 1024;
+
+    private static final int BACKLOG_CONNECTIONS = 1_024;
+
+    private final HttpHandler handler;
+    private final ChannelGroup connections =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private volatile Channel listening;
+    private volatile boolean closing;
+
+    private HttpServer(HttpHandler handler) {
+        this.handler = handler;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where to listen
+     * @param eventLoops threads that serve the connections
+     * @param handler answers the requests
+     * @return completes with the server, or fails when the address cannot be had
+     */
+    public static CompletableFuture<HttpServer> listen(
+            Address address, EventLoopGroup eventLoops, HttpHandler handler) {
+        HttpServer server = new HttpServer(handler);
+        CompletableFuture<HttpServer> result = new CompletableFuture<>();
+        new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(server.initializer())
+                .bind(address.host(), address.port())
+                .addListener(
+                        (io.netty.channel.ChannelFuture bound) -> {
+                            if (bound.isSuccess()) {
+                                server.listening = bound.channel();
+                                result.complete(server);
+                            } else {
+                                result.completeExceptionally(bound.cause());
+                            }
+                        });
+        return result;
+    }
+
+    /**
+     * Stops taking connections, and tells those that are open to close after the answer they wait
+     * for.
+     */
+    public void beginClosing() {
+        closing = true;
+        listening.close();
+    }
+
+    /** Closes every connection. */
+    public void close() {
+        beginClosing();
+        connections.close();
+    }
+
+    /**
+     * Returns how many requests are being answered.
+     *
+     * @return requests in progress
+     */
+    public int inProgress() {
+        return inProgress.get();
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return open connections
+     */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    HttpHandler handler() {
+        return handler;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    void connected(Channel channel) {
+        connections.add(channel);
+    }
+
+    void begun() {
+        inProgress.incrementAndGet();
+    }
+
+    void ended() {
+        inProgress.decrementAndGet();
+    }
+
+    private ChannelInitializer<SocketChannel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(LARGEST_BODY_BYTES))
+                        .addLast(new HttpConnectionHandler(HttpServer.this));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration: both users' meshes at a small size, as separate processes. */
+package org.cuminreach.trial.demo;
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/load/CallTally.java
@@ -0,0 +1,83 @@
+package org.cuminreach.trial.load;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts what came of calls. Safe for use by several threads. */
+public final class CallTally {
+    private final LongAdder sent = new LongAdder();
+    private final LongAdder whole = new LongAdder();
+    private final LongAdder failedWhole = new LongAdder();
+    private final LongAdder notRun = new LongAdder();
+    private final LongAdder unknown = new LongAdder();
+    private final LongAdder crossed = new LongAdder();
+    private final Map<String, CallOutcome> numbered = new ConcurrentHashMap<>();
+
+    private CallTally() {}
+
+    /**
+     * Returns a tally at zero.
+     *
+     * @return a new tally
+     */
+    public static CallTally zero() {
+        return new CallTally();
+    }
+
+    /** Counts a call that is sent. */
+    public void sent() {
+        sent.increment();
+    }
+
+    /**
+     * Counts what came of a call.
+     *
+     * @param number its number
+     * @param outcome what came of it
+     */
+    public void ended(String number, CallOutcome outcome) {
+        numbered.put(number, outcome);
+        switch (outcome) {
+            case WHOLE -> whole.increment();
+            case WHOLE_FAILED -> failedWhole.increment();
+            case NOT_RUN -> notRun.increment();
+            case UNKNOWN -> unknown.increment();
+            case CROSSED -> crossed.increment();
+        }
+    }
+
+    /**
+     * Returns the calls sent.
+     *
+     * @return a count
+     */
+    public long sentCount() {
+        return sent.sum();
+    }
+
+    /**
+     * Returns the calls with an outcome.
+     *
+     * @param outcome the outcome
+     * @return a count
+     */
+    public long count(CallOutcome outcome) {
+        return switch (outcome) {
+            case WHOLE -> whole.sum();
+            case WHOLE_FAILED -> failedWhole.sum();
+            case NOT_RUN -> notRun.sum();
+            case UNKNOWN -> unknown.sum();
+            case CROSSED -> crossed.sum();
+        };
+    }
+
+    /**
+     * Returns the outcome of each call.
+     *
+     * @return outcomes by number
+     */
+    public Map<String, CallOutcome> outcomes() {
+        return Map.copyOf(numbered);
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/load/LoadGenerator.java
@@ -0,0 +1,160 @@
+package org.cuminreach.trial.load;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.settings.Address;
+import org.cuminreach.trial.standin.StandInTarget;
+
+/** Sends numbered calls at a steady rate, whatever becomes of the earlier ones. */
+public final class LoadGenerator implements AutoCloseable {
+    private static final long TICK_MILLIS = 5;
+    private static final int MILLIS_PER_SECOND = 1_000;
+    private static final long HIGHEST_MICROS = TimeUnit.SECONDS.toMicros(60);
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(10);
+
+    /**
+     * A kind of call.
+     *
+     * @param method its method
+     * @param host its Host header
+     * @param path its path
+     */
+    public record Kind(String method, String host, String path) {}
+
+    private final List<Address> nodes;
+    private final List<Kind> kinds;
+    private final int callsPerSecond;
+    private final CallTally tally = CallTally.zero();
+    private final Histogram micros = new ConcurrentHistogram(HIGHEST_MICROS, SIGNIFICANT_DIGITS);
+    private final AtomicLong lastNumber = new AtomicLong();
+    private final AsyncHttpClient client;
+    private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+    private double owed;
+
+    private LoadGenerator(List<Address> nodes, List<Kind> kinds, int callsPerSecond) {
+        this.nodes = List.copyOf(nodes);
+        this.kinds = List.copyOf(kinds);
+        this.callsPerSecond = callsPerSecond;
+        this.client =
+                Dsl.asyncHttpClient(
+                        Dsl.config()
+                                .setMaxRequestRetry(0)
+                                .setIoThreadsCount(2)
+                                .setRequestTimeout(CALL_TIMEOUT));
+    }
+
+    /**
+     * Starts to send.
+     *
+     * @param nodes caller addresses of the nodes, used in turn
+     * @param kinds kinds of calls, used in turn
+     * @param callsPerSecond rate of all calls together
+     * @return the running generator
+     */
+    public static LoadGenerator start(List<Address> nodes, List<Kind> kinds, int callsPerSecond) {
+        LoadGenerator generator = new LoadGenerator(nodes, kinds, callsPerSecond);
+        generator.ticker.scheduleAtFixedRate(
+                generator::sendOwed, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        return generator;
+    }
+
+    /**
+     * Stops sending and waits for the answers that are still due.
+     *
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void finish() throws InterruptedException {
+        ticker.shutdown();
+        long deadline = System.nanoTime() + CALL_TIMEOUT.toNanos();
+        while (tally.outcomes().size() < tally.sentCount() && System.nanoTime() < deadline) {
+            Thread.sleep(TICK_MILLIS);
+        }
+    }
+
+    /**
+     * Returns what came of the calls.
+     *
+     * @return the tally
+     */
+    public CallTally tally() {
+        return tally;
+    }
+
+    /**
+     * Returns the answer times.
+     *
+     * @return a histogram in microseconds
+     */
+    public Histogram micros() {
+        return micros;
+    }
+
+    @Override
+    public void close() throws IOException {
+        ticker.shutdownNow();
+        client.close();
+    }
+
+    private void sendOwed() {
+        owed += (double) callsPerSecond * TICK_MILLIS / MILLIS_PER_SECOND;
+        while (owed >= 1) {
+            owed--;
+            send();
+        }
+    }
+
+    private void send() {
+        long sequence = lastNumber.incrementAndGet();
+        Kind kind = kinds.get((int) (sequence % kinds.size()));
+        Address node = nodes.get((int) (sequence / kinds.size() % nodes.size()));
+        String number = "call-" + sequence;
+        long begunNanos = System.nanoTime();
+        tally.sent();
+        RequestBuilder request =
+                new RequestBuilder(kind.method())
+                        .setUrl("http://" + node + kind.path())
+                        .setHeader("Host", kind.host())
+                        .setHeader(StandInTarget.NUMBER_HEADER, number)
+                        .setHeader(MeshHeaders.CALLER, "caller-" + sequence % 20);
+        client.executeRequest(request.build())
+                .toCompletableFuture()
+                .whenComplete(
+                        (response, failure) -> {
+                            micros.recordValue(
+                                    Math.min(
+                                            HIGHEST_MICROS,
+                                            (System.nanoTime() - begunNanos) / 1_000));
+                            tally.ended(number, outcome(number, response, failure));
+                        });
+    }
+
+    private static CallOutcome outcome(String number, Response response, Throwable failure) {
+        if (failure != null) {
+            return CallOutcome.UNKNOWN;
+        }
+        String told = response.getHeader(MeshHeaders.OUTCOME);
+        if (MeshHeaders.NOT_RUN.equals(told)) {
+            return CallOutcome.NOT_RUN;
+        }
+        if (!MeshHeaders.ANSWERED.equals(told)) {
+            return CallOutcome.UNKNOWN;
+        }
+        if (!response.getResponseBody().startsWith(number + " ")) {
+            return CallOutcome.CROSSED;
+        }
+        return response.getStatusCode() == 200 ? CallOutcome.WHOLE : CallOutcome.WHOLE_FAILED;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/standin/Behaviour.java
@@ -0,0 +1,34 @@
+package org.cuminreach.trial.standin;
+
+import org.cuminreach.settings.Address;
+import org.cuminreach.settings.CheckedObject;
+
+/**
+ * How a stand-in target behaves.
+ *
+ * @param address where it listens
+ * @param service name of its service
+ * @param version its version
+ * @param serviceMillis time it takes for a call, in milliseconds
+ * @param failingPerMille share of calls that it answers with status 500
+ */
+public record Behaviour(
+        Address address, String service, String version, int serviceMillis, int failingPerMille) {
+    private static final int LONGEST_SERVICE_MILLIS = 60_000;
+    private static final int WHOLE_PER_MILLE = 1_000;
+
+    /**
+     * Reads a behaviour.
+     *
+     * @param object its settings
+     * @return the behaviour
+     */
+    public static Behaviour read(CheckedObject object) {
+        return new Behaviour(
+                object.address("address"),
+                object.name("service"),
+                object.name("version"),
+                (int) object.number("serviceMillis", 0, LONGEST_SERVICE_MILLIS),
+                (int) object.number("failingPerMille", 0, 0, WHOLE_PER_MILLE));
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/standin/StandInTarget.java
@@ -0,0 +1,83 @@
+package org.cuminreach.trial.standin;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.HttpHandler;
+
+/** A target that records which numbered calls it ran, and repeats the number in its answer. */
+public final class StandInTarget implements HttpHandler {
+    /** Header with the number of a call. */
+    public static final String NUMBER_HEADER = "X-Trial-Number";
+
+    private static final String TEXT = "text/plain";
+    private static final int WHOLE_PER_MILLE = 1_000;
+
+    private final Behaviour behaviour;
+    private final Map<String, Integer> runs;
+    private final ScheduledExecutorService timer;
+
+    private StandInTarget(
+            Behaviour behaviour, Map<String, Integer> runs, ScheduledExecutorService timer) {
+        this.behaviour = behaviour;
+        this.runs = runs;
+        this.timer = timer;
+    }
+
+    /**
+     * Returns a stand-in.
+     *
+     * @param behaviour how it behaves
+     * @param runs counts the runs of each number, shared by the stand-ins of a process
+     * @param timer waits for the service time
+     * @return the stand-in
+     */
+    public static StandInTarget create(
+            Behaviour behaviour, Map<String, Integer> runs, ScheduledExecutorService timer) {
+        return new StandInTarget(behaviour, runs, timer);
+    }
+
+    /**
+     * Returns an empty count of runs.
+     *
+     * @return a map that several threads may use
+     */
+    public static Map<String, Integer> noRuns() {
+        return new ConcurrentHashMap<>();
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        if (call.path().equals("/trial/runs")) {
+            return CompletableFuture.completedFuture(HttpAnswer.of(200, TEXT, runsText()));
+        }
+        String number = call.header(NUMBER_HEADER, "");
+        if (!number.isEmpty()) {
+            runs.merge(number, 1, Integer::sum);
+        }
+        CompletableFuture<HttpAnswer> result = new CompletableFuture<>();
+        timer.schedule(
+                () -> result.complete(answer(number)),
+                behaviour.serviceMillis(),
+                TimeUnit.MILLISECONDS);
+        return result;
+    }
+
+    private HttpAnswer answer(String number) {
+        boolean fails =
+                ThreadLocalRandom.current().nextInt(WHOLE_PER_MILLE) < behaviour.failingPerMille();
+        String body = "%s %s %s%n".formatted(number, behaviour.service(), behaviour.version());
+        return HttpAnswer.of(fails ? 500 : 200, TEXT, body);
+    }
+
+    private String runsText() {
+        StringBuilder text = new StringBuilder();
+        runs.forEach((number, count) -> text.append(number).append(' ').append(count).append('\n'));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in targets that behave well or badly as told. */
+package org.cuminreach.trial.standin;
--- /dev/null
+++ b/wire/mesh.thrift
@@ -0,0 +1,74 @@
+# Messages between cuminreach's own processes. Structs only: each travels in the compact protocol,
+# alone in a frame of 4 length bytes and the encoded struct.
+namespace java org.cuminreach.wire.generated
+
+struct FaultStruct { 1: required string path, 2: required string reason }
+
+# ---- the replicated log ----
+struct MemberStruct { 1: required string id, 2: required string address, 3: required bool voter }
+struct MembershipStruct { 1: required list<MemberStruct> members }
+union PayloadStruct { 1: binary command, 2: MembershipStruct membership, 3: bool opening }
+struct EntryStruct { 1: required i64 index, 2: required i64 term, 3: required PayloadStruct payload }
+struct SnapshotStruct { 1: required i64 lastIndex, 2: required i64 lastTerm, 3: required MembershipStruct membership, 4: required binary state }
+struct VoteRequestStruct { 1: required i64 term, 2: required i64 lastIndex, 3: required i64 lastTerm, 4: required bool preVote }
+struct VoteResponseStruct { 1: required i64 term, 2: required bool granted, 3: required bool preVote }
+struct AppendRequestStruct { 1: required i64 term, 2: required i64 previousIndex, 3: required i64 previousTerm, 4: required list<EntryStruct> entries, 5: required i64 commitIndex, 6: required i64 round }
+struct AppendResponseStruct { 1: required i64 term, 2: required bool success, 3: required i64 matchIndex, 4: required i64 round }
+struct SnapshotRequestStruct { 1: required i64 term, 2: required SnapshotStruct snapshot, 3: required i64 round }
+struct ConfirmRequestStruct { 1: required i64 term, 2: required i64 confirmation }
+struct ConfirmResponseStruct { 1: required i64 term, 2: required i64 confirmation, 3: required i64 index }
+union AgreementStruct {
+  1: VoteRequestStruct voteRequest, 2: VoteResponseStruct voteResponse,
+  3: AppendRequestStruct appendRequest, 4: AppendResponseStruct appendResponse,
+  5: SnapshotRequestStruct snapshotRequest,
+  6: ConfirmRequestStruct confirmRequest, 7: ConfirmResponseStruct confirmResponse
+}
+
+# ---- commands and the replicated state ----
+struct SubmitDocumentStruct { 1: required string operatorName, 2: required string key, 3: required i64 basedOn, 4: required string text, 5: required i64 atMillis }
+struct StepRolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required string reason, 6: required i64 atMillis }
+union CommandStruct { 1: SubmitDocumentStruct submitDocument, 2: StepRolloutStruct stepRollout }
+struct RolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required i64 startedMillis, 6: required i64 steppedMillis, 7: required string reason }
+union OutcomeStruct { 1: i64 accepted, 2: i64 refusedAsStale, 3: list<FaultStruct> refusedAsFaulty }
+struct AnswerStruct { 1: required string key, 2: required OutcomeStruct outcome }
+struct HistoryStruct { 1: required i64 version, 2: required i64 atMillis, 3: required string actor, 4: required string event }
+struct TakenBackStruct { 1: required string serviceName, 2: required string version }
+struct StateStruct {
+  1: required i64 version, 2: required i64 documentVersion, 3: required string documentText,
+  4: required list<RolloutStruct> rollouts, 5: required list<TakenBackStruct> takenBack,
+  6: required list<AnswerStruct> answers, 7: required list<HistoryStruct> history
+}
+
+# ---- records of the data folder ----
+struct VoteRecord { 1: required i64 term, 2: optional string vote }
+
+# ---- targets and evidence ----
+struct AnnouncementStruct {
+  1: required string node, 2: required i64 incarnation, 3: required i64 sequence, 4: required string serviceName,
+  5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase
+}
+struct EvidenceStruct { 1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros }
+
+# ---- between controls ----
+struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
+struct SubmissionForward { 1: required i64 correlation, 2: required CommandStruct command }
+struct SubmissionAnswer { 1: required i64 correlation, 2: optional OutcomeStruct outcome, 3: optional bool notRun, 4: optional string reason }
+struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements }
+struct EvidenceBatch { 1: required list<EvidenceStruct> evidence }
+struct NodeHolding { 1: required string node, 2: required i64 version, 3: required i64 applied }
+struct HoldingBatch { 1: required list<NodeHolding> holdings }
+
+# ---- between a node and its control ----
+struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion }
+struct NodeWelcome { 1: required string control }
+struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis }
+struct ConfigurationUpdate { 1: required i64 version, 2: required i64 documentVersion, 3: required string documentText, 4: required list<RolloutStruct> rollouts }
+struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults }
+struct Heartbeat { 1: required i64 sentMillis }
+
+union Frame {
+  1: ControlHello controlHello, 2: AgreementStruct agreement, 3: SubmissionForward submissionForward,
+  4: SubmissionAnswer submissionAnswer, 5: AnnouncementBatch announcements, 6: EvidenceBatch evidence,
+  7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
+  11: ConfigurationUpdate configuration, 12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat
+}
--- /dev/null
+++ b/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
@@ -0,0 +1,293 @@
+package org.cuminreach.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminreach.decisions.configuration.HistoryEntry;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.decisions.configuration.RolloutPhase;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.cuminreach.decisions.configuration.TakenBackVersion;
+import org.cuminreach.document.DocumentReader;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.settings.Fault;
+import org.cuminreach.settings.Reading;
+import org.cuminreach.wire.generated.AnswerStruct;
+import org.cuminreach.wire.generated.CommandStruct;
+import org.cuminreach.wire.generated.ConfigurationUpdate;
+import org.cuminreach.wire.generated.FaultStruct;
+import org.cuminreach.wire.generated.HistoryStruct;
+import org.cuminreach.wire.generated.OutcomeStruct;
+import org.cuminreach.wire.generated.RolloutStruct;
+import org.cuminreach.wire.generated.StateStruct;
+import org.cuminreach.wire.generated.StepRolloutStruct;
+import org.cuminreach.wire.generated.SubmitDocumentStruct;
+import org.cuminreach.wire.generated.TakenBackStruct;
+
+/** Converts commands, the replicated state and configurations. */
+public final class ConfigurationCodec {
+    private ConfigurationCodec() {}
+
+    /**
+     * Converts a command to its struct.
+     *
+     * @param command the command
+     * @return the struct
+     */
+    public static CommandStruct toStruct(MeshCommand command) {
+        return switch (command) {
+            case MeshCommand.SubmitDocument submission ->
+                    CommandStruct.submitDocument(
+                            new SubmitDocumentStruct(
+                                    submission.operator(),
+                                    submission.key(),
+                                    submission.basedOn(),
+                                    submission.text(),
+                                    submission.atMillis()));
+            case MeshCommand.StepRollout step ->
+                    CommandStruct.stepRollout(
+                            new StepRolloutStruct(
+                                    step.service(),
+                                    step.version(),
+                                    step.phase().ordinal(),
+                                    step.sharePerMille(),
+                                    step.reason(),
+                                    step.atMillis()));
+        };
+    }
+
+    /**
+     * Converts a struct to its command.
+     *
+     * @param struct the struct
+     * @return the command
+     * @throws MalformedFrameException when the struct holds no known command
+     */
+    public static MeshCommand toCommand(CommandStruct struct) throws MalformedFrameException {
+        if (struct.getSetField() == null) {
+            throw new MalformedFrameException("unknown command");
+        }
+        return switch (struct.getSetField()) {
+            case SUBMIT_DOCUMENT -> {
+                SubmitDocumentStruct submission = struct.getSubmitDocument();
+                yield new MeshCommand.SubmitDocument(
+                        submission.getOperatorName(),
+                        submission.getKey(),
+                        submission.getBasedOn(),
+                        submission.getText(),
+                        submission.getAtMillis());
+            }
+            case STEP_ROLLOUT -> {
+                StepRolloutStruct step = struct.getStepRollout();
+                yield new MeshCommand.StepRollout(
+                        step.getServiceName(),
+                        step.getVersion(),
+                        toPhase(step.getPhase()),
+                        step.getSharePerMille(),
+                        step.getReason(),
+                        step.getAtMillis());
+            }
+        };
+    }
+
+    /**
+     * Converts an answer to its struct.
+     *
+     * @param outcome the answer
+     * @return the struct
+     */
+    public static OutcomeStruct toStruct(SubmissionOutcome outcome) {
+        return switch (outcome) {
+            case SubmissionOutcome.Accepted accepted -> OutcomeStruct.accepted(accepted.version());
+            case SubmissionOutcome.RefusedAsStale stale ->
+                    OutcomeStruct.refusedAsStale(stale.currentVersion());
+            case SubmissionOutcome.RefusedAsFaulty faulty ->
+                    OutcomeStruct.refusedAsFaulty(toStructs(faulty.faults()));
+        };
+    }
+
+    /**
+     * Converts a struct to its answer.
+     *
+     * @param struct the struct
+     * @return the answer
+     * @throws MalformedFrameException when the struct holds no known answer
+     */
+    public static SubmissionOutcome toOutcome(OutcomeStruct struct) throws MalformedFrameException {
+        if (struct.getSetField() == null) {
+            throw new MalformedFrameException("unknown answer to a submission");
+        }
+        return switch (struct.getSetField()) {
+            case ACCEPTED -> new SubmissionOutcome.Accepted(struct.getAccepted());
+            case REFUSED_AS_STALE ->
+                    new SubmissionOutcome.RefusedAsStale(struct.getRefusedAsStale());
+            case REFUSED_AS_FAULTY ->
+                    new SubmissionOutcome.RefusedAsFaulty(toFaults(struct.getRefusedAsFaulty()));
+        };
+    }
+
+    /**
+     * Encodes the replicated state.
+     *
+     * @param image the state
+     * @return its bytes
+     */
+    public static byte[] encode(MeshStateImage image) {
+        return StructCodec.encode(
+                new StateStruct(
+                        image.version(),
+                        image.documentVersion(),
+                        image.documentText(),
+                        image.rollouts().stream().map(ConfigurationCodec::toStruct).toList(),
+                        image.takenBack().stream()
+                                .map(back -> new TakenBackStruct(back.service(), back.version()))
+                                .toList(),
+                        image.answers().stream()
+                                .map(
+                                        answer ->
+                                                new AnswerStruct(
+                                                        answer.key(), toStruct(answer.outcome())))
+                                .toList(),
+                        image.history().stream()
+                                .map(
+                                        entry ->
+                                                new HistoryStruct(
+                                                        entry.version(),
+                                                        entry.atMillis(),
+                                                        entry.actor(),
+                                                        entry.event()))
+                                .toList()));
+    }
+
+    /**
+     * Decodes the replicated state.
+     *
+     * @param bytes its bytes
+     * @return the state
+     * @throws MalformedFrameException when the bytes are not one
+     */
+    public static MeshStateImage decodeState(byte[] bytes) throws MalformedFrameException {
+        StateStruct struct = StructCodec.decode(bytes, new StateStruct());
+        List<MeshStateImage.RememberedAnswer> answers = new ArrayList<>();
+        for (AnswerStruct answer : struct.getAnswers()) {
+            answers.add(
+                    new MeshStateImage.RememberedAnswer(
+                            answer.getKey(), toOutcome(answer.getOutcome())));
+        }
+        return new MeshStateImage(
+                struct.getVersion(),
+                struct.getDocumentVersion(),
+                struct.getDocumentText(),
+                toRollouts(struct.getRollouts()),
+                struct.getTakenBack().stream()
+                        .map(back -> new TakenBackVersion(back.getServiceName(), back.getVersion()))
+                        .toList(),
+                answers,
+                struct.getHistory().stream()
+                        .map(
+                                entry ->
+                                        new HistoryEntry(
+                                                entry.getVersion(),
+                                                entry.getAtMillis(),
+                                                entry.getActor(),
+                                                entry.getEvent()))
+                        .toList());
+    }
+
+    /**
+     * Converts a configuration to its struct.
+     *
+     * @param configuration the configuration
+     * @return the struct
+     */
+    public static ConfigurationUpdate toStruct(MeshConfiguration configuration) {
+        return new ConfigurationUpdate(
+                configuration.version(),
+                configuration.documentVersion(),
+                configuration.documentText(),
+                configuration.rollouts().stream().map(ConfigurationCodec::toStruct).toList());
+    }
+
+    /**
+     * Converts a struct to its configuration.
+     *
+     * @param struct the struct
+     * @return the configuration, or every fault of its document
+     * @throws MalformedFrameException when a phase in it is not known
+     */
+    public static Reading<MeshConfiguration> toConfiguration(ConfigurationUpdate struct)
+            throws MalformedFrameException {
+        List<RolloutProgress> rollouts = toRollouts(struct.getRollouts());
+        return switch (DocumentReader.read(struct.getDocumentText())) {
+            case Reading.Faulty<MeshDocument> faulty -> new Reading.Faulty<>(faulty.faults());
+            case Reading.Sound<MeshDocument> sound ->
+                    new Reading.Sound<>(
+                            new MeshConfiguration(
+                                    struct.getVersion(),
+                                    struct.getDocumentVersion(),
+                                    sound.value(),
+                                    struct.getDocumentText(),
+                                    rollouts));
+        };
+    }
+
+    /**
+     * Converts faults to their structs.
+     *
+     * @param faults the faults
+     * @return the structs
+     */
+    public static List<FaultStruct> toStructs(List<Fault> faults) {
+        return faults.stream().map(fault -> new FaultStruct(fault.path(), fault.reason())).toList();
+    }
+
+    /**
+     * Converts structs to their faults.
+     *
+     * @param structs the structs
+     * @return the faults
+     */
+    public static List<Fault> toFaults(List<FaultStruct> structs) {
+        return structs.stream()
+                .map(struct -> new Fault(struct.getPath(), struct.getReason()))
+                .toList();
+    }
+
+    private static RolloutStruct toStruct(RolloutProgress progress) {
+        return new RolloutStruct(
+                progress.service(),
+                progress.version(),
+                progress.phase().ordinal(),
+                progress.sharePerMille(),
+                progress.startedMillis(),
+                progress.steppedMillis(),
+                progress.reason());
+    }
+
+    private static List<RolloutProgress> toRollouts(List<RolloutStruct> structs)
+            throws MalformedFrameException {
+        List<RolloutProgress> rollouts = new ArrayList<>();
+        for (RolloutStruct struct : structs) {
+            rollouts.add(
+                    new RolloutProgress(
+                            struct.getServiceName(),
+                            struct.getVersion(),
+                            toPhase(struct.getPhase()),
+                            struct.getSharePerMille(),
+                            struct.getStartedMillis(),
+                            struct.getSteppedMillis(),
+                            struct.getReason()));
+        }
+        return rollouts;
+    }
+
+    private static RolloutPhase toPhase(int ordinal) throws MalformedFrameException {
+        RolloutPhase[] phases = RolloutPhase.values();
+        if (ordinal < 0 || ordinal >= phases.length) {
+            throw new MalformedFrameException("unknown rollout phase " + ordinal);
+        }
+        return phases[ordinal];
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
@@ -0,0 +1,123 @@
+package org.cuminreach.wire;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.wire.generated.AnnouncementBatch;
+import org.cuminreach.wire.generated.AnnouncementStruct;
+import org.cuminreach.wire.generated.EvidenceBatch;
+import org.cuminreach.wire.generated.EvidenceStruct;
+import org.cuminreach.wire.generated.Frame;
+
+/** Converts announcements of targets and evidence of versions. */
+public final class MembershipCodec {
+    private MembershipCodec() {}
+
+    /**
+     * Converts announcements to a frame.
+     *
+     * @param announcements the announcements
+     * @return the frame
+     */
+    public static Frame toFrame(Collection<Announcement> announcements) {
+        return Frame.announcements(
+                new AnnouncementBatch(
+                        announcements.stream().map(MembershipCodec::toStruct).toList()));
+    }
+
+    /**
+     * Converts a batch to its announcements.
+     *
+     * @param batch the batch
+     * @return the announcements
+     * @throws MalformedFrameException when an address or a phase in it is not known
+     */
+    public static List<Announcement> toAnnouncements(AnnouncementBatch batch)
+            throws MalformedFrameException {
+        List<Announcement> announcements = new ArrayList<>();
+        for (AnnouncementStruct struct : batch.getAnnouncements()) {
+            announcements.add(toAnnouncement(struct));
+        }
+        return announcements;
+    }
+
+    /**
+     * Converts evidence to a frame.
+     *
+     * @param evidence the evidence
+     * @return the frame
+     */
+    public static Frame toEvidenceFrame(Collection<Evidence> evidence) {
+        return Frame.evidence(
+                new EvidenceBatch(
+                        evidence.stream()
+                                .map(
+                                        seen ->
+                                                new EvidenceStruct(
+                                                        seen.service(),
+                                                        seen.version(),
+                                                        seen.route(),
+                                                        seen.calls(),
+                                                        seen.failures(),
+                                                        seen.totalMicros()))
+                                .toList()));
+    }
+
+    /**
+     * Converts a batch to its evidence.
+     *
+     * @param batch the batch
+     * @return the evidence
+     */
+    public static List<Evidence> toEvidence(EvidenceBatch batch) {
+        return batch.getEvidence().stream()
+                .map(
+                        struct ->
+                                new Evidence(
+                                        struct.getServiceName(),
+                                        struct.getVersion(),
+                                        struct.getRoute(),
+                                        struct.getCalls(),
+                                        struct.getFailures(),
+                                        struct.getTotalMicros()))
+                .toList();
+    }
+
+    private static AnnouncementStruct toStruct(Announcement announcement) {
+        return new AnnouncementStruct(
+                announcement.node(),
+                announcement.incarnation(),
+                announcement.sequence(),
+                announcement.service(),
+                announcement.version(),
+                announcement.dataCentre(),
+                announcement.inbound().toString(),
+                announcement.slots(),
+                announcement.phase().ordinal());
+    }
+
+    private static Announcement toAnnouncement(AnnouncementStruct struct)
+            throws MalformedFrameException {
+        TargetPhase[] phases = TargetPhase.values();
+        boolean sound =
+                struct.getPhase() >= 0
+                        && struct.getPhase() < phases.length
+                        && struct.getSlots() > 0;
+        if (!sound) {
+            throw new MalformedFrameException("not an announcement: " + struct);
+        }
+        return new Announcement(
+                struct.getNode(),
+                struct.getIncarnation(),
+                struct.getSequence(),
+                struct.getServiceName(),
+                struct.getVersion(),
+                struct.getDataCentre(),
+                AgreementCodec.toAddress(struct.getInbound()),
+                struct.getSlots(),
+                phases[struct.getPhase()]);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cuminreach/wire/StructCodec.java
@@ -0,0 +1,66 @@
+package org.cuminreach.wire;
+
+import org.apache.thrift.TBase;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+
+/** Encodes Thrift structs in the compact protocol and decodes them within bounds. */
+public final class StructCodec {
+    /** Most bytes that one encoded struct may have. */
+    public static final int LARGEST_STRUCT_BYTES = 32 * 1024 * 1024;
+
+    private static final int DEEPEST_NESTING = 32;
+    private static final int FIRST_BUFFER_BYTES = 256;
+
+    private static final TConfiguration LIMITS =
+            TConfiguration.custom()
+                    .setMaxMessageSize(LARGEST_STRUCT_BYTES)
+                    .setMaxFrameSize(LARGEST_STRUCT_BYTES)
+                    .setRecursionLimit(DEEPEST_NESTING)
+                    .build();
+
+    private StructCodec() {}
+
+    /**
+     * Encodes a struct.
+     *
+     * @param struct the struct
+     * @return its bytes
+     * @throws IllegalStateException when a required field is not set
+     */
+    public static byte[] encode(TBase<?, ?> struct) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(FIRST_BUFFER_BYTES);
+            struct.write(new TCompactProtocol(buffer));
+            byte[] bytes = new byte[buffer.length()];
+            System.arraycopy(buffer.getArray(), 0, bytes, 0, buffer.length());
+            return bytes;
+        } catch (TException invalid) {
+            throw new IllegalStateException("a message of ours is invalid: " + struct, invalid);
+        }
+    }
+
+    /**
+     * Decodes a struct.
+     *
+     * @param <T> type of the struct
+     * @param bytes its bytes
+     * @param target an empty struct, which is filled
+     * @return the target
+     * @throws MalformedFrameException when the bytes are not such a struct
+     */
+    public static <T extends TBase<?, ?>> T decode(byte[] bytes, T target)
+            throws MalformedFrameException {
+        try {
+            target.read(new TCompactProtocol(new TMemoryInputTransport(LIMITS, bytes)));
+            return target;
+        } catch (TException | RuntimeException malformed) {
+            throw new MalformedFrameException(
+                    "not a " + target.getClass().getSimpleName() + ": " + malformed.getMessage(),
+                    malformed);
+        }
+    }
+}
