--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/PendingConfirmations.java
@@ -0,0 +1,42 @@
+package org.cuminreach.control.replica;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/** Confirmations that wait for a quorum or for an index. Guarded by its owner's lock. */
+final class PendingConfirmations {
+    private final Map<Long, CompletableFuture<Long>> awaitingQuorum = new HashMap<>();
+    private final TreeMap<Long, List<CompletableFuture<Long>>> awaitingIndex = new TreeMap<>();
+    private long lastNumber;
+
+    long add(CompletableFuture<Long> result) {
+        lastNumber++;
+        awaitingQuorum.put(lastNumber, result);
+        return lastNumber;
+    }
+
+    /** Forgets a confirmation that was answered or has timed out. */
+    void forget(long number) {
+        awaitingQuorum.remove(number);
+    }
+
+    void confirmed(long number, long index) {
+        CompletableFuture<Long> waiting = awaitingQuorum.remove(number);
+        if (waiting != null) {
+            awaitingIndex.computeIfAbsent(index, at -> new ArrayList<>()).add(waiting);
+        }
+    }
+
+    void applied(long appliedIndex, Completions completions) {
+        while (!awaitingIndex.isEmpty() && awaitingIndex.firstKey() <= appliedIndex) {
+            Map.Entry<Long, List<CompletableFuture<Long>>> reached = awaitingIndex.pollFirstEntry();
+            for (CompletableFuture<Long> waiting : reached.getValue()) {
+                completions.add(() -> waiting.complete(reached.getKey()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/PendingProposals.java
@@ -0,0 +1,56 @@
+package org.cuminreach.control.replica;
+
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.cuminreach.decisions.agreement.LogEntry;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshState;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+
+/**
+ * Commands of this control that wait for their index to be applied. Guarded by its owner's lock.
+ */
+final class PendingProposals {
+    private record Proposal(long term, String key, CompletableFuture<SubmitResult> result) {}
+
+    private final TreeMap<Long, Proposal> byIndex = new TreeMap<>();
+
+    void add(long index, long term, MeshCommand command, CompletableFuture<SubmitResult> result) {
+        byIndex.put(index, new Proposal(term, key(command), result));
+    }
+
+    /** Settles the command whose index was applied; another term there means that it was lost. */
+    void applied(LogEntry entry, Optional<SubmissionOutcome> outcome, Completions completions) {
+        Proposal proposal = byIndex.remove(entry.index());
+        if (proposal == null) {
+            return;
+        }
+        SubmitResult result =
+                entry.term() == proposal.term()
+                        ? new SubmitResult.Decided(
+                                outcome.orElseGet(
+                                        () -> new SubmissionOutcome.Accepted(entry.index())))
+                        : new SubmitResult.NotRun("another leader took over before it was agreed");
+        completions.add(() -> proposal.result().complete(result));
+    }
+
+    /** Settles the commands whose indexes a snapshot has skipped. */
+    void skipped(long lastIndex, MeshState state, Completions completions) {
+        while (!byIndex.isEmpty() && byIndex.firstKey() <= lastIndex) {
+            Proposal proposal = byIndex.pollFirstEntry().getValue();
+            SubmitResult result =
+                    state.answer(proposal.key())
+                            .<SubmitResult>map(SubmitResult.Decided::new)
+                            .orElseGet(
+                                    () ->
+                                            new SubmitResult.Unknown(
+                                                    "its place in the log was skipped"));
+            completions.add(() -> proposal.result().complete(result));
+        }
+    }
+
+    private static String key(MeshCommand command) {
+        return command instanceof MeshCommand.SubmitDocument submission ? submission.key() : "";
+    }
+}
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -2,12 +2,8 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.random.RandomGenerator;
@@ -43,21 +39,16 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ReplicaDriver.class);
     private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
 
-    /** A command of ours that waits for its index to be applied. */
-    private record Proposal(long term, String key, CompletableFuture<SubmitResult> result) {}
-
     private final String self;
     private final DataFolder folder;
     private final PeerNetwork network;
     private final Replica replica;
-    private final Map<Long, Proposal> proposals = new TreeMap<>();
-    private final Map<Long, CompletableFuture<Long>> confirmations = new HashMap<>();
-    private final TreeMap<Long, List<CompletableFuture<Long>>> awaitingIndex = new TreeMap<>();
+    private final PendingProposals proposals = new PendingProposals();
+    private final PendingConfirmations confirmations = new PendingConfirmations();
     private final CopyOnWriteArrayList<MeshListener> listeners = new CopyOnWriteArrayList<>();
     private MeshState state;
     private long appliedIndex;
     private long snapshotIndex;
-    private long lastConfirmation;
     private volatile MeshConfiguration configuration;
 
     private ReplicaDriver(
@@ -152,8 +143,7 @@
             byte[] bytes = StructCodec.encode(ConfigurationCodec.toStruct(command));
             switch (replica.propose(nowMillis, bytes)) {
                 case ProposalOutcome.Appended appended -> {
-                    proposals.put(
-                            appended.index(), new Proposal(appended.term(), key(command), result));
+                    proposals.add(appended.index(), appended.term(), command, result);
                     carryOut(appended.effects(), completions);
                 }
                 case ProposalOutcome.NotLeader notLeader ->
@@ -202,9 +192,7 @@
         CompletableFuture<Long> result = new CompletableFuture<>();
         perform(
                 () -> {
-                    lastConfirmation++;
-                    long confirmation = lastConfirmation;
-                    confirmations.put(confirmation, result);
+                    long confirmation = confirmations.add(result);
                     result.whenComplete((index, failure) -> forget(confirmation));
                     return replica.confirm(nowMillis, confirmation);
                 });
@@ -293,19 +281,6 @@
         return self;
     }
 
-    /** Work to be done after the lock is released. */
-    private static final class Completions {
-        private final List<Runnable> actions = new ArrayList<>();
-
-        void add(Runnable action) {
-            actions.add(action);
-        }
-
-        void run() {
-            actions.forEach(Runnable::run);
-        }
-    }
-
     private interface Step {
         List<Effect> take();
     }
@@ -319,7 +294,7 @@
     }
 
     private synchronized void forget(long confirmation) {
-        confirmations.remove(confirmation);
+        confirmations.forget(confirmation);
     }
 
     private Optional<SubmissionOutcome> rememberedAnswer(MeshCommand command) {
@@ -328,10 +303,6 @@
                 : Optional.empty();
     }
 
-    private static String key(MeshCommand command) {
-        return command instanceof MeshCommand.SubmitDocument submission ? submission.key() : "";
-    }
-
     private void carryOut(List<Effect> effects, Completions completions) {
         try {
             for (Effect effect : effects) {
@@ -363,9 +334,13 @@
                 appliedIndex = restore.snapshot().lastIndex();
                 network.follow(replica.membership());
                 announce(completions);
-                settleUpTo(appliedIndex, completions);
+                proposals.skipped(appliedIndex, state, completions);
+                confirmations.applied(appliedIndex, completions);
+            }
+            case Effect.Confirmed confirmed -> {
+                confirmations.confirmed(confirmed.confirmation(), confirmed.index());
+                confirmations.applied(appliedIndex, completions);
             }
-            case Effect.Confirmed confirmed -> confirmed(confirmed, completions);
             case Effect.LeaderChanged changed ->
                     LOGGER.info(
                             "event=leader_changed term={} leader={}",
@@ -384,66 +359,8 @@
                 announce(completions);
             }
         }
-        Proposal proposal = proposals.remove(entry.index());
-        if (proposal != null) {
-            SubmitResult result = resultOf(entry, proposal, outcome);
-            completions.add(() -> proposal.result().complete(result));
-        }
-        completeAwaiting(completions);
-    }
-
-    private static SubmitResult resultOf(
-            LogEntry entry, Proposal proposal, Optional<SubmissionOutcome> outcome) {
-        if (entry.term() != proposal.term()) {
-            return new SubmitResult.NotRun("another leader took over before it was agreed");
-        }
-        return outcome.<SubmitResult>map(SubmitResult.Decided::new)
-                .orElseGet(
-                        () ->
-                                new SubmitResult.Decided(
-                                        new SubmissionOutcome.Accepted(entry.index())));
-    }
-
-    /** Settles commands of ours whose entries a snapshot has skipped. */
-    private void settleUpTo(long index, Completions completions) {
-        proposals
-                .entrySet()
-                .removeIf(
-                        waiting -> {
-                            if (waiting.getKey() > index) {
-                                return false;
-                            }
-                            Proposal proposal = waiting.getValue();
-                            SubmitResult result =
-                                    state.answer(proposal.key())
-                                            .<SubmitResult>map(SubmitResult.Decided::new)
-                                            .orElseGet(
-                                                    () ->
-                                                            new SubmitResult.Unknown(
-                                                                    "its place in the log was"
-                                                                            + " skipped"));
-                            completions.add(() -> proposal.result().complete(result));
-                            return true;
-                        });
-        completeAwaiting(completions);
-    }
-
-    private void confirmed(Effect.Confirmed confirmed, Completions completions) {
-        CompletableFuture<Long> waiting = confirmations.get(confirmed.confirmation());
-        if (waiting == null) {
-            return;
-        }
-        awaitingIndex.computeIfAbsent(confirmed.index(), index -> new ArrayList<>()).add(waiting);
-        completeAwaiting(completions);
-    }
-
-    private void completeAwaiting(Completions completions) {
-        while (!awaitingIndex.isEmpty() && awaitingIndex.firstKey() <= appliedIndex) {
-            Map.Entry<Long, List<CompletableFuture<Long>>> reached = awaitingIndex.pollFirstEntry();
-            for (CompletableFuture<Long> waiting : reached.getValue()) {
-                completions.add(() -> waiting.complete(reached.getKey()));
-            }
-        }
+        proposals.applied(entry, outcome, completions);
+        confirmations.applied(appliedIndex, completions);
     }
 
     private void announce(Completions completions) {
--- a/control/src/main/java/org/cuminreach/control/rollout/RolloutConductor.java
+++ b/control/src/main/java/org/cuminreach/control/rollout/RolloutConductor.java
@@ -117,7 +117,8 @@
             long nowMillis,
             long wallMillis) {
         LOGGER.info(
-                "event=rollout_step service={} version={} phase={} share_per_mille={} reason=\"{}\"",
+                "event=rollout_step service={} version={} phase={} share_per_mille={}"
+                        + " reason=\"{}\"",
                 progress.service(),
                 progress.version(),
                 phase,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -102,7 +102,8 @@
                         Long.toHexString(ThreadLocalRandom.current().nextLong()));
         if (route.isEmpty()) {
             LOGGER.info(
-                    "event=call_refused request={} configuration={} reason=no_route host={} path={}",
+                    "event=call_refused request={} configuration={} reason=no_route host={}"
+                            + " path={}",
                     requestId,
                     current.configuration().version(),
                     call.header("Host", ""),
@@ -176,8 +177,8 @@
         long begunNanos = System.nanoTime();
         attempts.begin(target.node());
         LOGGER.info(
-                "event=call_routed request={} configuration={} route={} version={} node={} attempt={}"
-                        + " reason={}",
+                "event=call_routed request={} configuration={} route={} version={} node={}"
+                        + " attempt={} reason={}",
                 attempts.requestId(),
                 attempts.configurationVersion(),
                 attempts.route().name(),
--- a/trial/src/main/java/org/cuminreach/trial/load/CallTally.java
+++ b/trial/src/main/java/org/cuminreach/trial/load/CallTally.java
@@ -1,5 +1,6 @@
 package org.cuminreach.trial.load;
 
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
@@ -7,14 +8,14 @@
 /** Counts what came of calls. Safe for use by several threads. */
 public final class CallTally {
     private final LongAdder sent = new LongAdder();
-    private final LongAdder whole = new LongAdder();
-    private final LongAdder failedWhole = new LongAdder();
-    private final LongAdder notRun = new LongAdder();
-    private final LongAdder unknown = new LongAdder();
-    private final LongAdder crossed = new LongAdder();
+    private final Map<CallOutcome, LongAdder> counts = new EnumMap<>(CallOutcome.class);
     private final Map<String, CallOutcome> numbered = new ConcurrentHashMap<>();
 
-    private CallTally() {}
+    private CallTally() {
+        for (CallOutcome outcome : CallOutcome.values()) {
+            counts.put(outcome, new LongAdder());
+        }
+    }
 
     /**
      * Returns a tally at zero.
@@ -38,13 +39,7 @@
      */
     public void ended(String number, CallOutcome outcome) {
         numbered.put(number, outcome);
-        switch (outcome) {
-            case WHOLE -> whole.increment();
-            case WHOLE_FAILED -> failedWhole.increment();
-            case NOT_RUN -> notRun.increment();
-            case UNKNOWN -> unknown.increment();
-            case CROSSED -> crossed.increment();
-        }
+        counts.get(outcome).increment();
     }
 
     /**
@@ -63,13 +58,7 @@
      * @return a count
      */
     public long count(CallOutcome outcome) {
-        return switch (outcome) {
-            case WHOLE -> whole.sum();
-            case WHOLE_FAILED -> failedWhole.sum();
-            case NOT_RUN -> notRun.sum();
-            case UNKNOWN -> unknown.sum();
-            case CROSSED -> crossed.sum();
-        };
+        return counts.get(outcome).sum();
     }
 
     /**
