--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -1,42 +1,49 @@
 package org.cuminreach.decisions.admission;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Admission to one target: as many calls run at once as it has slots, and the callers that wait
- * take turns. Waiting is bounded in number and in time. Not safe for use by several threads at
- * once.
+ * Admission to one target by start-time fair queueing. No more calls run at once than the target's
+ * slots. Those that wait take turns by source, so that each source gets the same running time, and
+ * by caller within a source. Waiting is bounded in number and in time; a full queue refuses the
+ * newest call of whoever has the most calls in it. Only callers with calls here cost memory. Not
+ * safe for use by several threads at once.
  *
- * @param <C> type of a waiting call
+ * @param <C> type of a call
  */
 public final class FairQueue<C> {
-    /** A call that waits. */
-    private record Waiting<C>(C call, long latestStartMillis) {}
-
     private static final int MOST_WAITING_PER_SLOT = 8;
+    private static final long LONGEST_WAIT_MILLIS = 1_000;
     private static final double SMOOTHING = 0.1;
     private static final double FIRST_SERVICE_MILLIS = 5;
+    private static final double QUICKEST_DRIFT = 0.001;
+    private static final String LATE = "deadline_cannot_be_met";
+    private static final String FULL = "queue_full";
 
-    private final int slots;
-    private final Map<String, Deque<Waiting<C>>> waiting = new LinkedHashMap<>();
-    private int waitingCount;
+    private final int mostWaiting;
+    private final ConcurrencyLimit limit;
+    private final Map<String, WaitingCalls<C>> sources = new LinkedHashMap<>();
+    private final List<RefusedCall<C>> refused = new ArrayList<>();
+    private int waiting;
     private int running;
+    private double virtualTime;
     private double serviceMillis = FIRST_SERVICE_MILLIS;
+    private double quickestMillis;
 
     private FairQueue(int slots) {
-        this.slots = slots;
+        this.mostWaiting = slots * MOST_WAITING_PER_SLOT;
+        this.limit = new ConcurrencyLimit(slots);
     }
 
     /**
      * Returns an idle queue.
      *
-     * @param <C> type of a waiting call
+     * @param <C> type of a call
      * @param slots calls that the target runs at once
      * @return the queue
      */
@@ -45,7 +52,8 @@
     }
 
     /**
-     * Takes a call that has arrived.
+     * Takes a call that has arrived. Another call may be refused in its place; see {@link
+     * #takeRefused}.
      *
      * @param call the call
      * @param caller whose call it is
@@ -53,75 +61,89 @@
      * @param nowMillis present time
      * @return whether it runs, waits or is refused
      */
-    public AdmissionOutcome arrive(C call, String caller, long deadlineMillis, long nowMillis) {
-        if (running < slots) {
-            running++;
+    public AdmissionOutcome arrive(C call, Caller caller, long deadlineMillis, long nowMillis) {
+        long latestStart = deadlineMillis - Math.round(quickestMillis);
+        if (latestStart <= nowMillis) {
+            return refusal(LATE);
+        }
+        if (waiting == 0 && running < limit.calls()) {
+            start(source(caller.source()));
             return new AdmissionOutcome.Run();
         }
-        long latestStart = deadlineMillis - Math.round(serviceMillis);
-        double expectedWait = serviceMillis * (waitingCount + 1) / slots;
-        if (nowMillis + expectedWait > latestStart) {
-            return new AdmissionOutcome.Refused("deadline_cannot_be_met", retryAfter());
+        if (nowMillis + expectedWait(caller) > latestStart) {
+            return refusal(LATE);
         }
-        if (waitingCount >= slots * MOST_WAITING_PER_SLOT) {
-            return new AdmissionOutcome.Refused("queue_full", retryAfter());
+        if (waiting >= mostWaiting && !displace(caller)) {
+            return refusal(FULL);
         }
-        waiting.computeIfAbsent(caller, name -> new ArrayDeque<>())
-                .add(new Waiting<>(call, latestStart));
-        waitingCount++;
+        long latest = Math.min(latestStart, nowMillis + LONGEST_WAIT_MILLIS);
+        source(caller.source())
+                .add(caller.name(), new WaitingCalls.Waiting<>(call, latest), virtualTime);
+        waiting++;
         return new AdmissionOutcome.Queued();
     }
 
     /**
      * Notes that a running call has ended, and starts the next.
      *
+     * @param caller whose call it was
      * @param ranMillis how long it ran, in milliseconds
      * @param nowMillis present time
-     * @return the call to run now, none or one; calls out of time stay for {@link #expire}
+     * @return the calls to run now
      */
-    public List<C> release(double ranMillis, long nowMillis) {
-        serviceMillis += SMOOTHING * (ranMillis - serviceMillis);
+    public List<C> release(Caller caller, double ranMillis, long nowMillis) {
         running--;
-        Iterator<Map.Entry<String, Deque<Waiting<C>>>> turns = waiting.entrySet().iterator();
-        while (turns.hasNext()) {
-            Map.Entry<String, Deque<Waiting<C>>> turn = turns.next();
-            Deque<Waiting<C>> calls = turn.getValue();
-            if (calls.peekFirst().latestStartMillis() < nowMillis) {
-                continue;
-            }
-            C next = calls.removeFirst().call();
-            turns.remove();
-            if (!calls.isEmpty()) {
-                waiting.put(turn.getKey(), calls);
+        WaitingCalls<C> source = sources.get(caller.source());
+        source.ended(ranMillis, serviceMillis);
+        forgetIdle(caller.source(), source);
+        serviceMillis += SMOOTHING * (ranMillis - serviceMillis);
+        quickestMillis = Math.min(ranMillis, quickestMillis + QUICKEST_DRIFT * ranMillis);
+        limit.ended(ranMillis, nowMillis);
+        List<C> started = List.of();
+        while (waiting > 0 && running < limit.calls()) {
+            WaitingCalls.Waiting<C> next = takeNext(nowMillis);
+            if (next.latestStartMillis() < nowMillis) {
+                refused.add(new RefusedCall<>(next.call(), refusal(LATE)));
+            } else {
+                started = with(started, next.call());
             }
-            waitingCount--;
-            running++;
-            return List.of(next);
         }
-        return List.of();
+        return started;
     }
 
     /**
-     * Takes out the calls that can no longer start in time; none of them has run.
+     * Takes out the calls that can no longer start in time, and all others refused so far; none of
+     * them has run.
      *
      * @param nowMillis present time
      * @return the calls to refuse
      */
-    public List<C> expire(long nowMillis) {
-        List<C> expired = new ArrayList<>();
-        for (Deque<Waiting<C>> calls : waiting.values()) {
-            calls.removeIf(
-                    call -> {
-                        boolean late = call.latestStartMillis() < nowMillis;
-                        if (late) {
-                            expired.add(call.call());
-                        }
-                        return late;
-                    });
+    public List<RefusedCall<C>> expire(long nowMillis) {
+        Iterator<WaitingCalls<C>> all = sources.values().iterator();
+        while (all.hasNext()) {
+            WaitingCalls<C> source = all.next();
+            int before = source.waiting();
+            source.expire(nowMillis, call -> refused.add(new RefusedCall<>(call, refusal(LATE))));
+            waiting -= before - source.waiting();
+            if (source.isIdle()) {
+                all.remove();
+            }
+        }
+        return takeRefused();
+    }
+
+    /**
+     * Takes out the calls that were refused since the last time; none of them has run.
+     *
+     * @return the calls to refuse
+     */
+    public List<RefusedCall<C>> takeRefused() {
+        if (refused.isEmpty()) {
+            return List.of();
         }
-        waiting.values().removeIf(Deque::isEmpty);
-        waitingCount -= expired.size();
-        return expired;
+        List<RefusedCall<C>> taken = List.copyOf(refused);
+        refused.clear();
+        return taken;
     }
 
     /**
@@ -139,10 +161,117 @@
      * @return calls waiting
      */
     public int waiting() {
-        return waitingCount;
+        return waiting;
     }
 
-    private long retryAfter() {
-        return Math.max(1, Math.round(serviceMillis * (waitingCount + 1) / slots));
+    /**
+     * Returns how many calls may run at once now.
+     *
+     * @return at least 1, at most the slots
+     */
+    public int limit() {
+        return limit.calls();
+    }
+
+    /**
+     * Returns how many sources have calls here.
+     *
+     * @return sources that cost memory
+     */
+    public int sources() {
+        return sources.size();
+    }
+
+    private WaitingCalls<C> source(String name) {
+        return sources.computeIfAbsent(name, absent -> new WaitingCalls<>());
+    }
+
+    private void start(WaitingCalls<C> source) {
+        running++;
+        source.started(virtualTime, serviceMillis);
+    }
+
+    private WaitingCalls.Waiting<C> takeNext(long nowMillis) {
+        String name = "";
+        WaitingCalls<C> next = null;
+        for (Map.Entry<String, WaitingCalls<C>> entry : sources.entrySet()) {
+            WaitingCalls<C> source = entry.getValue();
+            if (source.waiting() > 0 && (next == null || source.tag() < next.tag())) {
+                name = entry.getKey();
+                next = source;
+            }
+        }
+        WaitingCalls.Waiting<C> call = next.takeNext();
+        waiting--;
+        if (call.latestStartMillis() < nowMillis) {
+            forgetIdle(name, next);
+        } else {
+            virtualTime = Math.max(virtualTime, next.tag());
+            start(next);
+        }
+        return call;
+    }
+
+    /** Estimates the wait by the turns that come before this caller's. */
+    private double expectedWait(Caller caller) {
+        WaitingCalls<C> source = sources.get(caller.source());
+        int ahead = 0;
+        if (source != null) {
+            int turns = (source.waiting(caller.name()) + 1) * Math.max(1, source.names());
+            ahead = Math.min(source.waiting(), turns);
+        }
+        int position = Math.min(waiting, (ahead + 1) * sources.size());
+        return serviceMillis * (position + 1) / limit.calls();
+    }
+
+    /** Makes room by refusing the newest call of whoever waits with more calls than the caller. */
+    private boolean displace(Caller caller) {
+        WaitingCalls<C> own = sources.get(caller.source());
+        WaitingCalls<C> longest = longest(sources.values());
+        int ownWaiting = own == null ? 0 : own.waiting();
+        if (ownWaiting + 1 < longest.waiting()) {
+            refuseNewest(longest);
+            return true;
+        }
+        if (own != null && own.waiting(caller.name()) + 1 < own.longest()) {
+            refuseNewest(own);
+            return true;
+        }
+        return false;
+    }
+
+    private void refuseNewest(WaitingCalls<C> source) {
+        refused.add(new RefusedCall<>(source.takeNewestOfLongest(), refusal(FULL)));
+        waiting--;
+    }
+
+    private static <C> WaitingCalls<C> longest(Collection<WaitingCalls<C>> sources) {
+        WaitingCalls<C> longest = sources.iterator().next();
+        for (WaitingCalls<C> source : sources) {
+            if (source.waiting() > longest.waiting()) {
+                longest = source;
+            }
+        }
+        return longest;
+    }
+
+    private void forgetIdle(String name, WaitingCalls<C> source) {
+        if (source.isIdle()) {
+            sources.remove(name);
+        }
+    }
+
+    private AdmissionOutcome.Refused refusal(String reason) {
+        long millis = Math.round(serviceMillis * (waiting + 1) / limit.calls());
+        return new AdmissionOutcome.Refused(reason, Math.max(1, millis));
+    }
+
+    private static <C> List<C> with(List<C> started, C call) {
+        if (started.isEmpty()) {
+            return List.of(call);
+        }
+        List<C> more = new ArrayList<>(started);
+        more.add(call);
+        return more;
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
@@ -5,11 +5,21 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses a target by two random choices, the less loaded of which wins. Targets of the chooser's
- * own data centre are preferred until they are busier than those elsewhere.
+ * Chooses a target: the less loaded of two random ones of the chooser's own data centre, or of two
+ * elsewhere once a call would have to wait in the own one.
  */
 public final class TargetChooser {
-    private static final double OTHER_DATA_CENTRE_LOAD = 0.25;
+    /** Share of its capacity from which a target of the own data centre is passed over. */
+    private static final double SPILL_LOAD = 0.9;
+
+    /** By how much a target elsewhere must be less loaded, for the way there. */
+    private static final double SPILL_MARGIN = 0.1;
+
+    /** Gain from which every call is sent elsewhere; below it, a share, lest all go at once. */
+    private static final double SPILL_ALL_GAIN = 0.25;
+
+    /** Suspects are used again when fewer than this share of the reachable targets is left. */
+    private static final double LEAST_TRUSTED_SHARE = 0.5;
 
     private TargetChooser() {}
 
@@ -18,6 +28,8 @@
      *
      * @param targets the ready targets of the version
      * @param tried nodes that this call was sent to already
+     * @param mayProbe true when the call may run again if it is lost, so that it may be sent to a
+     *     target in doubt
      * @param dataCentre data centre of the chooser
      * @param nowMillis present time
      * @param random source of the draws
@@ -26,36 +38,142 @@
     public static TargetChoice choose(
             List<TargetView> targets,
             Set<String> tried,
+            boolean mayProbe,
             String dataCentre,
             long nowMillis,
             RandomGenerator random) {
         if (targets.isEmpty()) {
             return new TargetChoice.NoTarget("no_ready_target");
         }
-        List<TargetView> untried =
-                targets.stream().filter(target -> !tried.contains(target.node())).toList();
-        if (untried.isEmpty()) {
-            return new TargetChoice.NoTarget("all_targets_tried");
+        Candidates candidates = new Candidates(dataCentre, nowMillis, random);
+        for (int index = 0; index < targets.size(); index++) {
+            TargetView target = targets.get(index);
+            if (!tried.contains(target.node())) {
+                candidates.offer(target);
+            }
         }
-        List<TargetView> trusted =
-                untried.stream()
-                        .filter(target -> target.distrustedUntilMillis() <= nowMillis)
-                        .toList();
-        if (trusted.isEmpty()) {
-            return new TargetChoice.Chosen(pick(untried, dataCentre, random), "all_distrusted");
-        }
-        return new TargetChoice.Chosen(pick(trusted, dataCentre, random), "less_loaded_of_two");
+        return candidates.choose(mayProbe);
     }
 
-    private static TargetView pick(
-            List<TargetView> targets, String dataCentre, RandomGenerator random) {
-        TargetView first = targets.get(random.nextInt(targets.size()));
-        TargetView second = targets.get(random.nextInt(targets.size()));
-        return cost(first, dataCentre) <= cost(second, dataCentre) ? first : second;
+    /** Draws of two targets from one kind of targets, each pair as likely as any other. */
+    private static final class Draw {
+        private TargetView first;
+        private TargetView second;
+        private int offered;
+
+        private void offer(TargetView target, RandomGenerator random) {
+            offered++;
+            if (offered == 1) {
+                first = target;
+                return;
+            }
+            if (offered == 2) {
+                second = target;
+                return;
+            }
+            int place = random.nextInt(offered);
+            if (place == 0) {
+                first = target;
+            } else if (place == 1) {
+                second = target;
+            }
+        }
     }
 
-    private static double cost(TargetView target, String dataCentre) {
-        double load = (double) target.outstanding() / target.slots();
-        return target.dataCentre().equals(dataCentre) ? load : load + OTHER_DATA_CENTRE_LOAD;
+    /** The targets that a call may go to, by standing and data centre. */
+    private static final class Candidates {
+        private final String dataCentre;
+        private final long nowMillis;
+        private final RandomGenerator random;
+        private final Draw near = new Draw();
+        private final Draw far = new Draw();
+        private final Draw pushedBack = new Draw();
+        private final Draw suspect = new Draw();
+        private final Draw unreachable = new Draw();
+        private TargetView due;
+
+        private Candidates(String dataCentre, long nowMillis, RandomGenerator random) {
+            this.dataCentre = dataCentre;
+            this.nowMillis = nowMillis;
+            this.random = random;
+        }
+
+        private void offer(TargetView target) {
+            switch (target.experience().standing(nowMillis)) {
+                case USABLE -> {
+                    boolean own = target.dataCentre().equals(dataCentre);
+                    (own ? near : far).offer(target, random);
+                }
+                case PUSHED_BACK -> pushedBack.offer(target, random);
+                case SUSPECT -> suspect.offer(target, random);
+                case UNREACHABLE -> unreachable.offer(target, random);
+                case DUE_FOR_PROBE -> {
+                    due = target;
+                    unreachable.offer(target, random);
+                }
+                case LEAVING -> {
+                    return;
+                }
+            }
+        }
+
+        private TargetChoice choose(boolean mayProbe) {
+            if (due != null && mayProbe) {
+                return new TargetChoice.Chosen(due, "probe");
+            }
+            int trusted = near.offered + far.offered + pushedBack.offered;
+            if (isTooFew(trusted)) {
+                return chosen(suspect, "too_few_trusted");
+            }
+            if (near.offered + far.offered > 0) {
+                return nearOrFar();
+            }
+            if (pushedBack.offered > 0) {
+                return chosen(pushedBack, "all_pushed_back");
+            }
+            if (unreachable.offered > 0) {
+                return chosen(unreachable, "all_unreachable");
+            }
+            return new TargetChoice.NoTarget("no_target_left");
+        }
+
+        /** Draws a suspect in proportion to its share of the targets once too few others remain. */
+        private boolean isTooFew(int trusted) {
+            int reachable = trusted + suspect.offered;
+            boolean tooFew = suspect.offered > 0 && trusted < LEAST_TRUSTED_SHARE * reachable;
+            return tooFew && random.nextInt(reachable) < suspect.offered;
+        }
+
+        private TargetChoice nearOrFar() {
+            if (near.offered == 0) {
+                return chosen(far, "none_in_own_data_centre");
+            }
+            TargetView nearest = lesser(near);
+            double nearLoad = nearest.experience().load(nowMillis);
+            if (nearLoad <= SPILL_LOAD || far.offered == 0) {
+                return new TargetChoice.Chosen(nearest, "own_data_centre");
+            }
+            TargetView elsewhere = lesser(far);
+            double gain = nearLoad - elsewhere.experience().load(nowMillis) - SPILL_MARGIN;
+            return gain > random.nextDouble() * SPILL_ALL_GAIN
+                    ? new TargetChoice.Chosen(elsewhere, "spilled")
+                    : new TargetChoice.Chosen(nearest, "own_data_centre_full");
+        }
+
+        private TargetChoice chosen(Draw draw, String reason) {
+            return new TargetChoice.Chosen(lesser(draw), reason);
+        }
+
+        private TargetView lesser(Draw draw) {
+            if (draw.second == null) {
+                return draw.first;
+            }
+            double first = draw.first.experience().cost(nowMillis);
+            double second = draw.second.experience().cost(nowMillis);
+            if (first == second) {
+                return random.nextBoolean() ? draw.first : draw.second;
+            }
+            return first < second ? draw.first : draw.second;
+        }
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
@@ -0,0 +1,220 @@
+package org.cuminreach.decisions.routing;
+
+/**
+ * What one node's own calls to one target met, and the latest load report as a hint. Safe for use
+ * by several threads.
+ */
+public final class TargetExperience {
+    private static final long RAMP_MILLIS = 10_000;
+    private static final double FIRST_RAMP = 0.1;
+    private static final double REPORT_HALVES_MILLIS = 100;
+    private static final long OLDEST_REPORT_MILLIS = 1_000;
+    private static final long MISLED_MILLIS = 5_000;
+    private static final double OWN_WEIGHT = 2;
+    private static final double SMOOTHING = 0.1;
+    private static final double FAILURE_WEIGHT = 8;
+    private static final int SUSPECT_AFTER_LOSSES = 3;
+    private static final long FIRST_PAUSE_MILLIS = 250;
+    private static final long LONGEST_PAUSE_MILLIS = 5_000;
+    private static final long FIRST_PUSHBACK_MILLIS = 10;
+    private static final long LONGEST_PUSHBACK_MILLIS = 500;
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final int slots;
+    private long rampFromMillis;
+    private int outstanding;
+    private TargetTrust trust = TargetTrust.TRUSTED;
+    private int lossesInRow;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private long probeFromMillis = NEVER;
+    private boolean probing;
+    private long pushbackMillis = FIRST_PUSHBACK_MILLIS;
+    private long pushedBackUntilMillis = NEVER;
+    private double failing;
+    private int othersLoad;
+    private int limit;
+    private long reportedMillis = NEVER;
+    private long reportsIgnoredUntilMillis = NEVER;
+    private boolean draining;
+
+    private TargetExperience(int slots, long rampFromMillis) {
+        this.slots = slots;
+        this.limit = slots;
+        this.rampFromMillis = rampFromMillis;
+    }
+
+    /**
+     * Returns the experience of a target that has just appeared and has to warm up.
+     *
+     * @param slots calls that it runs at once, at least 1
+     * @param nowMillis present time
+     * @return nothing met yet
+     */
+    public static TargetExperience cold(int slots, long nowMillis) {
+        return new TargetExperience(slots, nowMillis);
+    }
+
+    /**
+     * Returns the experience of a target that is warm.
+     *
+     * @param slots calls that it runs at once, at least 1
+     * @return nothing met yet
+     */
+    public static TargetExperience warm(int slots) {
+        return new TargetExperience(slots, NEVER);
+    }
+
+    /**
+     * Notes that a call was sent.
+     *
+     * @param nowMillis present time
+     */
+    public synchronized void begun(long nowMillis) {
+        outstanding++;
+        probing |= trust != TargetTrust.TRUSTED && nowMillis >= probeFromMillis;
+    }
+
+    /**
+     * Notes what a call met.
+     *
+     * @param answer what it met
+     * @param nowMillis present time
+     */
+    public synchronized void ended(TargetAnswer answer, long nowMillis) {
+        outstanding--;
+        switch (answer) {
+            case ANSWERED -> answered(0, nowMillis);
+            case FAILED -> answered(1, nowMillis);
+            case SHED -> {
+                heard(nowMillis);
+                if (believesReports(nowMillis) && othersLoad + outstanding < limit) {
+                    reportsIgnoredUntilMillis = nowMillis + MISLED_MILLIS;
+                }
+                pushedBackUntilMillis = nowMillis + pushbackMillis;
+                pushbackMillis = Math.min(LONGEST_PUSHBACK_MILLIS, 2 * pushbackMillis);
+            }
+            case UNREACHABLE -> distrust(TargetTrust.UNREACHABLE, nowMillis);
+            case LOST -> {
+                lossesInRow++;
+                if (lossesInRow >= SUSPECT_AFTER_LOSSES || trust != TargetTrust.TRUSTED) {
+                    distrust(TargetTrust.SUSPECT, nowMillis);
+                }
+            }
+        }
+    }
+
+    /**
+     * Takes a load report as a hint of what other nodes have sent to the target.
+     *
+     * @param report the report
+     * @param nowMillis time at which it arrived
+     */
+    public synchronized void reported(LoadReport report, long nowMillis) {
+        int all = Math.min(report.running() + report.waiting(), report.limit());
+        othersLoad = Math.max(0, all - outstanding);
+        limit = Math.min(slots, report.limit());
+        reportedMillis = nowMillis;
+        draining |= report.draining();
+    }
+
+    /**
+     * Returns the share of its capacity that the target is thought to use with one more call; above
+     * 1 that call would wait. A target that warms up has less capacity, and a failing one counts as
+     * fuller.
+     *
+     * @param nowMillis present time
+     * @return the share, at least 0
+     */
+    public synchronized double load(long nowMillis) {
+        double others = 0;
+        double capacity = slots;
+        if (believesReports(nowMillis)) {
+            double age = nowMillis - reportedMillis;
+            others = othersLoad / (1 + age / REPORT_HALVES_MILLIS);
+            capacity = limit;
+        }
+        double used = (outstanding + others + 1) / (capacity * ramp(nowMillis));
+        return used + FAILURE_WEIGHT * failing * failing;
+    }
+
+    /**
+     * Returns what a target is compared with others by: its load, in which the calls of this node
+     * count once more, since they are known and a report may mislead.
+     *
+     * @param nowMillis present time
+     * @return the cost, at least 0
+     */
+    public synchronized double cost(long nowMillis) {
+        return load(nowMillis) + OWN_WEIGHT * outstanding / (slots * ramp(nowMillis));
+    }
+
+    /**
+     * Tells how far the target may be used for a fresh call.
+     *
+     * @param nowMillis present time
+     * @return its standing
+     */
+    public synchronized TargetStanding standing(long nowMillis) {
+        if (draining) {
+            return TargetStanding.LEAVING;
+        }
+        if (trust != TargetTrust.TRUSTED) {
+            if (!probing && nowMillis >= probeFromMillis) {
+                return TargetStanding.DUE_FOR_PROBE;
+            }
+            return trust == TargetTrust.SUSPECT
+                    ? TargetStanding.SUSPECT
+                    : TargetStanding.UNREACHABLE;
+        }
+        return nowMillis < pushedBackUntilMillis
+                ? TargetStanding.PUSHED_BACK
+                : TargetStanding.USABLE;
+    }
+
+    /**
+     * Returns the calls that wait for an answer.
+     *
+     * @return calls of this node
+     */
+    public synchronized int outstanding() {
+        return outstanding;
+    }
+
+    private boolean believesReports(long nowMillis) {
+        return nowMillis - reportedMillis < OLDEST_REPORT_MILLIS
+                && nowMillis >= reportsIgnoredUntilMillis;
+    }
+
+    private double ramp(long nowMillis) {
+        double warmed = (double) (nowMillis - rampFromMillis) / RAMP_MILLIS;
+        return Math.clamp(warmed, FIRST_RAMP, 1);
+    }
+
+    private void answered(int failed, long nowMillis) {
+        heard(nowMillis);
+        failing += SMOOTHING * (failed - failing);
+        pushbackMillis = FIRST_PUSHBACK_MILLIS;
+        pushedBackUntilMillis = NEVER;
+    }
+
+    private void heard(long nowMillis) {
+        if (trust != TargetTrust.TRUSTED) {
+            trust = TargetTrust.TRUSTED;
+            rampFromMillis = nowMillis;
+        }
+        lossesInRow = 0;
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        probing = false;
+    }
+
+    private void distrust(TargetTrust next, long nowMillis) {
+        boolean first = trust == TargetTrust.TRUSTED;
+        boolean probeFailed = probing;
+        trust = next;
+        if (first || probeFailed) {
+            probeFromMillis = nowMillis + pauseMillis;
+            pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
+        }
+        probing = false;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetTrust.java
@@ -0,0 +1,11 @@
+package org.cuminreach.decisions.routing;
+
+/** Whether a node believes that a target takes calls. */
+enum TargetTrust {
+    /** The latest calls reached it. */
+    TRUSTED,
+    /** Several calls in a row were sent and lost. */
+    SUSPECT,
+    /** Its node could not be reached. */
+    UNREACHABLE
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
@@ -9,13 +9,7 @@
  * @param dataCentre where it runs
  * @param inbound address where its node takes calls
  * @param slots calls that the target runs at once, at least 1
- * @param outstanding calls of this node that wait for its answer
- * @param distrustedUntilMillis time until which it is avoided after failures, in milliseconds
+ * @param experience what the chooser's own calls to it met
  */
 public record TargetView(
-        String node,
-        String dataCentre,
-        Address inbound,
-        int slots,
-        int outstanding,
-        long distrustedUntilMillis) {}
+        String node, String dataCentre, Address inbound, int slots, TargetExperience experience) {}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/admission/FairQueueTest.java
@@ -0,0 +1,190 @@
+package org.cuminreach.decisions.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class FairQueueTest {
+    private static final int FAR_OFF = 1_000_000;
+
+    private static Caller caller(String source) {
+        return new Caller(source, "");
+    }
+
+    @Example
+    void lateHeadDoesNotBlockCallBehindIt() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        queue.arrive("running", caller("a"), 1_000, 0);
+        queue.arrive("late", caller("a"), 20, 0);
+        queue.arrive("behind", caller("a"), 1_000, 0);
+
+        assertThat(queue.release(caller("a"), 5, 500)).containsExactly("behind");
+        assertThat(queue.takeRefused()).hasSize(1);
+    }
+
+    @Example
+    void stormOfOneCallerLeavesRoomForOthers() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        for (int call = 0; call < 50; call++) {
+            queue.arrive("storm-" + call, caller("storm"), FAR_OFF, 0);
+        }
+
+        assertThat(queue.arrive("quiet", caller("quiet"), FAR_OFF, 0))
+                .isEqualTo(new AdmissionOutcome.Queued());
+        assertThat(queue.release(caller("storm"), 5, 5)).containsExactly("quiet");
+    }
+
+    @Example
+    void madeUpNamesOfOneSourceCountAsThatSource() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        for (int call = 0; call < 5_000; call++) {
+            queue.arrive("storm-" + call, new Caller("10.0.0.9", "name-" + call), FAR_OFF, 0);
+        }
+        queue.arrive("quiet", caller("10.0.0.1"), FAR_OFF, 0);
+
+        assertThat(queue.sources()).isAtMost(2);
+        assertThat(queue.waiting()).isAtMost(8);
+        assertThat(queue.release(new Caller("10.0.0.9", "name-0"), 5, 5)).containsExactly("quiet");
+    }
+
+    @Property(seed = "21", tries = 300)
+    void everyCallEndsOnceAndNoSlotIsLostOrIdle(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int slots) {
+        Random random = new Random(seed);
+        FairQueue<Integer> queue = FairQueue.ofSlots(slots);
+        Map<Integer, Caller> running = new HashMap<>();
+        Map<Integer, Caller> callers = new HashMap<>();
+        Set<Integer> ended = new HashSet<>();
+        long now = 0;
+        for (int call = 0; call < 400; call++) {
+            now += random.nextInt(4);
+            Caller caller = new Caller("s" + random.nextInt(4), "n" + random.nextInt(3));
+            callers.put(call, caller);
+            switch (queue.arrive(call, caller, now + random.nextInt(120), now)) {
+                case AdmissionOutcome.Run run -> running.put(call, caller);
+                case AdmissionOutcome.Queued queued -> assertThat(running).isNotEmpty();
+                case AdmissionOutcome.Refused refused -> {
+                    assertThat(refused.retryAfterMillis()).isAtLeast(1);
+                    assertThat(ended.add(call)).isTrue();
+                }
+            }
+            endSome(random, queue, running, callers, ended, now);
+            queue.takeRefused().forEach(late -> assertThat(ended.add(late.call())).isTrue());
+            assertThat(queue.running()).isEqualTo(running.size());
+            assertThat(queue.limit()).isAtMost(slots);
+            assertThat(running.size()).isAtMost(slots);
+            assertThat(queue.waiting() > 0 && running.size() < queue.limit()).isFalse();
+        }
+        while (!running.isEmpty()) {
+            endOne(queue, running, callers, ended, now);
+        }
+        queue.expire(now + FAR_OFF).forEach(late -> assertThat(ended.add(late.call())).isTrue());
+        assertThat(ended).hasSize(400);
+        assertThat(queue.waiting()).isEqualTo(0);
+        assertThat(queue.sources()).isEqualTo(0);
+    }
+
+    private static void endSome(
+            Random random,
+            FairQueue<Integer> queue,
+            Map<Integer, Caller> running,
+            Map<Integer, Caller> callers,
+            Set<Integer> ended,
+            long now) {
+        if (random.nextInt(3) == 0) {
+            queue.expire(now).forEach(late -> assertThat(ended.add(late.call())).isTrue());
+        }
+        if (!running.isEmpty() && random.nextBoolean()) {
+            endOne(queue, running, callers, ended, now);
+        }
+    }
+
+    private static void endOne(
+            FairQueue<Integer> queue,
+            Map<Integer, Caller> running,
+            Map<Integer, Caller> callers,
+            Set<Integer> ended,
+            long now) {
+        int call = running.keySet().iterator().next();
+        List<Integer> next = queue.release(running.remove(call), 1 + call % 20, now);
+        assertThat(ended.add(call)).isTrue();
+        next.forEach(started -> running.put(started, callers.get(started)));
+    }
+
+    @Property(seed = "22", tries = 100)
+    void sourcesGetEqualRunningTimeWhateverTheirCallsTake(
+            @ForAll @IntRange(min = 1, max = 20) int firstMillis,
+            @ForAll @IntRange(min = 1, max = 20) int secondMillis) {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        Map<String, Integer> millis = Map.of("first", firstMillis, "second", secondMillis);
+        Map<String, Integer> ran = new HashMap<>();
+        String running = "first";
+        queue.arrive(running, caller(running), FAR_OFF, 0);
+        for (int turn = 0; turn < 2_000; turn++) {
+            for (String source : millis.keySet()) {
+                queue.arrive(source, caller(source), FAR_OFF, 0);
+            }
+            ran.merge(running, millis.get(running), Integer::sum);
+            running = queue.release(caller(running), millis.get(running), 0).get(0);
+        }
+
+        double share = (double) ran.get("first") / (ran.get("first") + ran.get("second"));
+        assertThat(share).isWithin(0.05).of(0.5);
+    }
+
+    @Property(seed = "23", tries = 100)
+    void namesAndOrderOfCallersMakeNoDifference(@ForAll @IntRange(min = 2, max = 8) int sources) {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        queue.arrive("busy", caller("busy"), FAR_OFF, 0);
+        for (int call = 0; call < 3; call++) {
+            for (int source = 0; source < sources; source++) {
+                queue.arrive("s" + source, caller("s" + source), FAR_OFF, 0);
+            }
+        }
+        List<String> order = new ArrayList<>();
+        String running = "busy";
+        while (queue.waiting() > 0) {
+            running = queue.release(caller(running), 5, 0).get(0);
+            order.add(running);
+        }
+
+        for (int start = 0; start + sources <= order.size(); start += sources) {
+            Set<String> round = new HashSet<>(order.subList(start, start + sources));
+            assertThat(round).hasSize(Math.min(sources, order.size() - start));
+        }
+    }
+
+    @Example
+    void callWhoseDeadlineCannotBeMetIsRefusedAtOnce() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        queue.arrive("running", caller("a"), FAR_OFF, 0);
+        queue.release(caller("a"), 100, 100);
+        queue.arrive("running", caller("a"), FAR_OFF, 100);
+
+        AdmissionOutcome outcome = queue.arrive("hasty", caller("b"), 110, 100);
+
+        assertThat(outcome).isInstanceOf(AdmissionOutcome.Refused.class);
+        assertThat(queue.arrive("past", caller("b"), 99, 100))
+                .isInstanceOf(AdmissionOutcome.Refused.class);
+    }
+
+    @Example
+    void waitIsBoundedInTimeHoweverFarTheDeadline() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        queue.arrive("running", caller("a"), FAR_OFF, 0);
+        queue.arrive("waiting", caller("b"), FAR_OFF, 0);
+
+        assertThat(queue.expire(999)).isEmpty();
+        assertThat(queue.expire(1_001)).hasSize(1);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
@@ -0,0 +1,218 @@
+package org.cuminreach.decisions.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cuminreach.settings.Address;
+
+class TargetChooserTest {
+    private static final int SLOTS = 9;
+    private static final int CALLS = 1_000;
+
+    private final List<TargetView> targets = new ArrayList<>();
+
+    private TargetExperience add(String node, String dataCentre, TargetExperience experience) {
+        Address address = new Address("127.0.0.1", 1);
+        targets.add(new TargetView(node, dataCentre, address, SLOTS, experience));
+        return experience;
+    }
+
+    private List<TargetExperience> addSix() {
+        List<TargetExperience> experiences = new ArrayList<>();
+        for (int index = 0; index < 6; index++) {
+            String dataCentre = index % 3 == 0 ? "near" : "far";
+            experiences.add(add("n" + index, dataCentre, TargetExperience.warm(SLOTS)));
+        }
+        return experiences;
+    }
+
+    private Map<String, Integer> choices(boolean mayProbe, long nowMillis, long seed) {
+        Random random = new Random(seed);
+        Map<String, Integer> chosen = new HashMap<>();
+        for (int call = 0; call < CALLS; call++) {
+            TargetChoice choice =
+                    TargetChooser.choose(targets, Set.of(), mayProbe, "near", nowMillis, random);
+            if (choice instanceof TargetChoice.Chosen some) {
+                chosen.merge(some.target().node(), 1, Integer::sum);
+            }
+        }
+        return chosen;
+    }
+
+    private static void meet(
+            TargetExperience experience, TargetAnswer answer, int times, long now) {
+        for (int call = 0; call < times; call++) {
+            experience.begun(now);
+            experience.ended(answer, now);
+        }
+    }
+
+    @Property(seed = "61", tries = 20)
+    void idleTargetsOfOwnDataCentreComeFirst(@ForAll long seed) {
+        addSix();
+
+        Map<String, Integer> chosen = choices(true, 0, seed);
+
+        assertThat(chosen.keySet()).containsExactly("n0", "n3");
+        assertThat(chosen.get("n0")).isWithin(100).of(CALLS / 2);
+        targets.clear();
+    }
+
+    @Property(seed = "62", tries = 20)
+    void fullTargetsOfOwnDataCentreSpillBeforeCallsQueue(@ForAll long seed) {
+        List<TargetExperience> experiences = addSix();
+        for (int call = 0; call < SLOTS; call++) {
+            experiences.get(0).begun(0);
+            experiences.get(3).begun(0);
+        }
+
+        Map<String, Integer> chosen = choices(true, 0, seed);
+
+        assertThat(chosen.keySet()).containsExactly("n1", "n2", "n4", "n5");
+        targets.clear();
+    }
+
+    @Property(seed = "63", tries = 20)
+    void suspectsNeverLeaveTheRestToFall(
+            @ForAll long seed, @ForAll @IntRange(min = 4, max = 5) int suspects) {
+        List<TargetExperience> experiences = addSix();
+        for (int index = 0; index < suspects; index++) {
+            meet(experiences.get(index), TargetAnswer.LOST, 3, 0);
+        }
+
+        Map<String, Integer> chosen = choices(true, 1, seed);
+
+        for (int index = suspects; index < 6; index++) {
+            assertThat(chosen.get("n" + index)).isAtMost(CALLS / 2);
+        }
+        targets.clear();
+    }
+
+    @Property(seed = "64", tries = 20)
+    void fewSuspectsAndUnreachableTargetsAreAvoided(@ForAll long seed) {
+        List<TargetExperience> experiences = addSix();
+        meet(experiences.get(0), TargetAnswer.LOST, 3, 0);
+        meet(experiences.get(1), TargetAnswer.UNREACHABLE, 1, 0);
+        meet(experiences.get(2), TargetAnswer.UNREACHABLE, 1, 0);
+
+        Map<String, Integer> chosen = choices(true, 1, seed);
+
+        assertThat(chosen).doesNotContainKey("n0");
+        assertThat(chosen).doesNotContainKey("n1");
+        assertThat(chosen).doesNotContainKey("n2");
+        targets.clear();
+    }
+
+    @Example
+    void targetInDoubtIsTriedByOneCallAtATimeWithGrowingPauses() {
+        TargetExperience dead = add("dead", "near", TargetExperience.warm(SLOTS));
+        add("good", "near", TargetExperience.warm(SLOTS));
+        Random random = new Random(1);
+        int probes = 0;
+        for (long now = 0; now < 30_000; now += 5) {
+            TargetChoice choice =
+                    TargetChooser.choose(targets, Set.of(), true, "near", now, random);
+            if (((TargetChoice.Chosen) choice).target().experience() == dead) {
+                probes++;
+                dead.begun(now);
+                TargetChoice second =
+                        TargetChooser.choose(targets, Set.of(), true, "near", now, random);
+                if (probes > 1) {
+                    assertThat(((TargetChoice.Chosen) second).target().node()).isEqualTo("good");
+                }
+                dead.ended(TargetAnswer.UNREACHABLE, now);
+            }
+        }
+
+        assertThat(probes).isAtLeast(5);
+        assertThat(probes).isAtMost(12);
+    }
+
+    @Example
+    void callThatMayNotBeRepeatedIsNoProbe() {
+        TargetExperience dead = add("dead", "near", TargetExperience.warm(SLOTS));
+        add("good", "near", TargetExperience.warm(SLOTS));
+        meet(dead, TargetAnswer.UNREACHABLE, 1, 0);
+
+        assertThat(choices(false, 60_000, 1)).doesNotContainKey("dead");
+        assertThat(choices(true, 60_000, 1)).containsKey("dead");
+    }
+
+    @Example
+    void targetThatShedPushesBackAtOnceAndIsTrusted() {
+        TargetExperience full = add("full", "near", TargetExperience.warm(SLOTS));
+        add("other", "far", TargetExperience.warm(SLOTS));
+        meet(full, TargetAnswer.SHED, 1, 0);
+
+        assertThat(choices(true, 1, 1)).doesNotContainKey("full");
+        assertThat(choices(true, 1_000, 1)).containsKey("full");
+    }
+
+    @Example
+    void targetThatReportsToDrainIsLeftAtOnce() {
+        TargetExperience leaving = add("leaving", "near", TargetExperience.warm(SLOTS));
+        add("other", "far", TargetExperience.warm(SLOTS));
+        leaving.reported(new LoadReport(3, 0, SLOTS, true), 0);
+
+        assertThat(choices(true, 0, 1)).doesNotContainKey("leaving");
+        assertThat(choices(true, 600_000, 1)).doesNotContainKey("leaving");
+    }
+
+    @Example
+    void coldTargetGetsItsFirstCallsSlowly() {
+        TargetExperience cold = add("cold", "near", TargetExperience.cold(SLOTS, 0));
+        add("warm", "near", TargetExperience.warm(SLOTS));
+
+        assertThat(cold.load(1_000)).isGreaterThan(5 * cold.load(10_000));
+        assertThat(choices(true, 1_000, 1)).doesNotContainKey("cold");
+    }
+
+    @Example
+    void targetThatFailsFastDoesNotDrawCalls() {
+        TargetExperience failing = add("failing", "near", TargetExperience.warm(SLOTS));
+        add("good", "near", TargetExperience.warm(SLOTS));
+        meet(failing, TargetAnswer.FAILED, 20, 0);
+
+        assertThat(choices(true, 1, 1).getOrDefault("failing", 0)).isAtMost(CALLS / 10);
+    }
+
+    @Example
+    void reportsThatProvedWrongAreIgnored() {
+        TargetExperience liar = add("liar", "near", TargetExperience.warm(SLOTS));
+        liar.reported(new LoadReport(8, 0, SLOTS, false), 0);
+        double believed = liar.load(1);
+        liar.reported(new LoadReport(0, 0, SLOTS, false), 1);
+        meet(liar, TargetAnswer.SHED, 1, 2);
+        liar.reported(new LoadReport(8, 0, SLOTS, false), 3);
+
+        assertThat(liar.load(3)).isLessThan(believed);
+        assertThat(liar.standing(3)).isEqualTo(TargetStanding.PUSHED_BACK);
+    }
+
+    @Property(seed = "65", tries = 200)
+    void someTargetIsChosenWhileOneIsLeftThatDoesNotDrain(
+            @ForAll long seed, @ForAll boolean mayProbe) {
+        List<TargetExperience> experiences = addSix();
+        Random random = new Random(seed);
+        TargetAnswer[] answers = TargetAnswer.values();
+        for (TargetExperience experience : experiences) {
+            meet(experience, answers[random.nextInt(answers.length)], random.nextInt(5), 0);
+        }
+        TargetChoice choice =
+                TargetChooser.choose(
+                        targets, Set.of("n1"), mayProbe, "near", random.nextInt(3_000), random);
+
+        assertThat(choice).isInstanceOf(TargetChoice.Chosen.class);
+        assertThat(((TargetChoice.Chosen) choice).target().node()).isNotEqualTo("n1");
+        targets.clear();
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -12,6 +12,7 @@
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.caller.CallerHandler;
+import org.cuminreach.node.caller.CountingHandler;
 import org.cuminreach.node.caller.EvidenceLog;
 import org.cuminreach.node.control.ControlSession;
 import org.cuminreach.node.http.HttpSender;
@@ -19,6 +20,7 @@
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.TargetAnnouncer;
 import org.cuminreach.node.target.TargetGuard;
+import org.cuminreach.node.target.TargetMetrics;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
@@ -45,6 +47,7 @@
     private final TrafficCounter controlTraffic = TrafficCounter.zero();
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
     private final MeshView view = MeshView.empty();
+    private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceLog evidence = EvidenceLog.empty();
     private final HttpSender sender = HttpSender.create(eventLoops);
     private final TargetAnnouncer announcer;
@@ -56,7 +59,7 @@
     private NodeProcess(NodeSettings settings) {
         this.settings = settings;
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
-        guard = TargetGuard.create(settings.target(), sender);
+        guard = TargetGuard.create(settings.target(), sender, TargetMetrics.register(registry));
         session =
                 ControlSession.create(
                         settings,
@@ -124,8 +127,16 @@
 
     private void listen() {
         CallerHandler callerHandler =
-                CallerHandler.create(settings.dataCentre(), holder, view, sender, evidence, timer);
-        callers = HttpServer.listen(settings.callerAddress(), eventLoops, callerHandler).join();
+                CallerHandler.create(
+                        settings.dataCentre(),
+                        settings.callerAddress().host(),
+                        holder,
+                        view,
+                        sender,
+                        evidence,
+                        timer);
+        CountingHandler counting = CountingHandler.of(callerHandler, registry);
+        callers = HttpServer.listen(settings.callerAddress(), eventLoops, counting).join();
         inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, guard).join();
         HttpServer.listen(
                         settings.administrationAddress(),
@@ -169,7 +180,6 @@
     }
 
     private PrometheusRegistry metrics() {
-        PrometheusRegistry registry = new PrometheusRegistry();
         gauge(
                 registry,
                 "cuminreach_node_configuration_version",
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.retry.AttemptOutcome;
@@ -27,6 +28,7 @@
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.peer.TargetAnswers;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -45,6 +47,7 @@
     private record Routes(MeshConfiguration configuration, RouteTable table) {}
 
     private final String dataCentre;
+    private final String ownHost;
     private final ConfigurationHolder holder;
     private final MeshView view;
     private final HttpSender sender;
@@ -57,12 +60,14 @@
 
     private CallerHandler(
             String dataCentre,
+            String ownHost,
             ConfigurationHolder holder,
             MeshView view,
             HttpSender sender,
             EvidenceLog evidence,
             ScheduledExecutorService timer) {
         this.dataCentre = dataCentre;
+        this.ownHost = ownHost;
         this.holder = holder;
         this.view = view;
         this.sender = sender;
@@ -74,6 +79,7 @@
      * Returns the handler of a node's callers.
      *
      * @param dataCentre where the node runs
+     * @param ownHost IP number of its VM
      * @param holder configuration in force
      * @param view the targets as the node sees them
      * @param sender sends calls to other nodes
@@ -83,12 +89,13 @@
      */
     public static CallerHandler create(
             String dataCentre,
+            String ownHost,
             ConfigurationHolder holder,
             MeshView view,
             HttpSender sender,
             EvidenceLog evidence,
             ScheduledExecutorService timer) {
-        return new CallerHandler(dataCentre, holder, view, sender, evidence, timer);
+        return new CallerHandler(dataCentre, ownHost, holder, view, sender, evidence, timer);
     }
 
     @Override
@@ -117,7 +124,11 @@
                         call,
                         route.get(),
                         requestId,
-                        call.header(MeshHeaders.CALLER, call.remoteHost()),
+                        Caller.entering(
+                                        call.header(MeshHeaders.CALLER, ""),
+                                        call.remoteHost(),
+                                        ownHost)
+                                .text(),
                         route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
                         nowMillis + timeoutMillis(call, route.get()),
                         current.configuration().version(),
@@ -151,6 +162,7 @@
                 TargetChooser.choose(
                         targets,
                         attempts.tried(),
+                        attempts.idempotent(),
                         dataCentre,
                         nowMillis,
                         ThreadLocalRandom.current());
@@ -187,7 +199,7 @@
                 attempts.attempts(),
                 reason);
         long remaining = attempts.remainingMillis(begunMillis);
-        view.begun(target.node());
+        target.experience().begun(begunMillis);
         return sender.send(
                         target.inbound(), attempts.call(), headers(attempts, remaining), remaining)
                 .thenCompose(
@@ -212,8 +224,7 @@
             TargetView target,
             SendOutcome sent,
             long micros) {
-        boolean reached = sent instanceof SendOutcome.Whole;
-        view.ended(target.node(), reached, ProcessClock.monotonicMillis());
+        TargetAnswers.note(target, sent, ProcessClock.monotonicMillis());
         AttemptOutcome outcome = CallAnswers.outcome(sent);
         boolean failed =
                 switch (outcome) {
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -29,6 +29,9 @@
     /** Version of the target that answered. */
     public static final String TARGET_VERSION = "X-Cuminreach-Target-Version";
 
+    /** Load of the target that answered or refused; between nodes only. */
+    public static final String LOAD = "X-Cuminreach-Load";
+
     /** Value of {@link #OUTCOME}: a target answered whole. */
     public static final String ANSWERED = "answered";
 
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -1,29 +1,26 @@
 package org.cuminreach.node.peer;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Set;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
+import org.cuminreach.decisions.routing.TargetExperience;
 import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.runtime.ProcessClock;
 
 /** The targets as this node sees them: what was announced, and what its own calls met. */
 public final class MeshView {
-    private static final long DISTRUST_MILLIS = 2_000;
-
-    /** What this node's own calls to a target met. */
-    private static final class Experience {
-        private final AtomicInteger outstanding = new AtomicInteger();
-        private final AtomicLong distrustedUntilMillis = new AtomicLong();
-    }
+    /** One process of a node; a later process of the same name starts without experience. */
+    private record Process(String node, long incarnation) {}
 
     private final TargetRegistry registry = TargetRegistry.empty();
-    private final Map<String, Experience> experiences = new ConcurrentHashMap<>();
-    private volatile Map<String, List<Announcement>> ready = Map.of();
+    private final Map<Process, TargetExperience> experiences = new HashMap<>();
+    private volatile Map<String, Map<String, List<TargetView>>> ready = Map.of();
 
     private MeshView() {}
 
@@ -41,19 +38,31 @@
      *
      * @param announcements announcements in any order
      */
-    public synchronized void merge(List<Announcement> announcements) {
+    public void merge(List<Announcement> announcements) {
+        merge(announcements, ProcessClock.monotonicMillis());
+    }
+
+    /**
+     * Merges announcements.
+     *
+     * @param announcements announcements in any order
+     * @param nowMillis present time
+     */
+    public synchronized void merge(List<Announcement> announcements, long nowMillis) {
         if (registry.merge(announcements).isEmpty()) {
             return;
         }
-        Map<String, List<Announcement>> next = new ConcurrentHashMap<>();
+        Map<String, Map<String, List<TargetView>>> next = new HashMap<>();
+        Set<Process> present = new HashSet<>();
         for (Announcement announcement : registry.all()) {
             if (announcement.phase() == TargetPhase.READY) {
-                next.computeIfAbsent(
-                                key(announcement.service(), announcement.version()),
-                                key -> new ArrayList<>())
-                        .add(announcement);
+                next.computeIfAbsent(announcement.service(), service -> new HashMap<>())
+                        .computeIfAbsent(announcement.version(), version -> new ArrayList<>())
+                        .add(view(announcement, nowMillis));
+                present.add(process(announcement));
             }
         }
+        experiences.keySet().retainAll(present);
         ready = next;
     }
 
@@ -62,44 +71,10 @@
      *
      * @param service name of the service
      * @param version name of the version
-     * @return the targets, as of now
+     * @return the targets, as of now; not to be changed
      */
     public List<TargetView> targets(String service, String version) {
-        List<TargetView> targets = new ArrayList<>();
-        for (Announcement announcement : ready.getOrDefault(key(service, version), List.of())) {
-            Experience experience = experience(announcement.node());
-            targets.add(
-                    new TargetView(
-                            announcement.node(),
-                            announcement.dataCentre(),
-                            announcement.inbound(),
-                            announcement.slots(),
-                            experience.outstanding.get(),
-                            experience.distrustedUntilMillis.get()));
-        }
-        return targets;
-    }
-
-    /**
-     * Notes that a call was sent to a target.
-     *
-     * @param node name of the node beside it
-     */
-    public void begun(String node) {
-        experience(node).outstanding.incrementAndGet();
-    }
-
-    /**
-     * Notes that a call to a target has ended.
-     *
-     * @param node name of the node beside it
-     * @param reached false when the target's node could not be reached or lost the call
-     * @param nowMillis present time
-     */
-    public void ended(String node, boolean reached, long nowMillis) {
-        Experience experience = experience(node);
-        experience.outstanding.decrementAndGet();
-        experience.distrustedUntilMillis.set(reached ? 0 : nowMillis + DISTRUST_MILLIS);
+        return ready.getOrDefault(service, Map.of()).getOrDefault(version, List.of());
     }
 
     /**
@@ -108,14 +83,26 @@
      * @return ready targets of every service
      */
     public int readyCount() {
-        return ready.values().stream().mapToInt(List::size).sum();
+        return ready.values().stream()
+                .flatMap(versions -> versions.values().stream())
+                .mapToInt(List::size)
+                .sum();
     }
 
-    private Experience experience(String node) {
-        return experiences.computeIfAbsent(node, name -> new Experience());
+    private TargetView view(Announcement announcement, long nowMillis) {
+        TargetExperience experience =
+                experiences.computeIfAbsent(
+                        process(announcement),
+                        process -> TargetExperience.cold(announcement.slots(), nowMillis));
+        return new TargetView(
+                announcement.node(),
+                announcement.dataCentre(),
+                announcement.inbound(),
+                announcement.slots(),
+                experience);
     }
 
-    private static String key(String service, String version) {
-        return service + "/" + version;
+    private static Process process(Announcement announcement) {
+        return new Process(announcement.node(), announcement.incarnation());
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetAnswers.java
@@ -0,0 +1,51 @@
+package org.cuminreach.node.peer;
+
+import java.util.Optional;
+import org.cuminreach.decisions.routing.LoadReport;
+import org.cuminreach.decisions.routing.TargetAnswer;
+import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.runtime.http.HttpAnswer;
+
+/** Reads from what came of a call what its sender learns of the target. */
+public final class TargetAnswers {
+    private static final int LEAST_FAILURE_STATUS = 500;
+
+    private TargetAnswers() {}
+
+    /**
+     * Notes what a call to a target met, and the load report that came with it.
+     *
+     * @param target the target
+     * @param sent what came of the call; the load report is taken out of the answer
+     * @param nowMillis present time
+     */
+    public static void note(TargetView target, SendOutcome sent, long nowMillis) {
+        target.experience().ended(answer(sent), nowMillis);
+        if (sent instanceof SendOutcome.Whole whole) {
+            String text = whole.answer().headers().get(MeshHeaders.LOAD);
+            Optional<LoadReport> report = text == null ? Optional.empty() : LoadReport.parse(text);
+            report.ifPresent(load -> target.experience().reported(load, nowMillis));
+            whole.answer().headers().remove(MeshHeaders.LOAD);
+        }
+    }
+
+    private static TargetAnswer answer(SendOutcome sent) {
+        return switch (sent) {
+            case SendOutcome.NeverSent never -> TargetAnswer.UNREACHABLE;
+            case SendOutcome.Lost lost -> TargetAnswer.LOST;
+            case SendOutcome.Whole whole -> answer(whole.answer());
+        };
+    }
+
+    private static TargetAnswer answer(HttpAnswer answer) {
+        String outcome = answer.headers().get(MeshHeaders.OUTCOME);
+        if (MeshHeaders.NOT_RUN.equals(outcome)) {
+            return TargetAnswer.SHED;
+        }
+        return answer.status() >= LEAST_FAILURE_STATUS
+                ? TargetAnswer.FAILED
+                : TargetAnswer.ANSWERED;
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
@@ -5,7 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
+import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.admission.FairQueue;
+import org.cuminreach.decisions.admission.RefusedCall;
+import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
@@ -29,15 +32,19 @@
     private record Arrival(
             HttpCall call,
             String requestId,
+            Caller caller,
+            long arrivedNanos,
             long deadlineMillis,
             CompletableFuture<HttpAnswer> answer) {}
 
     private final NodeSettings.Target target;
     private final HttpSender sender;
     private final FairQueue<Arrival> queue;
+    private final TargetMetrics metrics;
     private volatile boolean draining;
 
-    private TargetGuard(NodeSettings.Target target, HttpSender sender) {
+    private TargetGuard(NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+        this.metrics = metrics;
         this.target = target;
         this.sender = sender;
         this.queue = FairQueue.ofSlots(target.slots());
@@ -48,10 +55,12 @@
      *
      * @param target the target
      * @param sender sends calls to it
+     * @param metrics counts what comes of calls
      * @return the guard
      */
-    public static TargetGuard create(NodeSettings.Target target, HttpSender sender) {
-        return new TargetGuard(target, sender);
+    public static TargetGuard create(
+            NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+        return new TargetGuard(target, sender, metrics);
     }
 
     @Override
@@ -63,21 +72,28 @@
                 new Arrival(
                         call,
                         call.header(MeshHeaders.REQUEST_ID, ""),
+                        Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
+                        System.nanoTime(),
                         nowMillis + remaining,
                         new CompletableFuture<>());
         if (draining) {
             refuse(arrival, "draining", DRAINING_RETRY_MILLIS);
             return arrival.answer();
         }
-        String caller = call.header(MeshHeaders.CALLER, call.remoteHost());
         AdmissionOutcome outcome;
+        List<RefusedCall<Arrival>> displaced;
         synchronized (queue) {
-            outcome = queue.arrive(arrival, caller, arrival.deadlineMillis(), nowMillis);
+            outcome = queue.arrive(arrival, arrival.caller(), arrival.deadlineMillis(), nowMillis);
+            displaced = queue.takeRefused();
         }
+        displaced.forEach(this::refuse);
         switch (outcome) {
             case AdmissionOutcome.Run run -> run(arrival);
             case AdmissionOutcome.Queued queued ->
-                    LOGGER.info("event=call_queued request={}", arrival.requestId());
+                    LOGGER.info(
+                            "event=call_queued request={} caller={}",
+                            arrival.requestId(),
+                            arrival.caller().text());
             case AdmissionOutcome.Refused refused ->
                     refuse(arrival, refused.reason(), refused.retryAfterMillis());
         }
@@ -90,11 +106,11 @@
      * @param nowMillis present time
      */
     public void tick(long nowMillis) {
-        List<Arrival> expired;
+        List<RefusedCall<Arrival>> expired;
         synchronized (queue) {
             expired = queue.expire(nowMillis);
         }
-        expired.forEach(arrival -> refuse(arrival, "deadline_cannot_be_met", 1));
+        expired.forEach(this::refuse);
     }
 
     /** Refuses new calls from now on. */
@@ -126,6 +142,7 @@
 
     private void run(Arrival arrival) {
         long begunNanos = System.nanoTime();
+        metrics.started(begunNanos - arrival.arrivedNanos());
         long remaining = arrival.deadlineMillis() - ProcessClock.monotonicMillis();
         HttpHeaders headers =
                 MeshHeaders.endToEnd(arrival.call().headers())
@@ -133,17 +150,21 @@
         sender.send(target.address(), arrival.call(), headers, remaining)
                 .whenComplete(
                         (sent, failure) -> {
-                            release((System.nanoTime() - begunNanos) / NANOS_PER_MILLI);
+                            double ranMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
+                            release(arrival.caller(), ranMillis);
                             finish(arrival, sent, failure);
                         });
     }
 
-    private void release(double ranMillis) {
+    private void release(Caller caller, double ranMillis) {
         List<Arrival> next;
+        List<RefusedCall<Arrival>> late;
         synchronized (queue) {
-            next = queue.release(ranMillis, ProcessClock.monotonicMillis());
+            next = queue.release(caller, ranMillis, ProcessClock.monotonicMillis());
+            late = queue.takeRefused();
         }
         next.forEach(this::run);
+        late.forEach(this::refuse);
     }
 
     private void finish(Arrival arrival, SendOutcome sent, Throwable failure) {
@@ -152,15 +173,19 @@
             return;
         }
         switch (sent) {
-            case SendOutcome.Whole whole ->
-                    arrival.answer()
-                            .complete(
-                                    new HttpAnswer(
-                                            whole.answer().status(),
-                                            MeshHeaders.endToEnd(whole.answer().headers()),
-                                            whole.answer().body()));
+            case SendOutcome.Whole whole -> {
+                metrics.count(TargetMetrics.Outcome.ANSWERED);
+                HttpHeaders headers =
+                        MeshHeaders.endToEnd(whole.answer().headers())
+                                .set(MeshHeaders.LOAD, load().text());
+                arrival.answer()
+                        .complete(
+                                new HttpAnswer(
+                                        whole.answer().status(), headers, whole.answer().body()));
+            }
             case SendOutcome.NeverSent never -> refuse(arrival, never.reason(), 1);
             case SendOutcome.Lost lost -> {
+                metrics.count(TargetMetrics.Outcome.LOST);
                 LOGGER.info(
                         "event=call_lost request={} reason={}", arrival.requestId(), lost.reason());
                 String body =
@@ -173,8 +198,29 @@
         }
     }
 
-    private static void refuse(Arrival arrival, String reason, long retryAfterMillis) {
-        LOGGER.info("event=call_refused request={} reason={}", arrival.requestId(), reason);
-        arrival.answer().complete(CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis)));
+    private LoadReport load() {
+        synchronized (queue) {
+            return new LoadReport(queue.running(), queue.waiting(), queue.limit(), draining);
+        }
+    }
+
+    private void refuse(RefusedCall<Arrival> refused) {
+        refuse(refused.call(), refused.refusal().reason(), refused.refusal().retryAfterMillis());
+    }
+
+    private void refuse(Arrival arrival, String reason, long retryAfterMillis) {
+        metrics.count(TargetMetrics.Outcome.REFUSED);
+        LoadReport load = load();
+        LOGGER.info(
+                "event=call_refused request={} caller={} reason={} load={} retry_after_ms={}",
+                arrival.requestId(),
+                arrival.caller().text(),
+                reason,
+                load.text(),
+                retryAfterMillis);
+        arrival.answer()
+                .complete(
+                        CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis))
+                                .with(MeshHeaders.LOAD, load.text()));
     }
 }
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/ModelTarget.java
@@ -0,0 +1,138 @@
+package org.cuminreach.trial.balancing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.cuminreach.decisions.admission.AdmissionOutcome;
+import org.cuminreach.decisions.admission.Caller;
+import org.cuminreach.decisions.admission.FairQueue;
+import org.cuminreach.decisions.admission.RefusedCall;
+import org.cuminreach.decisions.routing.LoadReport;
+import org.cuminreach.decisions.routing.TargetAnswer;
+
+/** A target with the admission that its node does for it. */
+final class ModelTarget {
+    private static final double FIXED_MILLIS = 2.5;
+    private static final double VARIED_MILLIS = 2.5;
+    private static final double FAST_FAILURE_MILLIS = 0.2;
+    private static final long REPORT_LAG_MILLIS = 1_000;
+    private static final double COLD_FACTOR = 4;
+    private static final double WARM_AFTER_MILLIS = 8_000;
+
+    /** A call that is at the target. */
+    private record Arrival(Caller caller, double work, Consumer<TargetAnswer> done) {}
+
+    /** A report as it was at some time. */
+    private record Dated(long atMillis, LoadReport report) {}
+
+    private final String name;
+    private final String dataCentre;
+    private final int slots;
+    private final EventClock clock;
+    private final RandomGenerator random;
+    private final FairQueue<Arrival> queue;
+    private final Deque<Dated> reports = new ArrayDeque<>();
+    private Trouble trouble = Trouble.NONE;
+    private long troubleFromMillis;
+
+    ModelTarget(
+            String name, String dataCentre, int slots, EventClock clock, RandomGenerator random) {
+        this.name = name;
+        this.dataCentre = dataCentre;
+        this.slots = slots;
+        this.clock = clock;
+        this.random = random;
+        this.queue = FairQueue.ofSlots(slots);
+    }
+
+    String name() {
+        return name;
+    }
+
+    String dataCentre() {
+        return dataCentre;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    Trouble trouble() {
+        return trouble;
+    }
+
+    void enter(Trouble next) {
+        trouble = next;
+        troubleFromMillis = clock.nowMillis();
+    }
+
+    /** Takes a call; every call ends exactly once, at once or later. */
+    void arrive(Caller caller, long deadlineMillis, Consumer<TargetAnswer> done) {
+        double work = FIXED_MILLIS - VARIED_MILLIS * Math.log(1 - random.nextDouble());
+        Arrival arrival = new Arrival(caller, work, done);
+        AdmissionOutcome outcome = queue.arrive(arrival, caller, deadlineMillis, clock.nowMillis());
+        refuse(queue.takeRefused());
+        switch (outcome) {
+            case AdmissionOutcome.Run run -> run(arrival);
+            case AdmissionOutcome.Queued queued -> {
+                return;
+            }
+            case AdmissionOutcome.Refused refused -> done.accept(TargetAnswer.SHED);
+        }
+    }
+
+    void tick() {
+        refuse(queue.expire(clock.nowMillis()));
+    }
+
+    LoadReport report() {
+        if (trouble == Trouble.MISLEADING_REPORTS) {
+            return new LoadReport(0, 0, slots, false);
+        }
+        LoadReport now = new LoadReport(queue.running(), queue.waiting(), queue.limit(), false);
+        if (trouble != Trouble.LAGGING_REPORTS) {
+            return now;
+        }
+        reports.add(new Dated(clock.nowMillis(), now));
+        while (reports.getFirst().atMillis() < clock.nowMillis() - REPORT_LAG_MILLIS) {
+            reports.removeFirst();
+        }
+        return reports.getFirst().report();
+    }
+
+    private void run(Arrival arrival) {
+        double millis = arrival.work() * factor();
+        boolean fails = trouble == Trouble.FAILING_FAST;
+        clock.after(fails ? FAST_FAILURE_MILLIS : millis, () -> end(arrival, millis, fails));
+    }
+
+    private void end(Arrival arrival, double millis, boolean fails) {
+        List<Arrival> next = queue.release(arrival.caller(), millis, clock.nowMillis());
+        refuse(queue.takeRefused());
+        next.forEach(this::run);
+        if (trouble == Trouble.DEAD || trouble == Trouble.SILENT) {
+            arrival.done().accept(TargetAnswer.LOST);
+        } else {
+            arrival.done().accept(fails ? TargetAnswer.FAILED : TargetAnswer.ANSWERED);
+        }
+    }
+
+    private void refuse(List<RefusedCall<Arrival>> refused) {
+        refused.forEach(call -> call.call().done().accept(TargetAnswer.SHED));
+    }
+
+    private double factor() {
+        double age = clock.nowMillis() - (double) troubleFromMillis;
+        return switch (trouble) {
+            case SLOW -> 5;
+            case COLD -> 1 + (COLD_FACTOR - 1) * Math.max(0, 1 - age / WARM_AFTER_MILLIS);
+            case THRASHING -> {
+                double excess = Math.max(0, queue.running() - slots / 2.0);
+                yield 1 + excess * excess / slots;
+            }
+            default -> 1;
+        };
+    }
+}
--- a/trial/src/main/java/org/cuminreach/trial/benchmark/RoutingBenchmark.java
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/RoutingBenchmark.java
@@ -9,6 +9,7 @@
 import org.cuminreach.decisions.routing.RouteTable;
 import org.cuminreach.decisions.routing.TargetChoice;
 import org.cuminreach.decisions.routing.TargetChooser;
+import org.cuminreach.decisions.routing.TargetExperience;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.RolloutPriority;
@@ -28,6 +29,7 @@
 public class RoutingBenchmark {
     private static final int ROUTES = 460;
     private static final int TARGETS = 6;
+    private static final int SLOTS = 9;
 
     private final RouteTable table = table();
     private final List<TargetView> targets = targets();
@@ -50,7 +52,7 @@
      */
     @Benchmark
     public TargetChoice choose() {
-        return TargetChooser.choose(targets, Set.of(), "nidaros", 0, random);
+        return TargetChooser.choose(targets, Set.of(), true, "nidaros", 0, random);
     }
 
     private static RouteTable table() {
@@ -67,7 +69,11 @@
         for (int index = 0; index < TARGETS; index++) {
             Address address = new Address("127.0.0.1", 7_000 + index);
             String dataCentre = index % 2 == 0 ? "nidaros" : "lade";
-            views.add(new TargetView("node-" + index, dataCentre, address, 9, index, 0));
+            TargetExperience experience = TargetExperience.warm(SLOTS);
+            for (int call = 0; call < index; call++) {
+                experience.begun(0);
+            }
+            views.add(new TargetView("node-" + index, dataCentre, address, SLOTS, experience));
         }
         return views;
     }
