--- a/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMain.java
@@ -92,6 +92,7 @@
         Side direct = new Side(mesh.target());
         Side through = new Side(mesh.entry());
         double cpuBefore = mesh.nodeSeconds();
+        long switchesBefore = mesh.nodeSwitches();
         long begunNanos = System.nanoTime();
         long calls = (long) rate * seconds;
         long gapNanos = TimeUnit.SECONDS.toNanos(1) / (2L * rate);
@@ -104,16 +105,19 @@
         }
         Thread.sleep(DRAIN_MILLIS);
         double cpu = mesh.nodeSeconds() - cpuBefore;
+        double switches = mesh.nodeSwitches() - switchesBefore;
         if (print) {
             print(rate, "direct", direct);
             print(rate, "mesh", through);
             System.out.printf(
-                    "%8d added   %8.3f %8.3f %8.3f   node calls per core second %.0f%n",
+                    "%8d added   %8.3f %8.3f %8.3f   node calls per core second %.0f,"
+                            + " thread switches per node call %.2f%n",
                     rate,
                     through.millis(50) - direct.millis(50),
                     through.millis(99) - direct.millis(99),
                     through.millis(99.9) - direct.millis(99.9),
-                    2 * calls / cpu);
+                    2 * calls / cpu,
+                    switches / (2 * calls));
         }
     }
 
--- a/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMesh.java
@@ -1,7 +1,9 @@
 package org.cuminreach.trial.balancing;
 
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -61,6 +63,11 @@
         return seconds(firstNode) + seconds(secondNode);
     }
 
+    /** Returns how often threads of both nodes have gone to sleep. */
+    long nodeSwitches() throws IOException {
+        return switches(firstNode) + switches(secondNode);
+    }
+
     /** Returns the resident memory of the first node, in KiB. */
     long firstNodeKibibytes() throws IOException {
         Path status = Path.of("/proc", Long.toString(firstNode.pid()), "status");
@@ -95,6 +102,30 @@
         return (double) (user + system) / TICKS_PER_SECOND;
     }
 
+    private static long switches(Process process) throws IOException {
+        Path tasks = Path.of("/proc", Long.toString(process.pid()), "task");
+        long switches = 0;
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(tasks)) {
+            for (Path task : all) {
+                switches += switchesOf(task.resolve("status"));
+            }
+        }
+        return switches;
+    }
+
+    private static long switchesOf(Path status) throws IOException {
+        try {
+            for (String line : Files.readAllLines(status)) {
+                if (line.startsWith("voluntary_ctxt_switches:")) {
+                    return Long.parseLong(line.replaceAll("\\D", ""));
+                }
+            }
+        } catch (NoSuchFileException ended) {
+            return 0;
+        }
+        return 0;
+    }
+
     private void submit() throws IOException, InterruptedException {
         Path document =
                 write(
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/AdmissionBenchmark.java
@@ -0,0 +1,66 @@
+package org.cuminreach.trial.benchmark;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.admission.AdmissionOutcome;
+import org.cuminreach.decisions.admission.Caller;
+import org.cuminreach.decisions.admission.FairQueue;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Time and allocation of admitting a call and of noting its end. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class AdmissionBenchmark {
+    private static final int SLOTS = 9;
+    private static final int SOURCES = 40;
+    private static final long FAR_OFF_MILLIS = 1_000_000;
+    private static final double SERVICE_MILLIS = 5;
+
+    private final Caller[] callers = new Caller[SOURCES];
+    private final FairQueue<Caller> idle = FairQueue.ofSlots(SLOTS);
+    private final FairQueue<Caller> full = FairQueue.ofSlots(SLOTS);
+    private Caller running;
+    private int next;
+
+    /** Fills one queue. */
+    @Setup(Level.Trial)
+    public void fill() {
+        for (int source = 0; source < SOURCES; source++) {
+            callers[source] = new Caller("10.0.0." + source, "");
+            full.arrive(callers[source], callers[source], FAR_OFF_MILLIS, 0);
+        }
+        running = callers[0];
+    }
+
+    /**
+     * Admits a call to an idle target and ends it.
+     *
+     * @return the calls started by its end, none
+     */
+    @Benchmark
+    public List<Caller> idle() {
+        AdmissionOutcome ignored = idle.arrive(callers[0], callers[0], FAR_OFF_MILLIS, 0);
+        return idle.release(callers[0], SERVICE_MILLIS, 0);
+    }
+
+    /**
+     * Takes a call of one of forty waiting sources and starts the next.
+     *
+     * @return the call that started
+     */
+    @Benchmark
+    public Caller contended() {
+        next = (next + 1) % SOURCES;
+        AdmissionOutcome ignored = full.arrive(callers[next], callers[next], FAR_OFF_MILLIS, 0);
+        running = full.release(running, SERVICE_MILLIS, 0).get(0);
+        return running;
+    }
+}
