--- a/control/src/main/java/org/cuminreach/control/ControlSettings.java
+++ b/control/src/main/java/org/cuminreach/control/ControlSettings.java
@@ -1,12 +1,11 @@
 package org.cuminreach.control;
 
 import java.nio.file.Path;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
+import org.cuminreach.settings.DistinctAddresses;
 
 /**
  * Settings of a control process.
@@ -72,18 +71,11 @@
     }
 
     private void refuseEqualAddresses(CheckedObject object) {
-        Set<Address> taken = new HashSet<>();
-        taken.add(replicaAddress);
-        refuseTaken(object, taken, "nodeAddress", nodeAddress);
-        refuseTaken(object, taken, "operatorAddress", operatorAddress);
-        refuseTaken(object, taken, "administrationAddress", administrationAddress);
-    }
-
-    private static void refuseTaken(
-            CheckedObject object, Set<Address> taken, String field, Address address) {
-        if (!taken.add(address)) {
-            object.fault(field, "is " + address + ", which another address of this process uses");
-        }
+        DistinctAddresses.of(object)
+                .with("replicaAddress", replicaAddress)
+                .with("nodeAddress", nodeAddress)
+                .with("operatorAddress", operatorAddress)
+                .with("administrationAddress", administrationAddress);
     }
 
     private void refuseStranger(CheckedObject object) {
--- a/control/src/main/java/org/cuminreach/control/command/CheckCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/CheckCommand.java
@@ -11,11 +11,13 @@
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
 import org.cuminreach.runtime.launch.SettingsFile;
+import org.cuminreach.runtime.launch.SettingsOption;
 import org.cuminreach.settings.Reading;
 
 /** Validates a settings file or a document without starting or sending anything. */
 final class CheckCommand implements Command {
-    private static final String SETTINGS = "settings";
+    private static final SettingsOption<ControlSettings> SETTINGS =
+            SettingsOption.of(ControlSettings::read);
     private static final String DOCUMENT = "document";
 
     @Override
@@ -30,19 +32,19 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        parser.accepts(SETTINGS, "Settings file").withRequiredArg();
+        SETTINGS.declareOptional(parser);
         parser.accepts(DOCUMENT, "Document").withRequiredArg();
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        if (options.has(SETTINGS) == options.has(DOCUMENT)) {
+        if (SETTINGS.isGiven(options) == options.has(DOCUMENT)) {
             err.println("check: give either --settings FILE or --document FILE");
             return ExitCode.USAGE;
         }
         boolean sound =
-                options.has(SETTINGS)
-                        ? checkSettings(Path.of((String) options.valueOf(SETTINGS)), err)
+                SETTINGS.isGiven(options)
+                        ? SETTINGS.read(options, err).isPresent()
                         : checkDocument(Path.of((String) options.valueOf(DOCUMENT)), err);
         if (sound) {
             out.println("sound");
@@ -50,10 +52,6 @@
         return sound ? ExitCode.DONE : ExitCode.REFUSED;
     }
 
-    private static boolean checkSettings(Path file, PrintStream err) {
-        return SettingsFile.read(file, ControlSettings::read, err).isPresent();
-    }
-
     private static boolean checkDocument(Path file, PrintStream err) {
         Optional<String> text = SettingsFile.readText(file, err);
         if (text.isEmpty()) {
--- a/control/src/main/java/org/cuminreach/control/command/InitialiseCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/InitialiseCommand.java
@@ -14,10 +14,14 @@
 import org.cuminreach.decisions.configuration.MeshStateImage;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsOption;
 import org.cuminreach.wire.ConfigurationCodec;
 
 /** Prepares the empty data folder of a first control of a new mesh. */
 final class InitialiseCommand implements Command {
+    private static final SettingsOption<ControlSettings> SETTINGS =
+            SettingsOption.of(ControlSettings::read);
+
     @Override
     public String name() {
         return "initialise";
@@ -30,12 +34,12 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        SettingsOption.declare(parser);
+        SETTINGS.declare(parser);
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        Optional<ControlSettings> settings = SettingsOption.read(options, err);
+        Optional<ControlSettings> settings = SETTINGS.read(options, err);
         if (settings.isEmpty()) {
             return ExitCode.REFUSED;
         }
--- a/control/src/main/java/org/cuminreach/control/command/ServeCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/ServeCommand.java
@@ -11,10 +11,14 @@
 import org.cuminreach.control.ControlSettings;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsOption;
 import org.cuminreach.runtime.log.LogSetup;
 
 /** Runs a control until it is told to stop. */
 final class ServeCommand implements Command {
+    private static final SettingsOption<ControlSettings> SETTINGS =
+            SettingsOption.of(ControlSettings::read);
+
     @Override
     public String name() {
         return "serve";
@@ -27,12 +31,12 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        SettingsOption.declare(parser);
+        SETTINGS.declare(parser);
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        Optional<ControlSettings> settings = SettingsOption.read(options, err);
+        Optional<ControlSettings> settings = SETTINGS.read(options, err);
         if (settings.isEmpty()) {
             return ExitCode.REFUSED;
         }
--- a/document/src/main/java/org/cuminreach/settings/CheckedJson.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedJson.java
@@ -1,5 +1,6 @@
 package org.cuminreach.settings;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -7,6 +8,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -17,7 +19,7 @@
 
     private static final JsonMapper MAPPER =
             JsonMapper.builder(
-                            com.fasterxml.jackson.core.JsonFactory.builder()
+                            JsonFactory.builder()
                                     .streamReadConstraints(
                                             StreamReadConstraints.builder()
                                                     .maxNestingDepth(DEEPEST_NESTING)
@@ -41,6 +43,21 @@
      * @return the value, or every fault
      */
     public static <T> Reading<T> read(String text, Function<CheckedObject, T> reader) {
+        return read(text, List.of(), reader);
+    }
+
+    /**
+     * Reads one JSON object after some of its fields were replaced.
+     *
+     * @param <T> type of the value
+     * @param text JSON, comments allowed
+     * @param overrides replacements, applied in order
+     * @param reader builds the value from the checked fields; its result is dropped when any field
+     *     was at fault
+     * @return the value, or every fault
+     */
+    public static <T> Reading<T> read(
+            String text, List<FieldOverride> overrides, Function<CheckedObject, T> reader) {
         JsonNode root;
         try {
             root = MAPPER.readTree(text);
@@ -51,6 +68,9 @@
             return new Reading.Faulty<>(List.of(new Fault("$", "must be a JSON object")));
         }
         List<Fault> faults = new ArrayList<>();
+        for (FieldOverride override : overrides) {
+            override.applyTo((ObjectNode) root, faults);
+        }
         CheckedObject object = new CheckedObject("", root, faults);
         T value = reader.apply(object);
         object.refuseUnknownFields();
--- a/document/src/main/java/org/cuminreach/settings/CheckedObject.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedObject.java
@@ -1,11 +1,13 @@
 package org.cuminreach.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -104,7 +106,7 @@
         String text = text(field);
         List<String> allowed = new ArrayList<>();
         for (E constant : absent.getDeclaringClass().getEnumConstants()) {
-            String written = constant.name().toLowerCase(java.util.Locale.ROOT);
+            String written = constant.name().toLowerCase(Locale.ROOT);
             if (written.equals(text)) {
                 return constant;
             }
@@ -285,12 +287,12 @@
 
     private JsonNode array(String field) {
         if (!has(field)) {
-            return com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.arrayNode();
+            return JsonNodeFactory.instance.arrayNode();
         }
         JsonNode value = node.get(field);
         if (!value.isArray()) {
             fault(field, "is " + value + "; a list is needed");
-            return com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.arrayNode();
+            return JsonNodeFactory.instance.arrayNode();
         }
         return value;
     }
--- a/node/src/main/java/org/cuminreach/node/command/CheckCommand.java
+++ b/node/src/main/java/org/cuminreach/node/command/CheckCommand.java
@@ -3,11 +3,16 @@
 import java.io.PrintStream;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsOption;
 
 /** Validates a settings file without starting anything. */
 final class CheckCommand implements Command {
+    private static final SettingsOption<NodeSettings> SETTINGS =
+            SettingsOption.of(NodeSettings::read);
+
     @Override
     public String name() {
         return "check";
@@ -20,12 +25,12 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        SettingsOption.declare(parser);
+        SETTINGS.declare(parser);
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        boolean sound = SettingsOption.read(options, err).isPresent();
+        boolean sound = SETTINGS.read(options, err).isPresent();
         if (sound) {
             out.println("sound");
         }
--- a/node/src/main/java/org/cuminreach/node/command/ServeCommand.java
+++ b/node/src/main/java/org/cuminreach/node/command/ServeCommand.java
@@ -10,10 +10,14 @@
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsOption;
 import org.cuminreach.runtime.log.LogSetup;
 
 /** Runs a node until it is told to stop; then stops gracefully. */
 final class ServeCommand implements Command {
+    private static final SettingsOption<NodeSettings> SETTINGS =
+            SettingsOption.of(NodeSettings::read);
+
     @Override
     public String name() {
         return "serve";
@@ -26,12 +30,12 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        SettingsOption.declare(parser);
+        SETTINGS.declare(parser);
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        Optional<NodeSettings> settings = SettingsOption.read(options, err);
+        Optional<NodeSettings> settings = SETTINGS.read(options, err);
         if (settings.isEmpty()) {
             return ExitCode.REFUSED;
         }
--- a/node/src/main/java/org/cuminreach/node/command/StatusCommand.java
+++ b/node/src/main/java/org/cuminreach/node/command/StatusCommand.java
@@ -11,9 +11,13 @@
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
+import org.cuminreach.runtime.launch.SettingsOption;
 
 /** Prints the status of a running node. */
 final class StatusCommand implements Command {
+    private static final SettingsOption<NodeSettings> SETTINGS =
+            SettingsOption.of(NodeSettings::read);
+
     @Override
     public String name() {
         return "status";
@@ -26,12 +30,12 @@
 
     @Override
     public void declareOptions(OptionParser parser) {
-        SettingsOption.declare(parser);
+        SETTINGS.declare(parser);
     }
 
     @Override
     public int run(OptionSet options, PrintStream out, PrintStream err) {
-        Optional<NodeSettings> settings = SettingsOption.read(options, err);
+        Optional<NodeSettings> settings = SETTINGS.read(options, err);
         if (settings.isEmpty()) {
             return ExitCode.REFUSED;
         }
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -1,11 +1,10 @@
 package org.cuminreach.node.settings;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
+import org.cuminreach.settings.DistinctAddresses;
 
 /**
  * Settings of a node process.
@@ -85,17 +84,10 @@
     }
 
     private void refuseEqualAddresses(CheckedObject object) {
-        Set<Address> taken = new HashSet<>();
-        taken.add(callerAddress);
-        refuseTaken(object, taken, "inboundAddress", inboundAddress);
-        refuseTaken(object, taken, "administrationAddress", administrationAddress);
-        refuseTaken(object, taken, "target.address", target.address());
-    }
-
-    private static void refuseTaken(
-            CheckedObject object, Set<Address> taken, String field, Address address) {
-        if (!taken.add(address)) {
-            object.fault(field, "is " + address + ", which another address of this process uses");
-        }
+        DistinctAddresses.of(object)
+                .with("callerAddress", callerAddress)
+                .with("inboundAddress", inboundAddress)
+                .with("administrationAddress", administrationAddress)
+                .with("target.address", target.address());
     }
 }
--- a/runtime/src/main/java/org/cuminreach/runtime/launch/SettingsFile.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/launch/SettingsFile.java
@@ -10,6 +10,7 @@
 import org.cuminreach.settings.CheckedJson;
 import org.cuminreach.settings.CheckedObject;
 import org.cuminreach.settings.Fault;
+import org.cuminreach.settings.FieldOverride;
 import org.cuminreach.settings.Reading;
 
 /** Reads a file of settings for a command and reports its faults. */
@@ -37,17 +38,21 @@
      *
      * @param <T> type of the settings
      * @param file the file
+     * @param overrides values that go before those of the file
      * @param reader builds the settings
      * @param err where faults go, a line each
      * @return the settings, or empty when the file was refused
      */
     public static <T> Optional<T> read(
-            Path file, Function<CheckedObject, T> reader, PrintStream err) {
+            Path file,
+            List<FieldOverride> overrides,
+            Function<CheckedObject, T> reader,
+            PrintStream err) {
         Optional<String> text = readText(file, err);
         if (text.isEmpty()) {
             return Optional.empty();
         }
-        return switch (CheckedJson.read(text.get(), reader)) {
+        return switch (CheckedJson.read(text.get(), overrides, reader)) {
             case Reading.Sound<T> sound -> Optional.of(sound.value());
             case Reading.Faulty<T> faulty -> {
                 printFaults(file, faulty.faults(), err);
--- a/trial/src/main/java/org/cuminreach/trial/standin/StandInMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/standin/StandInMain.java
@@ -26,6 +26,7 @@
         Optional<List<Behaviour>> behaviours =
                 SettingsFile.read(
                         Path.of(arguments[0]),
+                        List.of(),
                         object -> object.objects("targets", Behaviour::read),
                         System.err);
         if (behaviours.isEmpty()) {
