--- a/document/src/test/java/org/cuminreach/settings/CheckedJsonTest.java
+++ b/document/src/test/java/org/cuminreach/settings/CheckedJsonTest.java
@@ -32,7 +32,7 @@
     }
 
     @Example
-    void overrideThroughAValueIsRefused() {
+    void overrideThroughValueIsRefused() {
         Reading<Long> reading =
                 CheckedJson.read("{\"port\": 1}", List.of(override("port.high=2")), PORT);
 
