--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -14,6 +14,7 @@
 import org.cuminreach.control.node.MeshSessions;
 import org.cuminreach.control.operator.OperatorHandler;
 import org.cuminreach.control.operator.OperatorView;
+import org.cuminreach.control.operator.console.ConsoleHandler;
 import org.cuminreach.control.replica.PeerEvents;
 import org.cuminreach.control.replica.PeerLinks;
 import org.cuminreach.control.replica.ReplicaDriver;
@@ -114,7 +115,12 @@
         peers.listen(settings.replicaAddress(), replica, new Events()).join();
         nodeEndpoints.listen(settings.nodeAddress(), sessions::newSession).join();
         HttpServer.listen(
-                        settings.operatorAddress(), eventLoops, OperatorHandler.create(peers, view))
+                        settings.operatorAddress(),
+                        eventLoops,
+                        OperatorHandler.create(
+                                peers,
+                                view,
+                                ConsoleHandler.create(settings.name(), replica, peers, sessions)))
                 .join();
         HttpServer.listen(
                         settings.administrationAddress(),
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import org.cuminreach.control.operator.console.ConsoleHandler;
 import org.cuminreach.control.replica.PeerLinks;
 import org.cuminreach.control.replica.SubmitResult;
 import org.cuminreach.decisions.configuration.MeshCommand;
@@ -27,10 +28,12 @@
 
     private final PeerLinks peers;
     private final OperatorView view;
+    private final ConsoleHandler console;
 
-    private OperatorHandler(PeerLinks peers, OperatorView view) {
+    private OperatorHandler(PeerLinks peers, OperatorView view, ConsoleHandler console) {
         this.peers = peers;
         this.view = view;
+        this.console = console;
     }
 
     /**
@@ -38,10 +41,12 @@
      *
      * @param peers bring submissions to the leader
      * @param view what operators may read
+     * @param console answers every other path
      * @return the handler
      */
-    public static OperatorHandler create(PeerLinks peers, OperatorView view) {
-        return new OperatorHandler(peers, view);
+    public static OperatorHandler create(
+            PeerLinks peers, OperatorView view, ConsoleHandler console) {
+        return new OperatorHandler(peers, view, console);
     }
 
     @Override
@@ -51,10 +56,7 @@
             case "GET /documents/current" -> now(view.currentDocument());
             case "GET /status" -> now(view.status());
             case "GET /history" -> now(view.history());
-            default ->
-                    now(
-                            OperatorJson.problem(
-                                    404, "there is no " + call.method() + " " + call.path()));
+            default -> console.handle(call);
         };
     }
 
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/operator/console/ConsoleHandler.java
@@ -0,0 +1,189 @@
+package org.cuminreach.control.operator.console;
+
+import static j2html.TagCreator.each;
+import static j2html.TagCreator.table;
+import static j2html.TagCreator.td;
+import static j2html.TagCreator.th;
+import static j2html.TagCreator.tr;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.cuminreach.control.node.MeshSessions;
+import org.cuminreach.control.replica.PeerLinks;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.control.replica.SubmitResult;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.cuminreach.document.DocumentReader;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.HttpHandler;
+import org.cuminreach.settings.Reading;
+
+/** Serves the pages of the console. */
+public final class ConsoleHandler implements HttpHandler {
+    private static final int MOST_FORM_FIELDS = 50_000;
+    private static final StyleSheet STYLE_SHEET = StyleSheet.load();
+
+    private final ReplicaDriver replica;
+    private final PeerLinks peers;
+    private final OverviewPage overview;
+
+    private ConsoleHandler(ReplicaDriver replica, PeerLinks peers, OverviewPage overview) {
+        this.replica = replica;
+        this.peers = peers;
+        this.overview = overview;
+    }
+
+    /**
+     * Returns the console of a control.
+     *
+     * @param control name of the control
+     * @param replica the agreed configuration
+     * @param peers bring submissions to the leader
+     * @param sessions the nodes
+     * @return the console
+     */
+    public static ConsoleHandler create(
+            String control, ReplicaDriver replica, PeerLinks peers, MeshSessions sessions) {
+        return new ConsoleHandler(replica, peers, new OverviewPage(control, replica, sessions));
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        return switch (call.method() + " " + call.path()) {
+            case "GET /" -> now(overview.render(ProcessClock.monotonicMillis()));
+            case "GET /console/document" -> now(documentInForce());
+            case "POST /console/preview" -> now(preview(fields(call)));
+            case "POST /console/submit" -> submit(call);
+            case "GET /console/history" -> now(history());
+            case "GET /console/style.css" -> now(STYLE_SHEET.get());
+            default ->
+                    now(
+                            DocumentPages.refused(
+                                    404, "Not found", "There is no such page.", List.of()));
+        };
+    }
+
+    private HttpAnswer documentInForce() {
+        MeshConfiguration configuration = replica.configuration();
+        return DocumentPages.editor(
+                DocumentDraft.of(configuration.document()),
+                configuration.documentVersion(),
+                List.of());
+    }
+
+    private HttpAnswer preview(Map<String, List<String>> form) {
+        OptionalLong basedOn = number(form, DocumentPages.BASED_ON);
+        if (basedOn.isEmpty()) {
+            return DocumentPages.refused(400, "Not a form of this console", "", List.of());
+        }
+        DocumentDraft draft = DocumentDraft.of(form);
+        return switch (DocumentReader.read(draft.toJson())) {
+            case Reading.Faulty<MeshDocument> faulty ->
+                    DocumentPages.editor(draft, basedOn.getAsLong(), faulty.faults());
+            case Reading.Sound<MeshDocument> sound ->
+                    DocumentPages.preview(
+                            DocumentDraft.of(replica.configuration().document()).toJson(),
+                            draft,
+                            basedOn.getAsLong(),
+                            UUID.randomUUID().toString());
+        };
+    }
+
+    private CompletableFuture<HttpAnswer> submit(HttpCall call) {
+        Map<String, List<String>> form = fields(call);
+        OptionalLong basedOn = number(form, DocumentPages.BASED_ON);
+        String key = first(form, DocumentPages.KEY);
+        String document = first(form, DocumentPages.DOCUMENT);
+        if (basedOn.isEmpty() || key.isEmpty()) {
+            return now(DocumentPages.refused(400, "Not a form of this console", "", List.of()));
+        }
+        MeshCommand.SubmitDocument command =
+                new MeshCommand.SubmitDocument(
+                        "console at " + call.remoteHost(),
+                        key,
+                        basedOn.getAsLong(),
+                        document,
+                        ProcessClock.wallMillis());
+        Map<String, String> again =
+                Map.of(
+                        DocumentPages.BASED_ON, Long.toString(basedOn.getAsLong()),
+                        DocumentPages.KEY, key,
+                        DocumentPages.DOCUMENT, document);
+        return peers.submit(command, ProcessClock.monotonicMillis())
+                .thenApply(result -> toPage(result, again));
+    }
+
+    private static HttpAnswer toPage(SubmitResult result, Map<String, String> again) {
+        return switch (result) {
+            case SubmitResult.Decided decided -> toPage(decided.outcome());
+            case SubmitResult.NotRun notRun ->
+                    DocumentPages.refused(503, "Not run", notRun.reason(), List.of());
+            case SubmitResult.Unknown unknown -> DocumentPages.unknown(unknown.reason(), again);
+        };
+    }
+
+    private static HttpAnswer toPage(SubmissionOutcome outcome) {
+        return switch (outcome) {
+            case SubmissionOutcome.Accepted accepted -> DocumentPages.accepted(accepted.version());
+            case SubmissionOutcome.RefusedAsStale stale ->
+                    DocumentPages.refused(
+                            409,
+                            "Refused: another document was accepted in the meantime",
+                            "Version " + stale.currentVersion() + " is in force now.",
+                            List.of());
+            case SubmissionOutcome.RefusedAsFaulty faulty ->
+                    DocumentPages.refused(422, "Refused", "Nothing was changed.", faulty.faults());
+        };
+    }
+
+    private HttpAnswer history() {
+        return ConsoleLayout.page(
+                200,
+                "History",
+                table(
+                        tr(th("Version"), th("At"), th("By"), th("What")),
+                        each(
+                                replica.history().reversed(),
+                                entry ->
+                                        tr(
+                                                td(Long.toString(entry.version())),
+                                                td(
+                                                        Instant.ofEpochMilli(entry.atMillis())
+                                                                .toString()),
+                                                td(entry.actor()),
+                                                td(entry.event())))));
+    }
+
+    private static Map<String, List<String>> fields(HttpCall call) {
+        String body = new String(call.body(), StandardCharsets.UTF_8);
+        return new QueryStringDecoder(body, StandardCharsets.UTF_8, false, MOST_FORM_FIELDS)
+                .parameters();
+    }
+
+    private static String first(Map<String, List<String>> form, String name) {
+        return form.getOrDefault(name, List.of("")).getFirst();
+    }
+
+    private static OptionalLong number(Map<String, List<String>> form, String name) {
+        try {
+            return OptionalLong.of(Long.parseLong(first(form, name)));
+        } catch (NumberFormatException malformed) {
+            return OptionalLong.empty();
+        }
+    }
+
+    private static CompletableFuture<HttpAnswer> now(HttpAnswer answer) {
+        return CompletableFuture.completedFuture(answer);
+    }
+}
