Keep standard output for results; mend the console's preview

Cause: looked at in headless Chromium and on the command line. Seen: submit printed Netty's debug lines before its answer, because only serving processes set up their logs; the preview drew a box around every line. Change: each command starts with quiet logs on standard error; the difference is a plain table. Ruled out: a logback.xml in the jars, which a serving process would have to override. After: submit prints its answer alone; form, refusal beside the fields, preview and overview were looked at once with one control.

--- a/control/src/main/java/org/cuminreach/control/operator/console/DocumentPages.java
+++ b/control/src/main/java/org/cuminreach/control/operator/console/DocumentPages.java
@@ -42,8 +42,7 @@
                 faults.isEmpty() ? 200 : 422,
                 "Document, from version " + basedOn,
                 faults.isEmpty()
-                        ? p(
-                                "Empty rows are left out. Nothing is sent before a preview.")
+                        ? p("Empty rows are left out. Nothing is sent before a preview.")
                         : ConsoleLayout.faultList(faults),
                 form(
                                 hidden(BASED_ON, Long.toString(basedOn)),
@@ -75,7 +74,7 @@
         return ConsoleLayout.page(
                 200,
                 "What would change",
-                table(each(rows, DocumentPages::diffRow)),
+                table(each(rows, DocumentPages::diffRow)).withClass("difference"),
                 form(
                                 hidden(BASED_ON, Long.toString(basedOn)),
                                 hidden(KEY, key),
@@ -161,10 +160,11 @@
     }
 
     private static DomContent diffRow(DiffRow row) {
-        boolean changed = row.getTag() != DiffRow.Tag.EQUAL;
+        boolean removed = !row.getOldLine().isEmpty() && row.getTag() != DiffRow.Tag.EQUAL;
+        boolean added = !row.getNewLine().isEmpty() && row.getTag() != DiffRow.Tag.EQUAL;
         return tr(
-                td(pre(row.getOldLine())).withCondClass(changed, "removed"),
-                td(pre(row.getNewLine())).withCondClass(changed, "added"));
+                td(pre(row.getOldLine())).withCondClass(removed, "removed"),
+                td(pre(row.getNewLine())).withCondClass(added, "added"));
     }
 
     private static DomContent hidden(String name, String value) {
--- /dev/null
+++ b/control/src/test/java/org/cuminreach/control/operator/console/DocumentDraftTest.java
@@ -0,0 +1,75 @@
+package org.cuminreach.control.operator.console;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LowerChars;
+import net.jqwik.api.constraints.StringLength;
+import org.cuminreach.document.DocumentReader;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.settings.Fault;
+import org.cuminreach.settings.Reading;
+
+class DocumentDraftTest {
+    @Property(seed = "31", tries = 100)
+    void draftOfDocumentBecomesSameDocument(
+            @ForAll @LowerChars @StringLength(min = 1, max = 20) String service,
+            @ForAll @IntRange(min = 1, max = 1_000) int share) {
+        MeshDocument document =
+                sound(
+                        """
+                        {"services": [{"name": "%s", "version": "1", "rollout":
+                          {"version": "2", "sharePerMille": %d, "doneBy": "2026-12-05T06:00:00Z"}}],
+                         "routes": [{"name": "r", "host": "h", "service": "%s",
+                          "idempotent": true}],
+                         "rolloutPriority": "punctuality"}
+                        """
+                                .formatted(service, share, service));
+
+        assertThat(sound(DocumentDraft.of(document).toJson())).isEqualTo(document);
+    }
+
+    @Example
+    void faultsNameFieldsOfTheFormAlsoAfterBlankRows() {
+        Map<String, List<String>> form = new HashMap<>();
+        form.put("services[0].name", List.of(" "));
+        form.put("services[3].name", List.of("Upper"));
+        form.put("services[3].version", List.of("1"));
+        form.put("services[3].rollout.version", List.of("2"));
+        form.put("services[3].rollout.sharePerMille", List.of("half"));
+        form.put("services[3].rollout.doneBy", List.of("soon"));
+
+        List<String> paths =
+                faults(DocumentDraft.of(form).toJson()).stream().map(Fault::path).toList();
+
+        assertThat(paths)
+                .containsExactly(
+                        "services[0].name",
+                        "services[0].rollout.sharePerMille",
+                        "services[0].rollout.doneBy");
+    }
+
+    @Property(seed = "32", tries = 200)
+    void noFormBreaksTheDraft(
+            @ForAll @AlphaChars @StringLength(max = 30) String field, @ForAll String value) {
+        Map<String, List<String>> form =
+                Map.of("services[0]." + field, List.of(value), field, List.of(value));
+
+        assertThat(DocumentReader.read(DocumentDraft.of(form).toJson())).isNotNull();
+    }
+
+    private static MeshDocument sound(String text) {
+        return ((Reading.Sound<MeshDocument>) DocumentReader.read(text)).value();
+    }
+
+    private static List<Fault> faults(String text) {
+        return ((Reading.Faulty<MeshDocument>) DocumentReader.read(text)).faults();
+    }
+}
--- a/runtime/src/main/java/org/cuminreach/runtime/launch/Launcher.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/launch/Launcher.java
@@ -8,6 +8,7 @@
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import org.cuminreach.runtime.log.LogSetup;
 
 /** Finds the command that the arguments name and runs it. */
 public final class Launcher {
@@ -91,6 +92,7 @@
                                     binary, command.name(), options.nonOptionArguments().get(0)));
             return ExitCode.USAGE;
         }
+        LogSetup.quiet();
         return command.run(options, out, err);
     }
 
--- a/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.EncoderBase;
+import ch.qos.logback.core.joran.spi.ConsoleTarget;
 import org.slf4j.LoggerFactory;
 
 /** Sets up Logback from the settings of a process. */
@@ -19,24 +20,36 @@
     private LogSetup() {}
 
     /**
-     * Sends every log line to standard output in the form that the settings ask for.
+     * Sends every log line of a serving process to standard output, in the form that its settings
+     * ask for.
      *
      * @param settings the settings
      */
     public static void apply(LogSettings settings) {
+        LoggerContext context = send(settings.format(), ConsoleTarget.SystemOut);
+        context.getLogger("org.cuminreach").setLevel(Level.valueOf(settings.level().name()));
+    }
+
+    /** Keeps standard output for the results of a command: only warnings go to standard error. */
+    public static void quiet() {
+        send(LogFormat.TEXT, ConsoleTarget.SystemErr);
+    }
+
+    private static LoggerContext send(LogFormat format, ConsoleTarget target) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
-        EncoderBase<ILoggingEvent> encoder = encoder(settings.format());
+        EncoderBase<ILoggingEvent> encoder = encoder(format);
         encoder.setContext(context);
         encoder.start();
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
         appender.setContext(context);
+        appender.setTarget(target.getName());
         appender.setEncoder((Encoder<ILoggingEvent>) encoder);
         appender.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.addAppender(appender);
         root.setLevel(Level.WARN);
-        context.getLogger("org.cuminreach").setLevel(Level.valueOf(settings.level().name()));
+        return context;
     }
 
     private static EncoderBase<ILoggingEvent> encoder(LogFormat format) {
