Bring about failures together on separate processes and check what holds

Cause: failures were only tried one at a time, in the demonstration. While operators race and a bad version moves, one control is silently cut off, the leader is killed, half the nodes are killed and started again; then the cut heals and the killed control returns. Its history is checked: versions of each node, accepted documents on each control, orders against what the targets ran. What the demonstration shares with it stands in trial.mesh.

--- a/trial/src/main/java/org/cuminreach/trial/demo/DemoMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/demo/DemoMain.java
@@ -2,20 +2,18 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.List;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
-import org.cuminreach.runtime.launch.Command;
-import org.cuminreach.runtime.launch.ExitCode;
 import org.cuminreach.runtime.launch.Launcher;
+import org.cuminreach.trial.mesh.MeshFiles;
+import org.cuminreach.trial.mesh.MeshTrial;
+import org.cuminreach.trial.mesh.PromiseTable;
+import org.cuminreach.trial.mesh.RunningMesh;
+import org.cuminreach.trial.mesh.TrialCommand;
 
 /** Entry point of the demonstration. */
-public final class DemoMain implements Command {
-    private static final String HOME = "home";
+public final class DemoMain implements MeshTrial {
     private static final String KEEP = "keep";
-    private static final String PORT = "first-port";
     private static final int DEFAULT_FIRST_PORT = 21_000;
 
     private DemoMain() {}
@@ -26,11 +24,8 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        String[] withCommand = new String[arguments.length + 1];
-        withCommand[0] = "demo";
-        System.arraycopy(arguments, 0, withCommand, 1, arguments.length);
-        Launcher launcher = Launcher.of("bin", List.of(new DemoMain()));
-        System.exit(launcher.run(withCommand, System.out, System.err));
+        Launcher launcher = TrialCommand.launcher(new DemoMain());
+        System.exit(launcher.run(TrialCommand.named("demo", arguments), System.out, System.err));
     }
 
     @Override
@@ -43,54 +38,44 @@
         return "Run both users' meshes at a small size as separate processes on loopback";
     }
 
+    @Override
+    public int defaultFirstPort() {
+        return DEFAULT_FIRST_PORT;
+    }
+
     @Override
     public void declareOptions(OptionParser parser) {
-        parser.accepts(HOME, "Folder of the project").withRequiredArg().defaultsTo(".");
         parser.accepts(KEEP, "Leave the mesh running until Enter is pressed");
-        parser.accepts(PORT, "First of the ports used, about 90 on loopback")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(DEFAULT_FIRST_PORT);
     }
 
     @Override
-    public int run(OptionSet options, PrintStream out, PrintStream err) {
-        try (DemoClient client = new DemoClient()) {
-            Path folder = Files.createTempDirectory("cuminreach-demo");
-            DemoPlan plan = DemoPlan.of((Integer) options.valueOf(PORT));
-            DemoProcesses processes =
-                    new DemoProcesses(Path.of((String) options.valueOf(HOME)), folder);
-            Demo demo = new Demo(plan, new DemoFiles(folder, plan), processes, client);
-            out.println("settings and logs are in " + folder);
-            try {
-                DemoReport report = demo.run();
-                report.print(out);
-                if (options.has(KEEP)) {
-                    keep(demo, plan, out);
-                }
-                return report.allHeld() ? ExitCode.DONE : ExitCode.REFUSED;
-            } catch (DemoFailedException failed) {
-                err.println("demo: " + failed.getMessage() + "; see the logs in " + folder);
-                return ExitCode.REFUSED;
-            } finally {
-                processes.stopAll();
-            }
-        } catch (IOException unusable) {
-            err.println("demo: " + unusable.getMessage());
-            return ExitCode.REFUSED;
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            return ExitCode.REFUSED;
+    public PromiseTable run(TrialCommand.Setting setting, OptionSet options, PrintStream out)
+            throws IOException, InterruptedException {
+        var plan = DemoMesh.plan(setting.firstPort());
+        out.printf(
+                "starting %d controls, %d nodes and the stand-in targets%n",
+                plan.controls().size(), plan.targets().size());
+        RunningMesh mesh =
+                RunningMesh.start(
+                        plan,
+                        MeshFiles.of(setting.folder(), plan),
+                        setting.processes(),
+                        setting.client());
+        PromiseTable table = new Demo(mesh).run();
+        if (options.has(KEEP)) {
+            table.print(out);
+            keep(mesh, out);
         }
+        return table;
     }
 
-    private static void keep(Demo demo, DemoPlan plan, PrintStream out) throws IOException {
-        out.println("console: http://" + demo.livingControl().operator() + "/");
+    private static void keep(RunningMesh mesh, PrintStream out) throws IOException {
+        out.println("console: http://" + mesh.livingControl().operator() + "/");
         out.printf(
                 "try: curl -i -H 'Host: arkiv.example' http://%s/%n",
-                plan.targets().getFirst().caller());
+                mesh.callerAddresses().getFirst());
         out.println("press Enter to stop");
-        int ignored = System.in.read();
-        out.println("stopping" + (ignored < 0 ? " at the end of the input" : ""));
+        int ended = System.in.read();
+        out.println(ended < 0 ? "stopping at the end of the input" : "stopping");
     }
 }
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/demo/DemoMesh.java
@@ -0,0 +1,38 @@
+package org.cuminreach.trial.demo;
+
+import java.util.List;
+import org.cuminreach.trial.mesh.MeshPlan;
+
+/** Both users' meshes at a small size, with a good and a bad new version beside the old ones. */
+final class DemoMesh {
+    private static final int FJORDHEST_SLOTS = 9;
+    private static final int HIMAL_SLOTS = 6;
+    private static final int SERVICE_MILLIS = 4;
+    private static final int GOOD = 0;
+    private static final int BAD_FAILING_PER_MILLE = 300;
+
+    private DemoMesh() {}
+
+    static MeshPlan plan(int firstPort) {
+        MeshPlan plan = MeshPlan.empty(firstPort);
+        List<String> places = List.of("nidaros", "lade", "heimdal");
+        for (int index = 0; index < places.size(); index++) {
+            plan.addControl("control-" + (index + 1), places.get(index));
+        }
+        for (String place : places) {
+            plan.addTarget(place, "verksted", "1", FJORDHEST_SLOTS, SERVICE_MILLIS, GOOD);
+            plan.addTarget(place, "arkiv", "1", FJORDHEST_SLOTS, SERVICE_MILLIS, GOOD);
+        }
+        plan.addTarget("nidaros", "verksted", "2", FJORDHEST_SLOTS, SERVICE_MILLIS, GOOD);
+        plan.addTarget("lade", "verksted", "2", FJORDHEST_SLOTS, SERVICE_MILLIS, GOOD);
+        for (String place : List.of("ktm-a", "ktm-b", "ktm-c", "ktm-d")) {
+            plan.addTarget(place, "order-app", "1", HIMAL_SLOTS, SERVICE_MILLIS, GOOD);
+            plan.addTarget(place, "ledger", "1", HIMAL_SLOTS, SERVICE_MILLIS, GOOD);
+        }
+        for (String place : List.of("ktm-a", "ktm-b")) {
+            plan.addTarget(
+                    place, "order-app", "2", HIMAL_SLOTS, SERVICE_MILLIS, BAD_FAILING_PER_MILLE);
+        }
+        return plan;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/failure/ControlNetwork.java
@@ -0,0 +1,61 @@
+package org.cuminreach.trial.failure;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.HashMap;
+import java.util.Map;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.settings.Address;
+import org.cuminreach.trial.mesh.MeshPlan;
+
+/** A relay on each way from one control to another, so that one of them can be cut off. */
+final class ControlNetwork implements AutoCloseable {
+    private record Way(String from, String to) {}
+
+    private static final int THREADS = 2;
+
+    private final EventLoopGroup eventLoops = EventLoops.start(THREADS);
+    private final Map<Way, SilentRelay> relays = new HashMap<>();
+    private final Map<Way, Address> addresses = new HashMap<>();
+
+    private ControlNetwork() {}
+
+    static ControlNetwork start(MeshPlan plan) {
+        ControlNetwork network = new ControlNetwork();
+        for (MeshPlan.Control from : plan.controls()) {
+            for (MeshPlan.Control to : plan.controls()) {
+                if (!from.equals(to)) {
+                    network.add(from, to, plan.nextAddress());
+                }
+            }
+        }
+        return network;
+    }
+
+    Address address(MeshPlan.Control from, MeshPlan.Control to) {
+        return addresses.get(new Way(from.name(), to.name()));
+    }
+
+    void cutOff(String control) {
+        relays.forEach(
+                (way, relay) -> {
+                    if (way.from().equals(control) || way.to().equals(control)) {
+                        relay.cut();
+                    }
+                });
+    }
+
+    void heal() {
+        relays.values().forEach(SilentRelay::heal);
+    }
+
+    @Override
+    public void close() {
+        EventLoops.stop(eventLoops);
+    }
+
+    private void add(MeshPlan.Control from, MeshPlan.Control to, Address listen) {
+        Way way = new Way(from.name(), to.name());
+        addresses.put(way, listen);
+        relays.put(way, SilentRelay.start(listen, to.replica(), eventLoops));
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/failure/NodeHistory.java
@@ -0,0 +1,49 @@
+package org.cuminreach.trial.failure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What the log of a node tells of the configurations that it took over, over all its processes.
+ *
+ * @param applied versions in the order in which they came into force
+ * @param refused configurations that it refused as incomplete
+ */
+record NodeHistory(List<Long> applied, long refused) {
+    private static final Pattern APPLIED =
+            Pattern.compile("event=configuration_applied configuration=(\\d+)");
+
+    NodeHistory {
+        applied = List.copyOf(applied);
+    }
+
+    static NodeHistory read(Path log) throws IOException {
+        List<Long> applied = new ArrayList<>();
+        long refused = 0;
+        for (String line : Files.readAllLines(log)) {
+            Matcher matcher = APPLIED.matcher(line);
+            if (matcher.find()) {
+                applied.add(Long.parseLong(matcher.group(1)));
+            } else if (line.contains("event=configuration_refused ")) {
+                refused++;
+            }
+        }
+        return new NodeHistory(applied, refused);
+    }
+
+    /** Counts the steps back; a new process may start with the version that the last one held. */
+    long stepsBack() {
+        long steps = 0;
+        for (int index = 1; index < applied.size(); index++) {
+            if (applied.get(index) < applied.get(index - 1)) {
+                steps++;
+            }
+        }
+        return steps;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/failure/RacingOperators.java
@@ -0,0 +1,99 @@
+package org.cuminreach.trial.failure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongFunction;
+import org.cuminreach.trial.mesh.MeshClient;
+import org.cuminreach.trial.mesh.MeshPlan;
+import org.cuminreach.trial.mesh.Submission;
+
+/**
+ * Operators who submit documents against each other, each to another control, and who send a
+ * submission again under its key until its outcome is known.
+ */
+final class RacingOperators {
+    private static final long PAUSE_MILLIS = 200;
+
+    /** What came of one submission in the end. */
+    record Settled(String key, long basedOn, Submission submission) {}
+
+    private final MeshClient client;
+    private final List<MeshPlan.Control> controls;
+    private final LongFunction<String> documents;
+    private final List<Settled> settled = new ArrayList<>();
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final List<Thread> threads = new ArrayList<>();
+
+    private RacingOperators(
+            MeshClient client, List<MeshPlan.Control> controls, LongFunction<String> documents) {
+        this.client = client;
+        this.controls = controls;
+        this.documents = documents;
+    }
+
+    static RacingOperators start(
+            MeshClient client, List<MeshPlan.Control> controls, LongFunction<String> documents) {
+        RacingOperators operators = new RacingOperators(client, controls, documents);
+        for (int index = 0; index < controls.size(); index++) {
+            int first = index;
+            Thread thread = new Thread(() -> operators.race(first), "operator-" + index);
+            thread.start();
+            operators.threads.add(thread);
+        }
+        return operators;
+    }
+
+    List<Settled> finish() throws InterruptedException {
+        stopping.set(true);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        synchronized (settled) {
+            return List.copyOf(settled);
+        }
+    }
+
+    private void race(int first) {
+        int turn = first;
+        while (!stopping.get()) {
+            long basedOn =
+                    client.json(control(turn).operator(), "/status")
+                            .path("documentVersion")
+                            .longValue();
+            settle(UUID.randomUUID().toString(), basedOn, turn);
+            turn++;
+            pause();
+        }
+    }
+
+    /** Submits until the outcome is known, each time to the next control. */
+    private void settle(String key, long basedOn, int firstTurn) {
+        String document = documents.apply(basedOn);
+        for (int turn = firstTurn; ; turn++) {
+            Submission submission = client.submit(control(turn).operator(), document, basedOn, key);
+            boolean known = !submission.unknown();
+            boolean runAgain = submission.status() == 503;
+            if (known && !runAgain) {
+                synchronized (settled) {
+                    settled.add(new Settled(key, basedOn, submission));
+                }
+                return;
+            }
+            pause();
+        }
+    }
+
+    private MeshPlan.Control control(int turn) {
+        return controls.get(turn % controls.size());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/mesh/MeshClient.java
@@ -0,0 +1,111 @@
+package org.cuminreach.trial.mesh;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.cuminreach.settings.Address;
+
+/** Speaks to a mesh's processes over HTTP. */
+public final class MeshClient implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofSeconds(8);
+
+    private final AsyncHttpClient client =
+            Dsl.asyncHttpClient(
+                    Dsl.config()
+                            .setMaxRequestRetry(0)
+                            .setRequestTimeout(TIMEOUT)
+                            .setIoThreadsCount(2));
+
+    private MeshClient() {}
+
+    /**
+     * Opens a client.
+     *
+     * @return the client
+     */
+    public static MeshClient open() {
+        return new MeshClient();
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param address whom to ask
+     * @param path what to ask for
+     * @return the body of the answer, or empty when there was none
+     */
+    public Optional<String> text(Address address, String path) {
+        return send(new RequestBuilder("GET").setUrl("http://" + address + path))
+                .map(Response::getResponseBody);
+    }
+
+    /**
+     * Reads JSON.
+     *
+     * @param address whom to ask
+     * @param path what to ask for
+     * @return the body of the answer, or a missing node when there was none
+     */
+    public JsonNode json(Address address, String path) {
+        return text(address, path)
+                .map(MeshClient::parse)
+                .orElseGet(() -> MissingNode.getInstance());
+    }
+
+    /**
+     * Submits a document.
+     *
+     * @param control operator address of a control
+     * @param document the document
+     * @param basedOn document version that it was made from
+     * @param key idempotency key
+     * @return what came of it
+     */
+    public Submission submit(Address control, String document, long basedOn, String key) {
+        Optional<Response> response =
+                send(
+                        new RequestBuilder("POST")
+                                .setUrl("http://" + control + "/documents?basedOn=" + basedOn)
+                                .setHeader("Idempotency-Key", key)
+                                .setBody(document));
+        if (response.isEmpty()) {
+            return new Submission(0, 0, "no answer");
+        }
+        String body = response.get().getResponseBody();
+        return new Submission(
+                response.get().getStatusCode(), parse(body).path("version").longValue(), body);
+    }
+
+    @Override
+    public void close() throws IOException {
+        client.close();
+    }
+
+    private Optional<Response> send(RequestBuilder request) {
+        try {
+            return Optional.of(client.executeRequest(request.build()).get());
+        } catch (ExecutionException unanswered) {
+            return Optional.empty();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    private static JsonNode parse(String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (IOException malformed) {
+            return MissingNode.getInstance();
+        }
+    }
+}
--- a/trial/src/main/java/org/cuminreach/trial/demo/DemoFiles.java
+++ b/trial/src/main/java/org/cuminreach/trial/mesh/MeshFiles.java
@@ -1,31 +1,75 @@
-package org.cuminreach.trial.demo;
+package org.cuminreach.trial.mesh;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
-import java.util.List;
+import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.stream.Collectors;
+import org.cuminreach.settings.Address;
 
-/** Writes the settings files and documents of the demonstration. */
-final class DemoFiles {
+/** Writes the settings files and documents of a trial. */
+public final class MeshFiles {
     private static final int ROLLOUT_SECONDS = 120;
 
     private final Path folder;
-    private final DemoPlan plan;
+    private final MeshPlan plan;
+    private final BiFunction<MeshPlan.Control, MeshPlan.Control, Address> routes;
 
-    DemoFiles(Path folder, DemoPlan plan) {
+    private MeshFiles(
+            Path folder,
+            MeshPlan plan,
+            BiFunction<MeshPlan.Control, MeshPlan.Control, Address> routes) {
         this.folder = folder;
         this.plan = plan;
+        this.routes = routes;
     }
 
-    Path control(DemoPlan.Control control) throws IOException {
+    /**
+     * Returns files for controls that reach each other directly.
+     *
+     * @param folder where the files go
+     * @param plan who runs where
+     * @return the files
+     */
+    public static MeshFiles of(Path folder, MeshPlan plan) {
+        return new MeshFiles(folder, plan, (from, to) -> to.replica());
+    }
+
+    /**
+     * Returns files for controls that reach each other over other addresses.
+     *
+     * @param folder where the files go
+     * @param plan who runs where
+     * @param routes the address at which the first control reaches the second
+     * @return the files
+     */
+    public static MeshFiles routed(
+            Path folder,
+            MeshPlan plan,
+            BiFunction<MeshPlan.Control, MeshPlan.Control, Address> routes) {
+        return new MeshFiles(
+                folder,
+                plan,
+                (from, to) -> from.equals(to) ? to.replica() : routes.apply(from, to));
+    }
+
+    /**
+     * Writes the settings of a control.
+     *
+     * @param control the control
+     * @return the file
+     * @throws IOException when it cannot be written
+     */
+    public Path control(MeshPlan.Control control) throws IOException {
         String peers =
                 plan.controls().stream()
                         .map(
                                 peer ->
                                         "{\"name\": \"%s\", \"replicaAddress\": \"%s\"}"
-                                                .formatted(peer.name(), peer.replica()))
+                                                .formatted(
+                                                        peer.name(), routes.apply(control, peer)))
                         .collect(Collectors.joining(", "));
         String text =
                 """
@@ -48,7 +92,14 @@
         return write(control.name() + ".json", text);
     }
 
-    Path node(DemoPlan.Target target) throws IOException {
+    /**
+     * Writes the settings of a node.
+     *
+     * @param target the target beside it
+     * @return the file
+     * @throws IOException when it cannot be written
+     */
+    public Path node(MeshPlan.Target target) throws IOException {
         String controls =
                 plan.controls().stream()
                         .map(control -> "\"" + control.node() + "\"")
@@ -77,28 +128,40 @@
         return write(target.name() + ".json", text);
     }
 
-    Path standIns(String service) throws IOException {
+    /**
+     * Writes the settings of the stand-ins of a service.
+     *
+     * @param service name of the service
+     * @return the file
+     * @throws IOException when it cannot be written
+     */
+    public Path standIns(String service) throws IOException {
         String targets =
                 plan.targets().stream()
                         .filter(target -> target.service().equals(service))
-                        .map(DemoFiles::standIn)
+                        .map(MeshFiles::standIn)
                         .collect(Collectors.joining(",\n  "));
         return write("stand-in-" + service + ".json", "{\"targets\": [\n  " + targets + "]}\n");
     }
 
-    Path document(String name, boolean withRollouts, String priority) throws IOException {
+    /**
+     * Writes a document with a route for each service, on the host {@code SERVICE.example}.
+     *
+     * @param name name of the file
+     * @param moving services that are to move from version 1 to version 2
+     * @param priority rollout priority
+     * @return the file
+     * @throws IOException when it cannot be written
+     */
+    public Path document(String name, Set<String> moving, String priority) throws IOException {
         String doneBy = Instant.now().plusSeconds(ROLLOUT_SECONDS).toString();
-        String rollout =
-                withRollouts
-                        ? ", \"rollout\": {\"version\": \"2\", \"doneBy\": \"" + doneBy + "\"}"
-                        : "";
         String services =
                 plan.services().stream()
-                        .map(service -> service(service, rollout))
+                        .map(service -> service(service, moving.contains(service), doneBy))
                         .collect(Collectors.joining(",\n    "));
-        String routes =
+        String meshRoutes =
                 plan.services().stream()
-                        .map(DemoFiles::route)
+                        .map(MeshFiles::route)
                         .collect(Collectors.joining(",\n    "));
         String text =
                 """
@@ -110,13 +173,14 @@
                   "rolloutPriority": "%s"
                 }
                 """
-                        .formatted(services, routes, priority);
+                        .formatted(services, meshRoutes, priority);
         return write(name, text);
     }
 
-    private static String service(String service, String rollout) {
-        boolean moves = List.of("verksted", "order-app").contains(service);
-        return "{\"name\": \"%s\", \"version\": \"1\"%s}".formatted(service, moves ? rollout : "");
+    private static String service(String service, boolean moves, String doneBy) {
+        String rollout =
+                moves ? ", \"rollout\": {\"version\": \"2\", \"doneBy\": \"" + doneBy + "\"}" : "";
+        return "{\"name\": \"%s\", \"version\": \"1\"%s}".formatted(service, rollout);
     }
 
     private static String route(String service) {
@@ -124,7 +188,7 @@
                 .formatted(service, service, service);
     }
 
-    private static String standIn(DemoPlan.Target target) {
+    private static String standIn(MeshPlan.Target target) {
         return ("{\"address\": \"%s\", \"service\": \"%s\", \"version\": \"%s\","
                         + " \"serviceMillis\": %d, \"failingPerMille\": %d}")
                 .formatted(
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/mesh/MeshProcesses.java
@@ -0,0 +1,158 @@
+package org.cuminreach.trial.mesh;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The processes that a trial started; it ends no others. */
+public final class MeshProcesses {
+    private static final int STOP_SECONDS = 10;
+    private static final int KIBIBYTE = 1024;
+
+    private final Path home;
+    private final Path folder;
+    private final Map<String, Process> running = new LinkedHashMap<>();
+
+    private MeshProcesses(Path home, Path folder) {
+        this.home = home;
+        this.folder = folder;
+    }
+
+    /**
+     * Returns no processes yet.
+     *
+     * @param home folder of the project
+     * @param folder where the logs go
+     * @return the processes
+     */
+    public static MeshProcesses of(Path home, Path folder) {
+        return new MeshProcesses(home, folder);
+    }
+
+    /**
+     * Starts one of the two binaries.
+     *
+     * @param name name of the process; its log is added to {@code NAME.log}
+     * @param binary name of the binary
+     * @param command its command
+     * @param settings its settings
+     * @throws IOException when it cannot be started
+     */
+    public void startBinary(String name, String binary, String command, Path settings)
+            throws IOException {
+        start(
+                name,
+                List.of(
+                        home.resolve("bin").resolve(binary).toString(),
+                        command,
+                        "--settings",
+                        settings.toString()));
+    }
+
+    /**
+     * Starts stand-in targets.
+     *
+     * @param name name of the process
+     * @param settings their behaviours
+     * @throws IOException when they cannot be started
+     */
+    public void startStandIns(String name, Path settings) throws IOException {
+        start(
+                name,
+                List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-XX:+UseSerialGC",
+                        "-Xmx128m",
+                        "--enable-native-access=ALL-UNNAMED",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "org.cuminreach.trial.standin.StandInMain",
+                        settings.toString()));
+    }
+
+    /**
+     * Waits for a process to end by itself.
+     *
+     * @param name its name
+     * @return its exit code
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public int await(String name) throws InterruptedException {
+        return running.remove(name).waitFor();
+    }
+
+    /**
+     * Kills a process (SIGKILL).
+     *
+     * @param name its name
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void kill(String name) throws InterruptedException {
+        Process process = running.remove(name);
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /**
+     * Tells whether a process was started and not ended.
+     *
+     * @param name its name
+     * @return true while it should run
+     */
+    public boolean isRunning(String name) {
+        return running.containsKey(name);
+    }
+
+    /**
+     * Returns the resident memory of processes.
+     *
+     * @param names their names
+     * @return bytes of each that runs
+     * @throws IOException when the system does not tell
+     */
+    public List<Long> residentBytes(List<String> names) throws IOException {
+        List<Long> bytes = new ArrayList<>();
+        for (String name : names) {
+            Path status = Path.of("/proc", Long.toString(running.get(name).pid()), "status");
+            if (!Files.exists(status)) {
+                continue;
+            }
+            for (String line : Files.readAllLines(status)) {
+                if (line.startsWith("VmRSS:")) {
+                    String digits = line.replaceAll("\\D", "");
+                    bytes.add(Long.parseLong(digits) * KIBIBYTE);
+                }
+            }
+        }
+        return bytes;
+    }
+
+    /**
+     * Stops every process gracefully (SIGTERM), and kills those that do not end.
+     *
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void stopAll() throws InterruptedException {
+        running.values().forEach(Process::destroy);
+        for (Process process : running.values()) {
+            if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+                process.waitFor();
+            }
+        }
+        running.clear();
+    }
+
+    private void start(String name, List<String> command) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+        running.put(name, builder.start());
+    }
+}
