Test the guard with a real target on loopback

300 calls of two callers at once on 3 slots: each ends once, what was refused as not-run did not run, no more than the slots run, every answer carries the load. One test's name follows the linter.

--- a/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
@@ -113,7 +113,7 @@
     }
 
     @Example
-    void targetInDoubtIsTriedByOneCallAtATimeWithGrowingPauses() {
+    void targetInDoubtIsTriedBySingleCallsWithGrowingPauses() {
         TargetExperience dead = add("dead", "near", TargetExperience.warm(SLOTS));
         add("good", "near", TargetExperience.warm(SLOTS));
         Random random = new Random(1);
--- /dev/null
+++ b/node/src/test/java/org/cuminreach/node/target/TargetGuardTest.java
@@ -0,0 +1,126 @@
+package org.cuminreach.node.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import org.cuminreach.decisions.routing.LoadReport;
+import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.settings.Address;
+
+class TargetGuardTest {
+    private static final int SLOTS = 3;
+    private static final int CALLS = 300;
+    private static final long SERVICE_MILLIS = 5;
+    private static final long LIMIT_SECONDS = 60;
+
+    private final EventLoopGroup eventLoops = EventLoops.start(2);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final Set<String> ran = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger mostRunning = new AtomicInteger();
+
+    @Example
+    void everyCallEndsOnceAndRefusalsAreTrue() throws Exception {
+        Address address = freeAddress();
+        HttpServer target = HttpServer.listen(address, eventLoops, this::runAtTarget).join();
+        try (HttpSender sender = HttpSender.create(eventLoops)) {
+            TargetGuard guard =
+                    TargetGuard.create(
+                            new NodeSettings.Target("service", "1", address, SLOTS),
+                            sender,
+                            TargetMetrics.register(new PrometheusRegistry()));
+            timer.scheduleWithFixedDelay(
+                    () -> guard.tick(ProcessClock.monotonicMillis()),
+                    20,
+                    20,
+                    TimeUnit.MILLISECONDS);
+
+            Map<String, CompletableFuture<HttpAnswer>> answers = new HashMap<>();
+            for (int call = 0; call < CALLS; call++) {
+                String number = "call-" + call;
+                answers.put(number, guard.handle(call(number, call % 2 == 0 ? "a" : "b")));
+            }
+            List<String> refused = new ArrayList<>();
+            for (Map.Entry<String, CompletableFuture<HttpAnswer>> entry : answers.entrySet()) {
+                HttpAnswer answer = entry.getValue().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+                assertThat(LoadReport.parse(answer.headers().get(MeshHeaders.LOAD)).isPresent())
+                        .isTrue();
+                if (answer.status() == 503) {
+                    refused.add(entry.getKey());
+                    assertThat(answer.headers().get(MeshHeaders.OUTCOME))
+                            .isEqualTo(MeshHeaders.NOT_RUN);
+                    assertThat(answer.headers().get("Retry-After")).isNotNull();
+                } else {
+                    assertThat(new String(answer.body(), StandardCharsets.UTF_8))
+                            .isEqualTo(entry.getKey());
+                }
+            }
+
+            assertThat(refused).isNotEmpty();
+            assertThat(ran).containsNoneIn(refused);
+            assertThat(ran.size() + refused.size()).isEqualTo(CALLS);
+            assertThat(mostRunning.get()).isAtMost(SLOTS);
+            assertThat(guard.running()).isEqualTo(0);
+            assertThat(guard.waiting()).isEqualTo(0);
+        } finally {
+            target.close();
+            timer.shutdownNow();
+            EventLoops.stop(eventLoops);
+        }
+    }
+
+    private CompletableFuture<HttpAnswer> runAtTarget(HttpCall call) {
+        String number = call.header("X-Number", "");
+        assertThat(ran.add(number)).isTrue();
+        mostRunning.accumulateAndGet(running.incrementAndGet(), Math::max);
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        timer.schedule(
+                () -> {
+                    running.decrementAndGet();
+                    answer.complete(HttpAnswer.of(200, "text/plain", number));
+                },
+                SERVICE_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return answer;
+    }
+
+    private static HttpCall call(String number, String source) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set("X-Number", number);
+        headers.set(MeshHeaders.CALLER, "@" + source);
+        headers.set(MeshHeaders.REMAINING_MILLIS, 30_000);
+        return new HttpCall("POST", "/", headers, new byte[0], "127.0.0.1");
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
