Let own latency count when two targets are compared

Change: the cost of a target is its load times the smoothed time of its answers to this node's own calls.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
@@ -12,6 +12,7 @@
     private static final long MISLED_MILLIS = 5_000;
     private static final double OWN_WEIGHT = 2;
     private static final double SMOOTHING = 0.1;
+    private static final double FIRST_LATENCY_MILLIS = 1;
     private static final double FAILURE_WEIGHT = 8;
     private static final int SUSPECT_AFTER_LOSSES = 3;
     private static final long FIRST_PAUSE_MILLIS = 250;
@@ -31,6 +32,7 @@
     private long pushbackMillis = FIRST_PUSHBACK_MILLIS;
     private long pushedBackUntilMillis = NEVER;
     private double failing;
+    private double latencyMillis = FIRST_LATENCY_MILLIS;
     private int othersLoad;
     private int limit;
     private long reportedMillis = NEVER;
@@ -78,10 +80,14 @@
      * Notes what a call met.
      *
      * @param answer what it met
+     * @param tookMillis how long the answer took, in milliseconds
      * @param nowMillis present time
      */
-    public synchronized void ended(TargetAnswer answer, long nowMillis) {
+    public synchronized void ended(TargetAnswer answer, double tookMillis, long nowMillis) {
         outstanding--;
+        if (answer == TargetAnswer.ANSWERED) {
+            latencyMillis += SMOOTHING * (tookMillis - latencyMillis);
+        }
         switch (answer) {
             case ANSWERED -> answered(0, nowMillis);
             case FAILED -> answered(1, nowMillis);
@@ -139,13 +145,14 @@
 
     /**
      * Returns what a target is compared with others by: its load, in which the calls of this node
-     * count once more, since they are known and a report may mislead.
+     * count more, since they are known and a report may mislead, times how long its answers take.
      *
      * @param nowMillis present time
      * @return the cost, at least 0
      */
     public synchronized double cost(long nowMillis) {
-        return load(nowMillis) + OWN_WEIGHT * outstanding / (slots * ramp(nowMillis));
+        double own = OWN_WEIGHT * outstanding / (slots * ramp(nowMillis));
+        return (load(nowMillis) + own) * latencyMillis;
     }
 
     /**
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
@@ -52,7 +52,7 @@
             TargetExperience experience, TargetAnswer answer, int times, long now) {
         for (int call = 0; call < times; call++) {
             experience.begun(now);
-            experience.ended(answer, now);
+            experience.ended(answer, 5, now);
         }
     }
 
@@ -129,7 +129,7 @@
                 if (probes > 1) {
                     assertThat(((TargetChoice.Chosen) second).target().node()).isEqualTo("good");
                 }
-                dead.ended(TargetAnswer.UNREACHABLE, now);
+                dead.ended(TargetAnswer.UNREACHABLE, 5, now);
             }
         }
 
@@ -185,6 +185,21 @@
         assertThat(choices(true, 1, 1).getOrDefault("failing", 0)).isAtMost(CALLS / 10);
     }
 
+    @Example
+    void targetThatAnswersSlowlyDrawsFewerCalls() {
+        TargetExperience slow = add("slow", "near", TargetExperience.warm(SLOTS));
+        TargetExperience quick = add("quick", "near", TargetExperience.warm(SLOTS));
+        for (int call = 0; call < 50; call++) {
+            slow.begun(0);
+            slow.ended(TargetAnswer.ANSWERED, 25, 0);
+            quick.begun(0);
+            quick.ended(TargetAnswer.ANSWERED, 5, 0);
+        }
+        quick.begun(0);
+
+        assertThat(choices(true, 1, 1)).doesNotContainKey("slow");
+    }
+
     @Example
     void reportsThatProvedWrongAreIgnored() {
         TargetExperience liar = add("liar", "near", TargetExperience.warm(SLOTS));
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -224,7 +224,7 @@
             TargetView target,
             SendOutcome sent,
             long micros) {
-        TargetAnswers.note(target, sent, ProcessClock.monotonicMillis());
+        TargetAnswers.note(target, sent, micros, ProcessClock.monotonicMillis());
         AttemptOutcome outcome = CallAnswers.outcome(sent);
         boolean failed =
                 switch (outcome) {
--- a/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
@@ -19,6 +19,7 @@
  * the node uses, and targets admit them by those as well. Time, network and targets are made up.
  */
 final class QueueModel {
+    private static final double MICROS_PER_MILLI = 1_000;
     private static final long SECOND_MICROS = 1_000_000;
     private static final long TROUBLE_AT_MICROS = 3 * SECOND_MICROS;
     private static final long END_MICROS = 13 * SECOND_MICROS;
@@ -147,13 +148,24 @@
                                     target.arrive(
                                             call.caller(),
                                             call.deadlineMillis(CALL_TIMEOUT_MILLIS),
-                                            answer -> comeBack(call, target, view, answer, way)));
+                                            answer ->
+                                                    comeBack(
+                                                            call,
+                                                            target,
+                                                            view,
+                                                            answer,
+                                                            way,
+                                                            sentMicros)));
         }
     }
 
     private void comeBack(
-            ModelCall call, ModelTarget target, TargetView view, TargetAnswer answer, double way) {
-        long sentMicros = clock.nowMicros();
+            ModelCall call,
+            ModelTarget target,
+            TargetView view,
+            TargetAnswer answer,
+            double way,
+            long sentMicros) {
         var report = target.report();
         clock.after(
                 way,
@@ -166,7 +178,11 @@
     }
 
     private void end(ModelCall call, TargetView view, TargetAnswer answer, long sentMicros) {
-        view.experience().ended(answer, clock.nowMillis());
+        view.experience()
+                .ended(
+                        answer,
+                        (clock.nowMicros() - sentMicros) / MICROS_PER_MILLI,
+                        clock.nowMillis());
         AttemptOutcome outcome =
                 switch (answer) {
                     case ANSWERED -> {
