--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.MeshSessions;
 import org.cuminreach.control.operator.OperatorHandler;
 import org.cuminreach.control.operator.OperatorView;
@@ -29,7 +30,7 @@
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
-import org.cuminreach.wire.generated.NodeHolding;
+import org.cuminreach.wire.generated.HoldingBatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +39,8 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlProcess.class);
     private static final int EVENT_LOOP_THREADS = 2;
     private static final long SILENCE_MILLIS = 3_000;
+    private static final long FLUSH_MILLIS = 100;
+    private static final int NODE_PENDING_BYTES = 64 * 1024;
     private static final long REPLICA_TICK_MILLIS = 30;
     private static final long SESSION_TICK_MILLIS = 200;
     private static final long LINK_TICK_MILLIS = 500;
@@ -110,7 +113,8 @@
 
     private void listen() {
         FrameEndpoints nodeEndpoints =
-                FrameEndpoints.create(eventLoops, nodeTraffic, SILENCE_MILLIS);
+                FrameEndpoints.create(eventLoops, nodeTraffic, SILENCE_MILLIS)
+                        .withPendingBytes(NODE_PENDING_BYTES);
         peers.listen(settings.replicaAddress(), replica, new Events()).join();
         nodeEndpoints.listen(settings.nodeAddress(), sessions::newSession).join();
         HttpServer.listen(
@@ -126,6 +130,7 @@
     private void startTicking() {
         every(REPLICA_TICK_MILLIS, () -> replica.tick(ProcessClock.monotonicMillis()));
         every(LINK_TICK_MILLIS, () -> peers.tick(ProcessClock.monotonicMillis()));
+        every(FLUSH_MILLIS, sessions::flush);
         every(SESSION_TICK_MILLIS, () -> sessions.tick(ProcessClock.monotonicMillis()));
         every(
                 SESSION_TICK_MILLIS,
@@ -174,9 +179,33 @@
                 "cuminreach_control_node_received_bytes",
                 "Bytes received from nodes",
                 nodeTraffic::receivedBytes);
+        gauge(
+                registry,
+                "cuminreach_control_lagging_nodes",
+                "Nodes that lack the agreed configuration",
+                this::laggingNodes);
+        gauge(
+                registry,
+                "cuminreach_control_withheld_leases",
+                "Targets kept as last known although their leases are over",
+                sessions::withheldLeases);
+        GaugeWithCallback.builder()
+                .name("cuminreach_control_redirected_nodes")
+                .help("Nodes sent away since the start, by reason")
+                .labelNames("reason")
+                .callback(
+                        callback ->
+                                sessions.redirects()
+                                        .forEach((reason, count) -> callback.call(count, reason)))
+                .register(registry);
         return registry;
     }
 
+    private int laggingNodes() {
+        Convergence convergence = sessions.convergence(replica.configuration().version(), 0);
+        return convergence.nodes() - convergence.holding();
+    }
+
     private static void gauge(
             PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
@@ -204,8 +233,8 @@
         }
 
         @Override
-        public void hold(List<NodeHolding> holdings) {
-            sessions.mergeHoldings(holdings);
+        public void hold(HoldingBatch batch) {
+            sessions.mergeHoldings(batch);
         }
     }
 }
--- a/control/src/main/java/org/cuminreach/control/command/SubmitCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/SubmitCommand.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -116,10 +118,8 @@
         long begunMillis = ProcessClock.monotonicMillis();
         long deadlineMillis = begunMillis + (Long) options.valueOf(WAIT) * 1_000;
         while (ProcessClock.monotonicMillis() < deadlineMillis) {
-            Optional<Response> status = client.get("/status");
-            if (status.isPresent()
-                    && lagging(MAPPER.readTree(status.get().getResponseBody()), version)
-                            .isEmpty()) {
+            Optional<Response> convergence = client.get("/convergence?version=" + version);
+            if (convergence.isPresent() && isEverywhere(convergence.get())) {
                 long tookMillis = ProcessClock.monotonicMillis() - begunMillis;
                 out.println("in force everywhere after " + tookMillis + " ms");
                 return ExitCode.DONE;
@@ -132,31 +132,40 @@
             return ExitCode.DONE;
         }
         String missing =
-                client.get("/status")
-                        .map(status -> laggingIn(status.getResponseBody(), version))
+                client.get("/convergence?version=" + version)
+                        .map(SubmitCommand::lagging)
                         .orElse("unknown, no control answers");
         err.println("submit: not yet in force on: " + missing);
         return ExitCode.REFUSED;
     }
 
-    private static String laggingIn(String status, long version) {
+    private static boolean isEverywhere(Response convergence) throws JsonProcessingException {
+        return convergence.getStatusCode() == 200
+                && MAPPER.readTree(convergence.getResponseBody()).path("everywhere").asBoolean();
+    }
+
+    private static String lagging(Response convergence) {
         try {
-            return lagging(MAPPER.readTree(status), version);
+            JsonNode body = MAPPER.readTree(convergence.getResponseBody());
+            List<String> names = new ArrayList<>();
+            body.path("lagging")
+                    .forEach(
+                            lag ->
+                                    names.add(
+                                            "%s (version %d for %d ms)"
+                                                    .formatted(
+                                                            lag.path("node").asText(),
+                                                            lag.path("heldVersion").longValue(),
+                                                            lag.path("laggingMillis")
+                                                                    .longValue())));
+            int unnamed =
+                    body.path("nodes").intValue() - body.path("holding").intValue() - names.size();
+            return String.join(", ", names) + (unnamed > 0 ? " and " + unnamed + " more" : "");
         } catch (JsonProcessingException malformed) {
             return "unknown: " + malformed.getOriginalMessage();
         }
     }
 
-    private static String lagging(JsonNode status, long version) {
-        StringBuilder names = new StringBuilder();
-        for (JsonNode node : status.path("nodes")) {
-            if (node.path("version").longValue() < version) {
-                names.append(names.isEmpty() ? "" : ", ").append(node.path("node").asText());
-            }
-        }
-        return names.toString();
-    }
-
     private static boolean pause() {
         try {
             Thread.sleep(POLL_MILLIS);
--- a/control/src/main/java/org/cuminreach/control/node/HoldingTable.java
+++ b/control/src/main/java/org/cuminreach/control/node/HoldingTable.java
@@ -6,12 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.cuminreach.wire.generated.NodeHolding;
 
 /** Which configuration version each node of the mesh holds. Safe for use by several threads. */
 public final class HoldingTable {
+    private static final int MOST_VERSIONS = 1_024;
+
     private final Map<String, NodeHolding> byNode = new HashMap<>();
     private final Map<String, NodeHolding> unsent = new HashMap<>();
+    private final TreeMap<Long, Long> knownSinceMillis = new TreeMap<>();
 
     private HoldingTable() {}
 
@@ -24,25 +28,45 @@
         return new HoldingTable();
     }
 
+    /**
+     * Notes that a configuration version is agreed.
+     *
+     * @param version the version
+     * @param wallMillis present wall-clock time
+     */
+    public synchronized void agreed(long version, long wallMillis) {
+        knownSinceMillis.putIfAbsent(version, wallMillis);
+        if (knownSinceMillis.size() > MOST_VERSIONS) {
+            knownSinceMillis.pollFirstEntry();
+        }
+    }
+
     /**
      * Notes what a node of this control holds.
      *
-     * @param holding node, version and the wall-clock time at which it took it over
+     * @param node name of the node
+     * @param version version that it holds
+     * @param wallMillis present wall-clock time
      */
-    public synchronized void note(NodeHolding holding) {
-        byNode.put(holding.getNode(), holding);
-        unsent.put(holding.getNode(), holding);
+    public synchronized void note(String node, long version, long wallMillis) {
+        NodeHolding known = byNode.get(node);
+        if (known != null && known.getVersion() == version) {
+            return;
+        }
+        NodeHolding holding = new NodeHolding(node, version, wallMillis);
+        byNode.put(node, holding);
+        unsent.put(node, holding);
     }
 
     /**
-     * Merges what another control told.
+     * Merges what another control told of its nodes.
      *
      * @param holdings its nodes
+     * @param acceptable tells of which nodes another control's word counts
      */
-    public synchronized void merge(Collection<NodeHolding> holdings) {
+    public synchronized void merge(Collection<NodeHolding> holdings, Predicate<String> acceptable) {
         for (NodeHolding holding : holdings) {
-            NodeHolding known = byNode.get(holding.getNode());
-            if (known == null || holding.getApplied() >= known.getApplied()) {
+            if (acceptable.test(holding.getNode())) {
                 byNode.put(holding.getNode(), holding);
             }
         }
@@ -55,6 +79,7 @@
      */
     public synchronized void forget(String node) {
         byNode.remove(node);
+        unsent.remove(node);
     }
 
     /**
@@ -68,6 +93,16 @@
         return taken;
     }
 
+    /**
+     * Returns what some nodes hold.
+     *
+     * @param nodes names of the nodes
+     * @return the holdings of those that are known
+     */
+    public synchronized List<NodeHolding> of(Collection<String> nodes) {
+        return nodes.stream().filter(byNode::containsKey).map(byNode::get).toList();
+    }
+
     /**
      * Returns everything.
      *
@@ -76,4 +111,30 @@
     public synchronized Map<String, NodeHolding> all() {
         return new TreeMap<>(byNode);
     }
+
+    /**
+     * Tells how far a version has come.
+     *
+     * @param version the version
+     * @param wallMillis present wall-clock time
+     * @param mostNames most lagging nodes that are named
+     * @return how many nodes hold it or a later one, and who lags
+     */
+    public synchronized Convergence convergence(long version, long wallMillis, int mostNames) {
+        List<NodeHolding> lagging =
+                byNode.values().stream()
+                        .filter(holding -> holding.getVersion() < version)
+                        .sorted((one, other) -> one.getNode().compareTo(other.getNode()))
+                        .toList();
+        List<Convergence.Lag> named =
+                lagging.stream().limit(mostNames).map(holding -> lag(holding, wallMillis)).toList();
+        return new Convergence(version, byNode.size(), byNode.size() - lagging.size(), named);
+    }
+
+    private Convergence.Lag lag(NodeHolding holding, long wallMillis) {
+        Map.Entry<Long, Long> firstMissed = knownSinceMillis.higherEntry(holding.getVersion());
+        long sinceMillis = firstMissed == null ? wallMillis : firstMissed.getValue();
+        return new Convergence.Lag(
+                holding.getNode(), holding.getVersion(), Math.max(0, wallMillis - sinceMillis));
+    }
 }
--- a/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
+++ b/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
@@ -1,24 +1,29 @@
 package org.cuminreach.control.node;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.cuminreach.control.replica.PeerLinks;
 import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.decisions.configuration.ConfigurationHistory;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.distribution.AdmissionBucket;
+import org.cuminreach.decisions.distribution.CutOffWatch;
+import org.cuminreach.decisions.distribution.NodeAdmission;
+import org.cuminreach.decisions.distribution.SpreadPolicy;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.runtime.ProcessClock;
-import org.cuminreach.wire.ConfigurationCodec;
 import org.cuminreach.wire.MembershipCodec;
-import org.cuminreach.wire.StructCodec;
 import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.HoldingBatch;
@@ -30,21 +35,37 @@
 public final class MeshSessions {
     private static final Logger LOGGER = LoggerFactory.getLogger(MeshSessions.class);
     private static final long CONFIRMATION_TIMEOUT_MILLIS = 2_000;
-    private static final long LEASE_MILLIS = 4_000;
+    private static final long CUT_OFF_PATIENCE_MILLIS = 2_000;
+    private static final long LEAVE_MILLIS = 1_000;
+    private static final long REFRESH_MILLIS = 5_000;
     private static final long SHORTEST_RETURN_MILLIS = 200;
     private static final long LONGEST_RETURN_MILLIS = 1_500;
-
-    /** A closed session whose lease still runs. */
-    private record Lapsing(String node, long incarnation, long sequence, long endsMillis) {}
+    private static final long LONGEST_ADMISSION_WAIT_MILLIS = 4_000;
+    private static final double ADMISSIONS_PER_SECOND = 500;
+    private static final int ADMISSION_BURST = 100;
+    private static final int MOST_MOVED_AT_ONCE = 5;
 
     private final String controlName;
     private final ReplicaDriver replica;
     private final PeerLinks peers;
     private final Consumer<List<Evidence>> evidence;
     private final TargetRegistry registry = TargetRegistry.empty();
+    private final TargetLeases leases = new TargetLeases(registry);
     private final HoldingTable holdings = HoldingTable.empty();
+    private final PeerLoads loads = new PeerLoads();
+    private final RedirectCounts redirects = new RedirectCounts();
     private final Set<NodeSession> sessions = ConcurrentHashMap.newKeySet();
-    private final Map<String, Lapsing> lapsing = new ConcurrentHashMap<>();
+    private final CutOffWatch cutOff = CutOffWatch.of(CUT_OFF_PATIENCE_MILLIS);
+    private final AdmissionBucket admissions =
+            AdmissionBucket.full(
+                    ADMISSIONS_PER_SECOND,
+                    ADMISSION_BURST,
+                    LONGEST_ADMISSION_WAIT_MILLIS,
+                    ProcessClock.monotonicMillis());
+    private final ConfirmationGate gate;
+    private final ConfigurationHistory history;
+    private volatile FeedFrames frames;
+    private long refreshedMillis;
 
     private MeshSessions(
             String controlName,
@@ -55,6 +76,9 @@
         this.replica = replica;
         this.peers = peers;
         this.evidence = evidence;
+        this.gate = ConfirmationGate.of(this::confirm);
+        this.history = ConfigurationHistory.of(replica.configuration());
+        this.frames = FeedFrames.of(registry, history, 0, history.current().version());
     }
 
     /**
@@ -86,22 +110,30 @@
     }
 
     /**
-     * Lets time pass: sends nodes away when this control is cut off, ends leases, and tells other
-     * controls what the nodes hold.
+     * Lets time pass: sends nodes away when this control is cut off or has too many, ends leases,
+     * and tells other controls what the nodes hold.
      *
      * @param nowMillis present time
      */
     public void tick(long nowMillis) {
-        if (!sessions.isEmpty() && !replica.hasQuorum(nowMillis)) {
-            sessions.stream()
-                    .filter(NodeSession::welcomed)
-                    .forEach(session -> session.redirect("no_quorum", comeBackMillis()));
-        }
-        endLeases(nowMillis);
-        List<NodeHolding> changed = holdings.takeUnsent();
-        if (!changed.isEmpty()) {
-            peers.broadcast(Frame.holdings(new HoldingBatch(changed)));
+        boolean hasQuorum = replica.hasQuorum(nowMillis);
+        if (cutOff.isCutOff(nowMillis, hasQuorum)) {
+            sessions.forEach(session -> redirect(session, "no_quorum", comeBackMillis()));
+        } else {
+            evenOut(nowMillis);
         }
+        closeLingering(nowMillis);
+        sessions.forEach(session -> leases.vouch(session.node(), nowMillis));
+        List<Announcement> gone = leases.tick(nowMillis, hasQuorum);
+        gone.forEach(announcement -> holdings.forget(announcement.node()));
+        spread(gone);
+        tellPeers(nowMillis);
+    }
+
+    /** Sends each node what it lacks. Changes since the last call travel together. */
+    public void flush() {
+        FeedFrames present = frames();
+        sessions.forEach(session -> session.flush(present));
     }
 
     /**
@@ -110,16 +142,22 @@
      * @param announcements the announcements
      */
     public void mergeFromPeer(Collection<Announcement> announcements) {
-        tellNodes(registry.merge(announcements));
+        noteNews(registry.merge(announcements));
     }
 
     /**
-     * Merges what nodes of another control hold.
+     * Merges what another control told of its nodes.
      *
-     * @param others their holdings
+     * @param batch its nodes, and how many sessions it has
      */
-    public void mergeHoldings(Collection<NodeHolding> others) {
-        holdings.merge(others);
+    public void mergeHoldings(HoldingBatch batch) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        if (batch.isSetControl()) {
+            loads.heard(batch.getControl(), batch.getSessions(), nowMillis);
+        }
+        batch.getHoldings().forEach(holding -> leases.vouch(holding.getNode(), nowMillis));
+        Set<String> here = sessions.stream().map(NodeSession::node).collect(Collectors.toSet());
+        holdings.merge(batch.getHoldings(), node -> !here.contains(node) && !isGone(node));
     }
 
     /**
@@ -140,6 +178,17 @@
         return holdings.all();
     }
 
+    /**
+     * Tells how far a version has come.
+     *
+     * @param version the version
+     * @param mostNames most lagging nodes that are named
+     * @return how many nodes hold it, and who lags
+     */
+    public Convergence convergence(long version, int mostNames) {
+        return holdings.convergence(version, ProcessClock.wallMillis(), mostNames);
+    }
+
     /**
      * Returns how many nodes chose this control.
      *
@@ -149,6 +198,24 @@
         return sessions.size();
     }
 
+    /**
+     * Returns how many leases are over but withheld.
+     *
+     * @return targets that are kept as last known
+     */
+    public int withheldLeases() {
+        return leases.withheld();
+    }
+
+    /**
+     * Returns how many nodes were sent away, by reason.
+     *
+     * @return counts since the start
+     */
+    public Map<String, Long> redirects() {
+        return redirects.byReason();
+    }
+
     String controlName() {
         return controlName;
     }
@@ -157,19 +224,22 @@
         sessions.add(session);
         long nowMillis = ProcessClock.monotonicMillis();
         if (!replica.hasQuorum(nowMillis)) {
-            session.redirect("no_quorum", comeBackMillis());
+            redirect(session, "no_quorum", comeBackMillis());
             return;
         }
-        replica.confirm(nowMillis)
-                .orTimeout(CONFIRMATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                .whenComplete(
-                        (index, failure) -> {
-                            if (failure == null) {
-                                session.welcome(encoded(replica.configuration()), registry.all());
-                            } else {
-                                session.redirect("no_confirmation", comeBackMillis());
-                            }
-                        });
+        switch (admission(nowMillis)) {
+            case NodeAdmission.ComeBack later -> redirect(session, "busy", later.waitMillis());
+            case NodeAdmission.Admitted admitted ->
+                    gate.ask()
+                            .whenComplete(
+                                    (index, failure) -> {
+                                        if (failure == null) {
+                                            welcome(session);
+                                        } else {
+                                            redirect(session, "no_confirmation", comeBackMillis());
+                                        }
+                                    });
+        }
     }
 
     void announced(List<Announcement> announcements) {
@@ -183,6 +253,7 @@
                     announcement.phase(),
                     announcement.sequence());
         }
+        noteNews(news);
         spread(news);
     }
 
@@ -190,73 +261,132 @@
         evidence.accept(seen);
     }
 
-    void holds(NodeSession session, long version) {
-        holdings.note(new NodeHolding(session.node(), version, ProcessClock.wallMillis()));
+    void holds(NodeSession session) {
+        holdings.note(session.node(), session.heldVersion(), ProcessClock.wallMillis());
+    }
+
+    void feed(NodeSession session) {
+        session.flush(frames());
     }
 
     void closed(NodeSession session) {
         sessions.remove(session);
-        long ends = ProcessClock.monotonicMillis() + LEASE_MILLIS;
-        lapsing.put(
-                session.node(),
-                new Lapsing(
-                        session.node(), session.incarnation(), session.announcedSequence(), ends));
+        leases.sessionClosed(session, ProcessClock.monotonicMillis());
     }
 
-    private void endLeases(long nowMillis) {
-        for (Lapsing lease : lapsing.values()) {
-            if (lease.endsMillis() > nowMillis) {
-                continue;
-            }
-            lapsing.remove(lease.node(), lease);
-            boolean renewed =
-                    registry.all().stream()
-                            .filter(known -> known.node().equals(lease.node()))
-                            .anyMatch(known -> known.sequence() != lease.sequence());
-            if (renewed) {
-                continue;
-            }
-            registry.expire(lease.node(), lease.incarnation())
-                    .ifPresent(
-                            gone -> {
-                                LOGGER.info("event=lease_expired node={}", gone.node());
-                                holdings.forget(gone.node());
-                                spread(List.of(gone));
-                            });
+    private void welcome(NodeSession session) {
+        Optional<Long> laterIncarnation =
+                registry.find(session.node())
+                        .map(Announcement::incarnation)
+                        .filter(known -> known > session.incarnation());
+        if (!session.welcome(laterIncarnation)) {
+            return;
+        }
+        if (session.heldVersion() > frames().version()) {
+            LOGGER.error(
+                    "event=node_ahead node={} held_version={} agreed_version={}",
+                    session.node(),
+                    session.heldVersion(),
+                    frames().version());
         }
+        holds(session);
+        feed(session);
     }
 
-    private void spread(List<Announcement> news) {
-        if (!news.isEmpty()) {
-            peers.broadcast(MembershipCodec.toFrame(news));
-            tellNodes(news);
+    private synchronized NodeAdmission admission(long nowMillis) {
+        return admissions.ask(nowMillis);
+    }
+
+    private CompletableFuture<Long> confirm() {
+        return replica.confirm(ProcessClock.monotonicMillis())
+                .orTimeout(CONFIRMATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void redirect(NodeSession session, String reason, long waitMillis) {
+        if (session.redirect(reason, waitMillis, ProcessClock.monotonicMillis())) {
+            redirects.count(reason);
+        }
+    }
+
+    private void evenOut(long nowMillis) {
+        int moving =
+                SpreadPolicy.toMove(sessions.size(), loads.fresh(nowMillis), MOST_MOVED_AT_ONCE);
+        sessions.stream()
+                .filter(NodeSession::welcomed)
+                .limit(moving)
+                .forEach(session -> redirect(session, "uneven", SHORTEST_RETURN_MILLIS));
+    }
+
+    private void closeLingering(long nowMillis) {
+        for (NodeSession session : sessions) {
+            session.sentAwayMillis()
+                    .filter(sentAway -> nowMillis - sentAway > LEAVE_MILLIS)
+                    .ifPresent(sentAway -> session.close());
+        }
+    }
+
+    private void tellPeers(long nowMillis) {
+        List<NodeHolding> told = holdings.takeUnsent();
+        if (nowMillis - refreshedMillis >= REFRESH_MILLIS) {
+            refreshedMillis = nowMillis;
+            told = holdings.of(sessions.stream().map(NodeSession::node).toList());
+        } else if (told.isEmpty()) {
+            return;
+        }
+        HoldingBatch batch = new HoldingBatch(told);
+        batch.setControl(controlName);
+        batch.setSessions(sessions.size());
+        peers.broadcast(Frame.holdings(batch));
+    }
+
+    private boolean isGone(String node) {
+        return registry.find(node).map(Announcement::isGone).orElse(false);
+    }
+
+    private void noteNews(List<Announcement> news) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        for (Announcement announcement : news) {
+            if (announcement.isGone()) {
+                holdings.forget(announcement.node());
+            } else {
+                leases.vouch(announcement.node(), nowMillis);
+            }
         }
     }
 
-    private void tellNodes(List<Announcement> news) {
+    private void spread(List<Announcement> news) {
         if (!news.isEmpty()) {
-            sendToAll(StructCodec.encode(MembershipCodec.toFrame(news)));
+            peers.broadcast(MembershipCodec.toFrame(news));
         }
     }
 
     private void push(MeshConfiguration configuration) {
+        synchronized (history) {
+            history.advance(configuration);
+        }
+        holdings.agreed(configuration.version(), ProcessClock.wallMillis());
         LOGGER.info(
                 "event=configuration_pushed configuration={} sessions={}",
                 configuration.version(),
                 sessions.size());
-        sendToAll(encoded(configuration));
+        flush();
     }
 
-    private void sendToAll(byte[] encoded) {
-        for (NodeSession session : new ArrayList<>(sessions)) {
-            if (session.welcomed()) {
-                session.send(encoded);
-            }
+    private FeedFrames frames() {
+        FeedFrames present = frames;
+        long revision = registry.revision();
+        long version = presentVersion();
+        if (!present.leadsTo(revision, version)) {
+            present = FeedFrames.of(registry, history, revision, version);
+            frames = present;
         }
+        return present;
     }
 
-    private static byte[] encoded(MeshConfiguration configuration) {
-        return StructCodec.encode(Frame.configuration(ConfigurationCodec.toStruct(configuration)));
+    private long presentVersion() {
+        synchronized (history) {
+            return history.current().version();
+        }
     }
 
     private static long comeBackMillis() {
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -1,6 +1,9 @@
 package org.cuminreach.control.node;
 
 import java.util.List;
+import java.util.Optional;
+import org.cuminreach.decisions.distribution.FeedStep;
+import org.cuminreach.decisions.distribution.NodeFeed;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
@@ -22,8 +25,10 @@
     private volatile FrameConnection connection;
     private volatile String node = "";
     private volatile long incarnation;
+    private volatile long heldVersion;
     private volatile long announcedSequence;
-    private volatile boolean welcomed;
+    private Optional<NodeFeed> feed = Optional.empty();
+    private Optional<Long> sentAwayMillis = Optional.empty();
 
     NodeSession(MeshSessions sessions) {
         this.sessions = sessions;
@@ -37,35 +42,69 @@
         return incarnation;
     }
 
+    long heldVersion() {
+        return heldVersion;
+    }
+
     long announcedSequence() {
         return announcedSequence;
     }
 
-    boolean welcomed() {
-        return welcomed;
+    synchronized boolean welcomed() {
+        return feed.isPresent();
     }
 
-    void welcome(byte[] configuration, List<Announcement> targets) {
-        connection.send(Frame.nodeWelcome(new NodeWelcome(sessions.controlName())));
-        connection.send(MembershipCodec.toFrame(targets));
-        connection.sendEncoded(configuration);
-        welcomed = true;
+    synchronized Optional<Long> sentAwayMillis() {
+        return sentAwayMillis;
     }
 
-    void send(byte[] encoded) {
-        if (!connection.sendEncoded(encoded)) {
-            LOGGER.info("event=node_dropped node={} reason=too_slow", node);
+    /** Welcomes the node, unless it has been sent away in the meantime. */
+    synchronized boolean welcome(Optional<Long> knownIncarnation) {
+        if (sentAwayMillis.isPresent()) {
+            return false;
+        }
+        NodeWelcome welcome = new NodeWelcome(sessions.controlName());
+        knownIncarnation.ifPresent(welcome::setKnownIncarnation);
+        if (!connection.send(Frame.nodeWelcome(welcome))) {
             connection.close();
+            return false;
+        }
+        feed = Optional.of(NodeFeed.of(heldVersion));
+        return true;
+    }
+
+    /** Sends what the node lacks, as far as its connection takes it now. */
+    synchronized void flush(FeedFrames frames) {
+        if (feed.isEmpty()) {
+            return;
+        }
+        FeedStep step = feed.get().next(frames.revision(), frames.version());
+        while (!(step instanceof FeedStep.Nothing) && send(step, frames)) {
+            feed.get().sent(step);
+            step = feed.get().next(frames.revision(), frames.version());
         }
     }
 
-    void redirect(String reason, long comeBackMillis) {
-        connection.send(Frame.nodeRedirect(new NodeRedirect(reason, comeBackMillis)));
+    /** Sends the node away, once; it is fed no more. */
+    synchronized boolean redirect(String reason, long comeBackMillis, long nowMillis) {
+        if (sentAwayMillis.isPresent()) {
+            return false;
+        }
+        feed = Optional.empty();
+        sentAwayMillis = Optional.of(nowMillis);
+        if (!connection.send(Frame.nodeRedirect(new NodeRedirect(reason, comeBackMillis)))) {
+            connection.close();
+        }
         LOGGER.info(
                 "event=node_redirected node={} reason={} come_back_ms={}",
                 node,
                 reason,
                 comeBackMillis);
+        return true;
+    }
+
+    void close() {
+        connection.close();
     }
 
     @Override
@@ -99,13 +138,26 @@
         }
     }
 
-    private void greet(NodeHello hello) {
+    private boolean send(FeedStep step, FeedFrames frames) {
+        return switch (step) {
+            case FeedStep.Nothing nothing -> true;
+            case FeedStep.SendTargets targets -> connection.sendEncoded(frames.targets(targets));
+            case FeedStep.SendConfiguration configuration ->
+                    connection.sendEncoded(frames.configuration(configuration));
+        };
+    }
+
+    private void greet(NodeHello hello) throws MalformedFrameException {
+        if (!node.isEmpty()) {
+            throw new MalformedFrameException("a node says hello once");
+        }
         node = hello.getNode();
         incarnation = hello.getIncarnation();
+        heldVersion = hello.getHeldVersion();
         LOGGER.info(
                 "event=node_hello node={} held_version={} remote={}",
                 node,
-                hello.getHeldVersion(),
+                heldVersion,
                 connection.remote());
         sessions.greeted(this);
     }
@@ -117,6 +169,7 @@
             if (!announcement.node().equals(node)) {
                 throw new MalformedFrameException("a node announces its own target only");
             }
+            incarnation = announcement.incarnation();
             announcedSequence = announcement.sequence();
         }
         sessions.announced(announcements);
@@ -130,6 +183,17 @@
                     report.getVersion(),
                     report.getFaults());
         }
-        sessions.holds(this, report.getVersion());
+        heldVersion = report.getVersion();
+        sessions.holds(this);
+        if (report.isNeedsWhole()) {
+            LOGGER.warn(
+                    "event=whole_configuration_asked node={} held_version={}", node, heldVersion);
+            feedWhole();
+            sessions.feed(this);
+        }
+    }
+
+    private synchronized void feedWhole() {
+        feed.ifPresent(NodeFeed::needsWhole);
     }
 }
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/node/TargetLeases.java
@@ -0,0 +1,75 @@
+package org.cuminreach.control.node;
+
+import java.util.List;
+import java.util.Optional;
+import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.membership.LeaseDecision;
+import org.cuminreach.decisions.membership.LeaseSettings;
+import org.cuminreach.decisions.membership.LeaseTable;
+import org.cuminreach.decisions.membership.TargetRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out what the {@link LeaseTable} decides. Safe for use by several threads. */
+final class TargetLeases {
+    private static final Logger LOGGER = LoggerFactory.getLogger(TargetLeases.class);
+    private static final long REMEMBER_GONE_MILLIS = 3_600_000;
+
+    private final TargetRegistry registry;
+    private final LeaseTable table = LeaseTable.empty(LeaseSettings.standard());
+    private int withheld;
+
+    TargetLeases(TargetRegistry registry) {
+        this.registry = registry;
+    }
+
+    synchronized void vouch(String node, long nowMillis) {
+        table.vouch(node, nowMillis);
+    }
+
+    /** Starts the end of a lease, unless the node has announced itself elsewhere since. */
+    synchronized void sessionClosed(NodeSession session, long nowMillis) {
+        boolean renewed =
+                registry.find(session.node())
+                        .filter(
+                                known ->
+                                        known.incarnation() != session.incarnation()
+                                                || known.sequence() != session.announcedSequence())
+                        .isPresent();
+        if (!renewed) {
+            table.sessionClosed(session.node(), nowMillis);
+        }
+    }
+
+    /** Ends what is due and returns the announcements that say so. */
+    synchronized List<Announcement> tick(long nowMillis, boolean inContact) {
+        LeaseDecision decision = table.decide(nowMillis, inContact, registry.all());
+        noteWithheld(decision.withheld());
+        registry.forgetGone(nowMillis, REMEMBER_GONE_MILLIS);
+        return decision.ended().stream()
+                .map(ended -> registry.expire(ended.node(), ended.incarnation()))
+                .flatMap(Optional::stream)
+                .peek(
+                        gone ->
+                                LOGGER.info(
+                                        "event=lease_expired node={} service={} data_centre={}",
+                                        gone.node(),
+                                        gone.service(),
+                                        gone.dataCentre()))
+                .toList();
+    }
+
+    synchronized int withheld() {
+        return withheld;
+    }
+
+    private void noteWithheld(List<Announcement> targets) {
+        if (targets.size() != withheld) {
+            LOGGER.warn(
+                    "event=lease_ends_withheld targets={} previously={} reason=too_many_together",
+                    targets.size(),
+                    withheld);
+        }
+        withheld = targets.size();
+    }
+}
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
@@ -50,6 +50,7 @@
             case "POST /documents" -> submit(call);
             case "GET /documents/current" -> now(view.currentDocument());
             case "GET /status" -> now(view.status());
+            case "GET /convergence" -> now(convergence(call));
             case "GET /history" -> now(view.history());
             default ->
                     now(
@@ -59,7 +60,7 @@
     }
 
     private CompletableFuture<HttpAnswer> submit(HttpCall call) {
-        OptionalLong basedOn = basedOn(call);
+        OptionalLong basedOn = number(call, "basedOn");
         if (basedOn.isEmpty()) {
             return now(OperatorJson.problem(400, "basedOn must be a whole number, 0 or more"));
         }
@@ -83,11 +84,16 @@
                 .thenApply(OperatorHandler::toAnswer);
     }
 
-    private static OptionalLong basedOn(HttpCall call) {
+    private HttpAnswer convergence(HttpCall call) {
+        OptionalLong version = number(call, "version");
+        return version.isPresent()
+                ? view.convergence(version.getAsLong())
+                : OperatorJson.problem(400, "version must be a whole number, 0 or more");
+    }
+
+    private static OptionalLong number(HttpCall call, String name) {
         List<String> values =
-                new QueryStringDecoder(call.target())
-                        .parameters()
-                        .getOrDefault("basedOn", List.of());
+                new QueryStringDecoder(call.target()).parameters().getOrDefault(name, List.of());
         if (values.size() != 1) {
             return OptionalLong.empty();
         }
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.MeshSessions;
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.decisions.agreement.Member;
@@ -15,6 +16,8 @@
 
 /** What operators may read. */
 public final class OperatorView {
+    private static final int MOST_NAMED_NODES = 50;
+
     private final String name;
     private final ReplicaDriver replica;
     private final MeshSessions sessions;
@@ -55,6 +58,11 @@
                 .put("version", configuration.version())
                 .put("documentVersion", configuration.documentVersion())
                 .put("sessions", sessions.sessionCount());
+        Convergence convergence = sessions.convergence(configuration.version(), MOST_NAMED_NODES);
+        status.put("nodesKnown", convergence.nodes())
+                .put("nodesHolding", convergence.holding())
+                .put("withheldLeases", sessions.withheldLeases());
+        putLagging(status.putArray("lagging"), convergence);
         putMembers(status.putArray("members"));
         putRollouts(status.putArray("rollouts"), configuration);
         putTargets(status.putArray("targets"));
@@ -85,6 +93,26 @@
         return OperatorJson.of(200, body);
     }
 
+    HttpAnswer convergence(long version) {
+        Convergence convergence = sessions.convergence(version, MOST_NAMED_NODES);
+        ObjectNode body = OperatorJson.object();
+        body.put("version", convergence.version())
+                .put("nodes", convergence.nodes())
+                .put("holding", convergence.holding())
+                .put("everywhere", convergence.isEverywhere());
+        putLagging(body.putArray("lagging"), convergence);
+        return OperatorJson.of(200, body);
+    }
+
+    private static void putLagging(ArrayNode lagging, Convergence convergence) {
+        for (Convergence.Lag lag : convergence.lagging()) {
+            lagging.addObject()
+                    .put("node", lag.node())
+                    .put("heldVersion", lag.heldVersion())
+                    .put("laggingMillis", lag.millis());
+        }
+    }
+
     private void putMembers(ArrayNode members) {
         for (Member member : replica.membership().members()) {
             members.addObject()
--- a/control/src/main/java/org/cuminreach/control/replica/PeerEvents.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerEvents.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.rollout.Evidence;
-import org.cuminreach.wire.generated.NodeHolding;
+import org.cuminreach.wire.generated.HoldingBatch;
 
 /** Hears what other controls say besides the replicated log. */
 public interface PeerEvents {
@@ -31,7 +31,7 @@
     /**
      * Another control told which versions its nodes hold.
      *
-     * @param holdings the version of each node
+     * @param batch the version of each node, and how many sessions the control has
      */
-    void hold(List<NodeHolding> holdings);
+    void hold(HoldingBatch batch);
 }
--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -266,7 +266,7 @@
                 case ANNOUNCEMENTS ->
                         events.announced(MembershipCodec.toAnnouncements(frame.getAnnouncements()));
                 case EVIDENCE -> events.saw(MembershipCodec.toEvidence(frame.getEvidence()));
-                case HOLDINGS -> events.hold(frame.getHoldings().getHoldings());
+                case HOLDINGS -> events.hold(frame.getHoldings());
                 case HEARTBEAT -> connection.send(frame);
                 default ->
                         throw new MalformedFrameException(
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
@@ -0,0 +1,63 @@
+package org.cuminreach.decisions.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import org.cuminreach.document.Route;
+import org.cuminreach.document.Service;
+
+/** A digest of what a configuration means; the order of its lists and its text do not count. */
+public final class ConfigurationDigest {
+    private static final int BYTES_USED = Long.BYTES;
+    private static final int BITS_PER_BYTE = 8;
+    private static final int BYTE_MASK = 0xff;
+
+    private ConfigurationDigest() {}
+
+    /**
+     * Computes the digest.
+     *
+     * @param configuration the configuration
+     * @return 64 bits of a SHA-256 digest
+     */
+    public static long of(MeshConfiguration configuration) {
+        MessageDigest digest = sha256();
+        add(digest, configuration.version() + "|" + configuration.documentVersion());
+        add(digest, configuration.document().rolloutPriority().name());
+        addSorted(
+                digest,
+                configuration.document().services().stream().map(Service::toString).toList());
+        addSorted(digest, configuration.document().routes().stream().map(Route::toString).toList());
+        addSorted(
+                digest, configuration.rollouts().stream().map(RolloutProgress::toString).toList());
+        return toLong(digest.digest());
+    }
+
+    private static void addSorted(MessageDigest digest, Collection<String> lines) {
+        add(digest, Integer.toString(lines.size()));
+        lines.stream().sorted().forEach(line -> add(digest, line));
+    }
+
+    private static void add(MessageDigest digest, String line) {
+        byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+        digest.update((bytes.length + ":").getBytes(StandardCharsets.UTF_8));
+        digest.update(bytes);
+    }
+
+    private static long toLong(byte[] bytes) {
+        long value = 0;
+        for (int index = 0; index < BYTES_USED; index++) {
+            value = (value << BITS_PER_BYTE) | (bytes[index] & BYTE_MASK);
+        }
+        return value;
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every JDK has SHA-256", missing);
+        }
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHolder.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHolder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.Route;
+import org.cuminreach.document.Service;
 import org.cuminreach.settings.Fault;
 
 /**
@@ -53,6 +54,32 @@
         return new OfferOutcome.Applied(offered.version(), current);
     }
 
+    /**
+     * Offers a delta. It is applied whole, in one step, and only when its result is what its sender
+     * holds.
+     *
+     * @param delta the delta
+     * @return whether its result is in force now
+     */
+    public synchronized OfferOutcome offer(ConfigurationDelta delta) {
+        long current = inForce.version();
+        if (delta.version() <= current) {
+            return new OfferOutcome.NotNewer(current);
+        }
+        if (!delta.isWhole() && delta.baseVersion() != current) {
+            return new OfferOutcome.NeedsWhole(current, "base version differs");
+        }
+        MeshConfiguration base = delta.isWhole() ? MeshConfiguration.empty() : inForce;
+        MeshConfiguration result = delta.applyTo(base);
+        if (ConfigurationDigest.of(result) == delta.digest()) {
+            return offer(result);
+        }
+        return delta.isWhole()
+                ? new OfferOutcome.Refused(
+                        current, List.of(new Fault("digest", "differs from the whole received")))
+                : new OfferOutcome.NeedsWhole(current, "digest differs");
+    }
+
     private static List<Fault> gaps(MeshConfiguration offered) {
         List<Fault> faults = new ArrayList<>();
         MeshDocument document = offered.document();
@@ -64,6 +91,14 @@
                                 "its service " + route.service() + " is missing"));
             }
         }
+        for (Service service : document.services()) {
+            if (service.rollout().isPresent() && offered.rollout(service.name()).isEmpty()) {
+                faults.add(
+                        new Fault(
+                                "services." + service.name(),
+                                "the progress of its rollout is missing"));
+            }
+        }
         for (RolloutProgress progress : offered.rollouts()) {
             Optional<String> wanted =
                     document.service(progress.service())
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/OfferOutcome.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/OfferOutcome.java
@@ -32,4 +32,12 @@
             faults = List.copyOf(faults);
         }
     }
+
+    /**
+     * It cannot be made from the one in force, which stays until the whole arrives.
+     *
+     * @param version version in force
+     * @param reason why not
+     */
+    record NeedsWhole(long version, String reason) implements OfferOutcome {}
 }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/distribution/FeedStep.java
@@ -0,0 +1,23 @@
+package org.cuminreach.decisions.distribution;
+
+/** What a session sends next. */
+public sealed interface FeedStep {
+    /** Nothing: the node has been sent everything. */
+    record Nothing() implements FeedStep {}
+
+    /**
+     * Changes of targets.
+     *
+     * @param sinceRevision revision of the registry that the node has been sent
+     * @param toRevision revision that it then has
+     */
+    record SendTargets(long sinceRevision, long toRevision) implements FeedStep {}
+
+    /**
+     * A change of configuration.
+     *
+     * @param baseVersion version that the node holds once it has read all it was sent
+     * @param toVersion version that it then holds
+     */
+    record SendConfiguration(long baseVersion, long toVersion) implements FeedStep {}
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/distribution/NodeFeed.java
@@ -0,0 +1,64 @@
+package org.cuminreach.decisions.distribution;
+
+/**
+ * What one node has been sent, and what it is sent next. It remembers positions only, so a node
+ * that reads slowly costs the same as one that reads fast, and later gets one difference. Targets
+ * go before the configuration, so that no route arrives before the targets known at that time. Not
+ * safe for use by several threads at once.
+ */
+public final class NodeFeed {
+    private static final long NOTHING_SENT = -1;
+
+    private long sentRevision = NOTHING_SENT;
+    private long sentVersion;
+
+    private NodeFeed(long heldVersion) {
+        this.sentVersion = heldVersion;
+    }
+
+    /**
+     * Returns the feed of a node that has just been welcomed.
+     *
+     * @param heldVersion configuration version that it holds
+     * @return the feed
+     */
+    public static NodeFeed of(long heldVersion) {
+        return new NodeFeed(heldVersion);
+    }
+
+    /**
+     * Decides what to send next.
+     *
+     * @param revision present revision of the registry
+     * @param version present configuration version
+     * @return the step
+     */
+    public FeedStep next(long revision, long version) {
+        if (sentRevision < revision) {
+            return new FeedStep.SendTargets(sentRevision, revision);
+        }
+        if (sentVersion < version) {
+            return new FeedStep.SendConfiguration(sentVersion, version);
+        }
+        return new FeedStep.Nothing();
+    }
+
+    /**
+     * Notes that a step was taken.
+     *
+     * @param step the step
+     */
+    public void sent(FeedStep step) {
+        switch (step) {
+            case FeedStep.Nothing nothing -> {}
+            case FeedStep.SendTargets targets -> sentRevision = targets.toRevision();
+            case FeedStep.SendConfiguration configuration ->
+                    sentVersion = configuration.toVersion();
+        }
+    }
+
+    /** Notes that the node asked for the whole configuration. */
+    public void needsWhole() {
+        sentVersion = 0;
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
@@ -27,7 +27,9 @@
         int slots,
         TargetPhase phase) {
     /**
-     * Tells whether this announcement is later than another of the same node.
+     * Tells whether this announcement is later than another of the same node. The end of a lease
+     * carries the sequence of the announcement that it ends, and so is later than that one and
+     * earlier than the next.
      *
      * @param other the other
      * @return true when this one replaces the other
@@ -36,7 +38,19 @@
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
         }
-        return sequence > other.sequence;
+        if (sequence != other.sequence) {
+            return sequence > other.sequence;
+        }
+        return isGone() && !other.isGone();
+    }
+
+    /**
+     * Tells whether the target is gone.
+     *
+     * @return true when it has left or its lease has ended
+     */
+    public boolean isGone() {
+        return phase == TargetPhase.GONE;
     }
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
@@ -13,7 +13,11 @@
  * threads.
  */
 public final class TargetRegistry {
-    private final Map<String, Announcement> latest = new HashMap<>();
+    /** The latest announcement, the revision that brought it, and when it was first seen gone. */
+    private record Entry(
+            Announcement announcement, long revision, Optional<Long> goneSinceMillis) {}
+
+    private final Map<String, Entry> latest = new HashMap<>();
     private long revision;
 
     private TargetRegistry() {}
@@ -36,9 +40,9 @@
     public synchronized List<Announcement> merge(Collection<Announcement> announcements) {
         List<Announcement> news = new ArrayList<>();
         for (Announcement announcement : announcements) {
-            Announcement known = latest.get(announcement.node());
-            if (known == null || announcement.isLaterThan(known)) {
-                latest.put(announcement.node(), announcement);
+            Entry known = latest.get(announcement.node());
+            if (known == null || announcement.isLaterThan(known.announcement())) {
+                put(announcement, revision + 1);
                 news.add(announcement);
             }
         }
@@ -56,27 +60,76 @@
      * @return the announcement that says so, or empty when there was nothing to end
      */
     public synchronized Optional<Announcement> expire(String node, long incarnation) {
-        Announcement known = latest.get(node);
+        Entry known = latest.get(node);
         boolean alive =
                 known != null
-                        && known.incarnation() == incarnation
-                        && known.phase() != TargetPhase.GONE;
+                        && known.announcement().incarnation() == incarnation
+                        && !known.announcement().isGone();
         if (!alive) {
             return Optional.empty();
         }
-        Announcement gone = known.with(TargetPhase.GONE, known.sequence() + 1);
-        latest.put(node, gone);
+        Announcement gone =
+                known.announcement().with(TargetPhase.GONE, known.announcement().sequence());
         revision++;
+        put(gone, revision);
         return Optional.of(gone);
     }
 
+    /**
+     * Forgets targets that have been gone for long, so that the registry stays bounded.
+     *
+     * @param nowMillis present time
+     * @param keepMillis how long a target that is gone is remembered, in milliseconds
+     * @return names of the nodes that were forgotten
+     */
+    public synchronized List<String> forgetGone(long nowMillis, long keepMillis) {
+        List<String> forgotten = new ArrayList<>();
+        for (Map.Entry<String, Entry> known : latest.entrySet()) {
+            Entry entry = known.getValue();
+            if (!entry.announcement().isGone()) {
+                continue;
+            }
+            if (entry.goneSinceMillis().isEmpty()) {
+                known.setValue(
+                        new Entry(entry.announcement(), entry.revision(), Optional.of(nowMillis)));
+            } else if (nowMillis - entry.goneSinceMillis().get() >= keepMillis) {
+                forgotten.add(known.getKey());
+            }
+        }
+        forgotten.forEach(latest::remove);
+        return forgotten;
+    }
+
+    /**
+     * Finds the latest announcement of a node.
+     *
+     * @param node its name
+     * @return the announcement, or empty when the node is not known
+     */
+    public synchronized Optional<Announcement> find(String node) {
+        return Optional.ofNullable(latest.get(node)).map(Entry::announcement);
+    }
+
     /**
      * Returns every latest announcement, also of targets that are gone.
      *
      * @return a copy
      */
     public synchronized List<Announcement> all() {
-        return List.copyOf(latest.values());
+        return latest.values().stream().map(Entry::announcement).toList();
+    }
+
+    /**
+     * Returns the latest announcements that came after a revision.
+     *
+     * @param earlier the revision; a negative one stands for the beginning
+     * @return one announcement a node at most
+     */
+    public synchronized List<Announcement> changedSince(long earlier) {
+        return latest.values().stream()
+                .filter(entry -> entry.revision() > earlier)
+                .map(Entry::announcement)
+                .toList();
     }
 
     /**
@@ -87,4 +140,8 @@
     public synchronized long revision() {
         return revision;
     }
+
+    private void put(Announcement announcement, long atRevision) {
+        latest.put(announcement.node(), new Entry(announcement, atRevision, Optional.empty()));
+    }
 }
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -1,12 +1,14 @@
 package org.cuminreach.node.control;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.cuminreach.decisions.configuration.ConfigurationDelta;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
-import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.configuration.OfferOutcome;
+import org.cuminreach.decisions.distribution.ReconnectBackoff;
 import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.node.caller.EvidenceLog;
 import org.cuminreach.node.peer.MeshView;
@@ -15,18 +17,19 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.Fault;
-import org.cuminreach.settings.Reading;
 import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.DeltaCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameConnection;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.generated.ConfigurationReport;
-import org.cuminreach.wire.generated.ConfigurationUpdate;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.Heartbeat;
 import org.cuminreach.wire.generated.NodeHello;
+import org.cuminreach.wire.generated.NodeRedirect;
+import org.cuminreach.wire.generated.NodeWelcome;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,6 +38,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlSession.class);
     private static final long SHORTEST_WAIT_MILLIS = 100;
     private static final long LONGEST_WAIT_MILLIS = 5_000;
+    private static final long LONGEST_GREETING_MILLIS = 4_000;
 
     private final NodeSettings settings;
     private final ConfigurationHolder holder;
@@ -47,8 +51,12 @@
     private volatile FrameConnection connection;
     private volatile boolean welcomed;
     private volatile boolean stopping;
+    private final ReconnectBackoff backoff =
+            ReconnectBackoff.between(SHORTEST_WAIT_MILLIS, LONGEST_WAIT_MILLIS);
+    private volatile long openedMillis;
+    private boolean everWelcomed;
+    private Optional<Long> askedWaitMillis = Optional.empty();
     private int nextControl;
-    private long waitMillis = SHORTEST_WAIT_MILLIS;
 
     private ControlSession(
             NodeSettings settings,
@@ -125,6 +133,11 @@
         if (open == null) {
             return;
         }
+        if (!welcomed && ProcessClock.monotonicMillis() - openedMillis > LONGEST_GREETING_MILLIS) {
+            LOGGER.info("event=control_left reason=no_welcome");
+            open.close();
+            return;
+        }
         open.send(Frame.heartbeat(new Heartbeat(wallMillis)));
         if (welcomed) {
             List<Evidence> taken = evidence.take();
@@ -158,6 +171,7 @@
 
     @Override
     public void opened(FrameConnection opened) {
+        openedMillis = ProcessClock.monotonicMillis();
         connection = opened;
         opened.send(
                 Frame.nodeHello(
@@ -172,23 +186,12 @@
     @Override
     public void received(FrameConnection from, Frame frame) throws MalformedFrameException {
         switch (frame.getSetField()) {
-            case NODE_WELCOME -> {
-                welcomed = true;
-                waitMillis = SHORTEST_WAIT_MILLIS;
-                LOGGER.info(
-                        "event=control_welcomed control={}", frame.getNodeWelcome().getControl());
-            }
-            case NODE_REDIRECT -> {
-                LOGGER.info(
-                        "event=control_sent_away reason={} come_back_ms={}",
-                        frame.getNodeRedirect().getReason(),
-                        frame.getNodeRedirect().getComeBackMillis());
-                waitMillis = Math.max(waitMillis, frame.getNodeRedirect().getComeBackMillis());
-                from.close();
-            }
+            case NODE_WELCOME -> beWelcomed(frame.getNodeWelcome());
+            case NODE_REDIRECT -> leave(from, frame.getNodeRedirect());
             case ANNOUNCEMENTS ->
                     view.merge(MembershipCodec.toAnnouncements(frame.getAnnouncements()));
-            case CONFIGURATION -> take(from, frame.getConfiguration());
+            case CONFIGURATION_DELTA ->
+                    offer(from, DeltaCodec.toDelta(frame.getConfigurationDelta()));
             case HEARTBEAT -> LOGGER.trace("event=control_alive");
             default -> throw new MalformedFrameException("no control sends " + frame.getSetField());
         }
@@ -202,25 +205,51 @@
         dialLater();
     }
 
-    /** Waits with decorrelated jitter: a random time up to three times the last one. */
-    private void dialLater() {
-        long ceiling = Math.min(LONGEST_WAIT_MILLIS, waitMillis * 3);
-        waitMillis =
-                random.nextLong(SHORTEST_WAIT_MILLIS, Math.max(ceiling, SHORTEST_WAIT_MILLIS + 1));
-        if (!timer.isShutdown()) {
-            timer.schedule(this::dial, waitMillis, TimeUnit.MILLISECONDS);
+    private void beWelcomed(NodeWelcome welcome) {
+        welcomed = true;
+        backoff.reset();
+        LOGGER.info("event=control_welcomed control={}", welcome.getControl());
+        if (welcome.isSetKnownIncarnation()) {
+            meetLaterIncarnation(welcome.getKnownIncarnation());
+        }
+        everWelcomed = true;
+    }
+
+    /**
+     * A process that has just started goes past the incarnation of an earlier one, whose clock was
+     * ahead; one that was welcomed before has been replaced and stays silent.
+     */
+    private void meetLaterIncarnation(long known) {
+        if (everWelcomed) {
+            LOGGER.error("event=name_taken_over name={} incarnation={}", settings.name(), known);
+            return;
         }
+        LOGGER.warn("event=clock_went_back name={} known_incarnation={}", settings.name(), known);
+        announcer.surpass(known);
+        announce();
     }
 
-    private void take(FrameConnection from, ConfigurationUpdate update)
-            throws MalformedFrameException {
-        switch (ConfigurationCodec.toConfiguration(update)) {
-            case Reading.Faulty<MeshConfiguration> faulty -> report(from, faulty.faults());
-            case Reading.Sound<MeshConfiguration> sound -> offer(from, sound.value());
+    private void leave(FrameConnection from, NodeRedirect redirect) {
+        LOGGER.info(
+                "event=control_sent_away reason={} come_back_ms={}",
+                redirect.getReason(),
+                redirect.getComeBackMillis());
+        askedWaitMillis = Optional.of(redirect.getComeBackMillis());
+        from.close();
+    }
+
+    private void dialLater() {
+        long waitMillis =
+                askedWaitMillis
+                        .map(asked -> backoff.after(asked, random))
+                        .orElseGet(() -> backoff.next(random));
+        askedWaitMillis = Optional.empty();
+        if (!timer.isShutdown()) {
+            timer.schedule(this::dial, waitMillis, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void offer(FrameConnection from, MeshConfiguration offered) {
+    private void offer(FrameConnection from, ConfigurationDelta offered) {
         switch (holder.offer(offered)) {
             case OfferOutcome.Applied applied -> {
                 LOGGER.info(
@@ -238,6 +267,17 @@
                 report(from, List.of());
             }
             case OfferOutcome.Refused refused -> report(from, refused.faults());
+            case OfferOutcome.NeedsWhole lacking -> {
+                LOGGER.warn(
+                        "event=whole_configuration_needed held_version={} base_version={}"
+                                + " reason=\"{}\"",
+                        lacking.version(),
+                        offered.baseVersion(),
+                        lacking.reason());
+                from.send(
+                        Frame.configurationReport(
+                                new ConfigurationReport(lacking.version()).setNeedsWhole(true)));
+            }
         }
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
@@ -7,7 +7,7 @@
 /** What this node says of its target; each announcement has a higher sequence than the last. */
 public final class TargetAnnouncer {
     private final NodeSettings settings;
-    private final long incarnation;
+    private long incarnation;
     private long sequence;
     private TargetPhase phase = TargetPhase.READY;
 
@@ -32,10 +32,20 @@
      *
      * @return milliseconds since the epoch
      */
-    public long incarnation() {
+    public synchronized long incarnation() {
         return incarnation;
     }
 
+    /**
+     * Takes an incarnation above one that the controls know from an earlier process of this name,
+     * whose wall clock was ahead.
+     *
+     * @param known the incarnation that the controls know
+     */
+    public synchronized void surpass(long known) {
+        incarnation = Math.max(incarnation, known + 1);
+    }
+
     /**
      * Moves the target to another phase.
      *
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -56,19 +56,28 @@
 struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements }
 struct EvidenceBatch { 1: required list<EvidenceStruct> evidence }
 struct NodeHolding { 1: required string node, 2: required i64 version, 3: required i64 applied }
-struct HoldingBatch { 1: required list<NodeHolding> holdings }
+struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions }
 
 # ---- between a node and its control ----
 struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion }
-struct NodeWelcome { 1: required string control }
+struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation }
 struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis }
-struct ConfigurationUpdate { 1: required i64 version, 2: required i64 documentVersion, 3: required string documentText, 4: required list<RolloutStruct> rollouts }
-struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults }
+struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos }
+struct RouteStruct { 1: required string name, 2: required string host, 3: required string pathPrefix, 4: required string serviceName, 5: required i32 timeoutMillis, 6: required bool idempotent }
+struct ConfigurationDeltaStruct {
+  1: required i64 baseVersion, 2: required i64 version, 3: required i64 documentVersion, 4: required i32 rolloutPriority,
+  5: required list<ServiceStruct> services, 6: required list<string> removedServices,
+  7: required list<RouteStruct> routes, 8: required list<string> removedRoutes,
+  9: required list<RolloutStruct> rollouts, 10: required list<string> removedRollouts, 11: required i64 digest
+}
+struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults, 3: optional bool needsWhole }
 struct Heartbeat { 1: required i64 sentMillis }
 
+# Frame field 11 carried whole documents and stays unused.
 union Frame {
   1: ControlHello controlHello, 2: AgreementStruct agreement, 3: SubmissionForward submissionForward,
   4: SubmissionAnswer submissionAnswer, 5: AnnouncementBatch announcements, 6: EvidenceBatch evidence,
   7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
-  11: ConfigurationUpdate configuration, 12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat
+  12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat,
+  14: ConfigurationDeltaStruct configurationDelta
 }
--- a/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
@@ -4,19 +4,14 @@
 import java.util.List;
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
-import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.configuration.MeshStateImage;
 import org.cuminreach.decisions.configuration.RolloutPhase;
 import org.cuminreach.decisions.configuration.RolloutProgress;
 import org.cuminreach.decisions.configuration.SubmissionOutcome;
 import org.cuminreach.decisions.configuration.TakenBackVersion;
-import org.cuminreach.document.DocumentReader;
-import org.cuminreach.document.MeshDocument;
 import org.cuminreach.settings.Fault;
-import org.cuminreach.settings.Reading;
 import org.cuminreach.wire.generated.AnswerStruct;
 import org.cuminreach.wire.generated.CommandStruct;
-import org.cuminreach.wire.generated.ConfigurationUpdate;
 import org.cuminreach.wire.generated.FaultStruct;
 import org.cuminreach.wire.generated.HistoryStruct;
 import org.cuminreach.wire.generated.OutcomeStruct;
@@ -196,43 +191,6 @@
                         .toList());
     }
 
-    /**
-     * Converts a configuration to its struct.
-     *
-     * @param configuration the configuration
-     * @return the struct
-     */
-    public static ConfigurationUpdate toStruct(MeshConfiguration configuration) {
-        return new ConfigurationUpdate(
-                configuration.version(),
-                configuration.documentVersion(),
-                configuration.documentText(),
-                configuration.rollouts().stream().map(ConfigurationCodec::toStruct).toList());
-    }
-
-    /**
-     * Converts a struct to its configuration.
-     *
-     * @param struct the struct
-     * @return the configuration, or every fault of its document
-     * @throws MalformedFrameException when a phase in it is not known
-     */
-    public static Reading<MeshConfiguration> toConfiguration(ConfigurationUpdate struct)
-            throws MalformedFrameException {
-        List<RolloutProgress> rollouts = toRollouts(struct.getRollouts());
-        return switch (DocumentReader.read(struct.getDocumentText())) {
-            case Reading.Faulty<MeshDocument> faulty -> new Reading.Faulty<>(faulty.faults());
-            case Reading.Sound<MeshDocument> sound ->
-                    new Reading.Sound<>(
-                            new MeshConfiguration(
-                                    struct.getVersion(),
-                                    struct.getDocumentVersion(),
-                                    sound.value(),
-                                    struct.getDocumentText(),
-                                    rollouts));
-        };
-    }
-
     /**
      * Converts faults to their structs.
      *
@@ -255,7 +213,7 @@
                 .toList();
     }
 
-    private static RolloutStruct toStruct(RolloutProgress progress) {
+    static RolloutStruct toStruct(RolloutProgress progress) {
         return new RolloutStruct(
                 progress.service(),
                 progress.version(),
@@ -266,7 +224,7 @@
                 progress.reason());
     }
 
-    private static List<RolloutProgress> toRollouts(List<RolloutStruct> structs)
+    static List<RolloutProgress> toRollouts(List<RolloutStruct> structs)
             throws MalformedFrameException {
         List<RolloutProgress> rollouts = new ArrayList<>();
         for (RolloutStruct struct : structs) {
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
@@ -16,15 +16,22 @@
 public final class FrameEndpoints {
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final int BACKLOG_CONNECTIONS = 4_096;
+    private static final int STANDARD_PENDING_BYTES = 4 * 1024 * 1024;
 
     private final EventLoopGroup eventLoops;
     private final TrafficCounter traffic;
     private final long silenceMillis;
+    private final int pendingBytes;
 
-    private FrameEndpoints(EventLoopGroup eventLoops, TrafficCounter traffic, long silenceMillis) {
+    private FrameEndpoints(
+            EventLoopGroup eventLoops,
+            TrafficCounter traffic,
+            long silenceMillis,
+            int pendingBytes) {
         this.eventLoops = eventLoops;
         this.traffic = traffic;
         this.silenceMillis = silenceMillis;
+        this.pendingBytes = pendingBytes;
     }
 
     /**
@@ -37,7 +44,17 @@
      */
     public static FrameEndpoints create(
             EventLoopGroup eventLoops, TrafficCounter traffic, long silenceMillis) {
-        return new FrameEndpoints(eventLoops, traffic, silenceMillis);
+        return new FrameEndpoints(eventLoops, traffic, silenceMillis, STANDARD_PENDING_BYTES);
+    }
+
+    /**
+     * Returns the same endpoints with another bound on what waits to be sent.
+     *
+     * @param bytes bytes waiting on one connection above which it takes no further frame
+     * @return the endpoints
+     */
+    public FrameEndpoints withPendingBytes(int bytes) {
+        return new FrameEndpoints(eventLoops, traffic, silenceMillis, bytes);
     }
 
     /**
@@ -54,7 +71,8 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                         .option(ChannelOption.SO_REUSEADDR, true)
-                        .childHandler(new FramePipeline(listeners, traffic, silenceMillis))
+                        .childHandler(
+                                new FramePipeline(listeners, traffic, silenceMillis, pendingBytes))
                         .bind(address.host(), address.port());
         return toFuture(bound);
     }
@@ -72,7 +90,9 @@
                         .group(eventLoops)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(new FramePipeline(() -> listener, traffic, silenceMillis))
+                        .handler(
+                                new FramePipeline(
+                                        () -> listener, traffic, silenceMillis, pendingBytes))
                         .connect(address.host(), address.port());
         return toFuture(connected);
     }
--- a/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
@@ -23,17 +23,22 @@
 final class FramePipeline extends ChannelInitializer<SocketChannel> {
     private static final Logger LOGGER = LoggerFactory.getLogger(FramePipeline.class);
     private static final int LENGTH_BYTES = 4;
-    private static final int LOW_WATER_BYTES = 1024 * 1024;
-    private static final int HIGH_WATER_BYTES = 4 * 1024 * 1024;
+    private static final int LOW_WATER_DIVISOR = 4;
 
     private final Supplier<FrameListener> listeners;
     private final TrafficCounter traffic;
     private final long silenceMillis;
+    private final int pendingBytes;
 
-    FramePipeline(Supplier<FrameListener> listeners, TrafficCounter traffic, long silenceMillis) {
+    FramePipeline(
+            Supplier<FrameListener> listeners,
+            TrafficCounter traffic,
+            long silenceMillis,
+            int pendingBytes) {
         this.listeners = listeners;
         this.traffic = traffic;
         this.silenceMillis = silenceMillis;
+        this.pendingBytes = pendingBytes;
     }
 
     @Override
@@ -41,7 +46,7 @@
         channel.config().setTcpNoDelay(true);
         channel.config()
                 .setWriteBufferWaterMark(
-                        new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
+                        new WriteBufferWaterMark(pendingBytes / LOW_WATER_DIVISOR, pendingBytes));
         channel.pipeline()
                 .addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS))
                 .addLast(
