--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/distribution/DistributionDecisionsTest.java
@@ -0,0 +1,113 @@
+package org.cuminreach.decisions.distribution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class DistributionDecisionsTest {
+    /** However rarely a node can be written to, it ends with everything, targets first. */
+    @Property(seed = "131", tries = 500)
+    void slowNodeEndsWithEverythingInFewSteps(@ForAll long seed) {
+        Random random = new Random(seed);
+        NodeFeed feed = NodeFeed.of(random.nextInt(3));
+        long revision = 0;
+        long version = 3;
+        int taken = 0;
+        int writable = 0;
+        long targetsSent = -1;
+        for (int turn = 0; turn < 200; turn++) {
+            revision += random.nextInt(2);
+            version += random.nextInt(2);
+            if (random.nextInt(10) != 0) {
+                continue;
+            }
+            writable++;
+            FeedStep step = feed.next(revision, version);
+            while (!(step instanceof FeedStep.Nothing)) {
+                if (step instanceof FeedStep.SendTargets targets) {
+                    targetsSent = targets.toRevision();
+                } else {
+                    assertThat(targetsSent).isEqualTo(revision);
+                }
+                feed.sent(step);
+                taken++;
+                step = feed.next(revision, version);
+            }
+        }
+
+        assertThat(taken).isAtMost(2 * writable);
+    }
+
+    @Property(seed = "132", tries = 300)
+    void reconnectWaitsStayWithinBoundsAndSpread(@ForAll long seed) {
+        Random random = new Random(seed);
+        ReconnectBackoff backoff = ReconnectBackoff.between(100, 5_000);
+        long last = 100;
+        for (int loss = 0; loss < 30; loss++) {
+            long wait = backoff.next(random);
+            assertThat(wait).isAtLeast(100);
+            assertThat(wait).isAtMost(Math.min(5_000, 3 * last));
+            last = wait;
+        }
+        assertThat(backoff.after(60_000, random)).isAtMost(5_100);
+        assertThat(backoff.after(700, random)).isAtLeast(700);
+    }
+
+    @Example
+    void waitsOfHerdDoNotBunch() {
+        Random random = new Random(5);
+        int[] perSecond = new int[6];
+        for (int node = 0; node < 2_300; node++) {
+            ReconnectBackoff backoff = ReconnectBackoff.between(100, 5_000);
+            long atMillis = 0;
+            for (int loss = 0; loss < 6; loss++) {
+                atMillis = backoff.next(random);
+            }
+            perSecond[(int) (atMillis / 1_000)]++;
+        }
+        for (int second = 0; second < 4; second++) {
+            assertThat(perSecond[second]).isAtMost(2_300 * 3 / 5);
+        }
+    }
+
+    @Example
+    void electionIsNoCutOffButLongLossIs() {
+        CutOffWatch watch = CutOffWatch.of(2_000);
+        assertThat(watch.isCutOff(0, false)).isFalse();
+        assertThat(watch.isCutOff(1_900, false)).isFalse();
+        assertThat(watch.isCutOff(1_950, true)).isFalse();
+        assertThat(watch.isCutOff(2_100, false)).isFalse();
+        assertThat(watch.isCutOff(4_100, false)).isTrue();
+    }
+
+    /** Moving nodes as told evens the spread out and then stops. */
+    @Property(seed = "133", tries = 200)
+    void spreadSettles(@ForAll long seed) {
+        Random random = new Random(seed);
+        int[] sessions = {random.nextInt(2_300), random.nextInt(2_300), random.nextInt(2_300)};
+        int moved = 1;
+        for (int round = 0; round < 5_000 && moved > 0; round++) {
+            moved = 0;
+            for (int control = 0; control < sessions.length; control++) {
+                List<Integer> others = new ArrayList<>();
+                for (int other = 0; other < sessions.length; other++) {
+                    if (other != control) {
+                        others.add(sessions[other]);
+                    }
+                }
+                int moving = SpreadPolicy.toMove(sessions[control], others, 5);
+                for (int node = 0; node < moving; node++) {
+                    sessions[control]--;
+                    sessions[(control + 1 + random.nextInt(2)) % sessions.length]++;
+                }
+                moved += moving;
+            }
+        }
+        assertThat(moved).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/LeaseTableTest.java
@@ -0,0 +1,136 @@
+package org.cuminreach.decisions.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cuminreach.settings.Address;
+
+class LeaseTableTest {
+    private static final LeaseSettings SETTINGS = LeaseSettings.standard();
+    private static final long STEP_MILLIS = 200;
+    private static final int TARGETS = 12;
+
+    private final TargetRegistry registry = TargetRegistry.empty();
+    private final LeaseTable table = LeaseTable.empty(SETTINGS);
+    private final List<String> ended = new ArrayList<>();
+    private long nowMillis = 1_000;
+    private int withheld;
+
+    @Example
+    void oneLostTargetIsGoneWithinSeconds() {
+        announce("arkiv", "nidaros");
+        runFor(1_000, List.of());
+        table.sessionClosed("arkiv-nidaros-3", nowMillis);
+        runFor(SETTINGS.leaseMillis() + 2 * STEP_MILLIS, List.of("arkiv-nidaros-3"));
+
+        assertThat(ended).containsExactly("arkiv-nidaros-3");
+    }
+
+    @Example
+    void targetsOfDeadControlAreEndedByOthers() {
+        announce("arkiv", "nidaros");
+        runFor(1_000, List.of());
+        runFor(
+                SETTINGS.vouchMillis() + 2 * STEP_MILLIS,
+                List.of("arkiv-nidaros-1", "arkiv-nidaros-2"));
+
+        assertThat(ended).containsExactly("arkiv-nidaros-1", "arkiv-nidaros-2");
+    }
+
+    @Property(seed = "111", tries = 200)
+    void herdIsWithheldAndLosesTwoAtMost(
+            @ForAll @IntRange(min = 5, max = TARGETS) int lost, @ForAll long seed) {
+        LeaseTableTest fresh = new LeaseTableTest();
+        fresh.announce("arkiv", "nidaros");
+        fresh.runFor(1_000, List.of());
+        Random random = new Random(seed);
+        List<String> silent = new ArrayList<>();
+        for (int index = 0; index < lost; index++) {
+            silent.add("arkiv-nidaros-" + index);
+            fresh.table.sessionClosed(silent.getLast(), fresh.nowMillis);
+            fresh.runFor(random.nextInt(4) * STEP_MILLIS, silent);
+        }
+        fresh.runFor(SETTINGS.withholdMillis() / 2, silent);
+
+        assertThat(fresh.ended.size()).isAtMost(SETTINGS.herdCount() - 1);
+        assertThat(fresh.withheld).isEqualTo(lost - fresh.ended.size());
+        fresh.runFor(SETTINGS.withholdMillis(), silent);
+        assertThat(fresh.ended).containsExactlyElementsIn(silent);
+    }
+
+    @Example
+    void herdThatReturnsWasNeverGone() {
+        announce("arkiv", "nidaros");
+        runFor(1_000, List.of());
+        List<String> silent = names("arkiv", "nidaros");
+        silent.forEach(node -> table.sessionClosed(node, nowMillis));
+        runFor(60_000, silent);
+        runFor(60_000, List.of());
+
+        assertThat(ended).isEmpty();
+        assertThat(withheld).isEqualTo(0);
+    }
+
+    @Example
+    void controlThatIsCutOffOrWasStoppedEndsNothing() {
+        announce("arkiv", "nidaros");
+        runFor(1_000, List.of());
+        for (int step = 0; step < 1_000; step++) {
+            nowMillis += STEP_MILLIS;
+            assertThat(table.decide(nowMillis, false, registry.all()).ended()).isEmpty();
+        }
+        nowMillis += 600_000;
+        assertThat(table.decide(nowMillis, true, registry.all()).ended()).isEmpty();
+        nowMillis += STEP_MILLIS;
+        assertThat(table.decide(nowMillis, true, registry.all()).ended()).isEmpty();
+    }
+
+    private void announce(String service, String dataCentre) {
+        List<Announcement> announcements = new ArrayList<>();
+        for (String node : names(service, dataCentre)) {
+            announcements.add(
+                    new Announcement(
+                            node,
+                            1,
+                            1,
+                            service,
+                            "1",
+                            dataCentre,
+                            new Address("127.0.0.1", 7_000),
+                            9,
+                            TargetPhase.READY));
+        }
+        registry.merge(announcements);
+    }
+
+    private static List<String> names(String service, String dataCentre) {
+        List<String> names = new ArrayList<>();
+        for (int index = 0; index < TARGETS; index++) {
+            names.add(service + "-" + dataCentre + "-" + index);
+        }
+        return names;
+    }
+
+    private void runFor(long millis, List<String> silent) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            nowMillis += STEP_MILLIS;
+            registry.all().stream()
+                    .map(Announcement::node)
+                    .filter(node -> !silent.contains(node))
+                    .forEach(node -> table.vouch(node, nowMillis));
+            LeaseDecision decision = table.decide(nowMillis, true, registry.all());
+            withheld = decision.withheld().size();
+            for (Announcement gone : decision.ended()) {
+                registry.expire(gone.node(), gone.incarnation());
+                ended.add(gone.node());
+            }
+        }
+    }
+}
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
@@ -42,6 +42,64 @@
         assertThat(registry.all().getFirst().phase()).isEqualTo(TargetPhase.READY);
     }
 
+    /** A lease that was ended wrongly hides the target no longer than until its next word. */
+    @Example
+    void nextAnnouncementAfterWrongExpiryBringsTargetBack() {
+        TargetRegistry registry = TargetRegistry.empty();
+        registry.merge(List.of(announcement("node-1", 1, 5)));
+        registry.expire("node-1", 1);
+
+        registry.merge(List.of(announcement("node-1", 1, 6)));
+
+        assertThat(registry.all().getFirst().phase()).isEqualTo(TargetPhase.READY);
+    }
+
+    @Property(seed = "12", tries = 300)
+    void expiriesAndAnnouncementsMayCross(@ForAll long shuffleSeed) {
+        List<Announcement> sent = new ArrayList<>();
+        for (int sequence = 1; sequence <= 4; sequence++) {
+            Announcement ready = announcement("node-1", 1, sequence);
+            sent.add(ready);
+            if (sequence < 4) {
+                sent.add(ready.with(TargetPhase.GONE, sequence));
+            }
+        }
+        sent.addAll(List.copyOf(sent));
+        Collections.shuffle(sent, new Random(shuffleSeed));
+        TargetRegistry registry = TargetRegistry.empty();
+        sent.forEach(announcement -> registry.merge(List.of(announcement)));
+
+        assertThat(registry.all()).containsExactly(announcement("node-1", 1, 4));
+    }
+
+    @Example
+    void differenceSinceRevisionLeadsToSameTargets() {
+        TargetRegistry control = TargetRegistry.empty();
+        TargetRegistry node = TargetRegistry.empty();
+        control.merge(List.of(announcement("node-1", 1, 1), announcement("node-2", 1, 1)));
+        node.merge(control.changedSince(-1));
+        long seen = control.revision();
+        control.expire("node-1", 1);
+        control.merge(List.of(announcement("node-3", 1, 1)));
+        List<Announcement> difference = control.changedSince(seen);
+        node.merge(difference);
+
+        assertThat(difference).hasSize(2);
+        assertThat(Set.copyOf(node.all())).isEqualTo(Set.copyOf(control.all()));
+    }
+
+    @Example
+    void targetsLongGoneAreForgottenAndLivingOnesAreNot() {
+        TargetRegistry registry = TargetRegistry.empty();
+        registry.merge(List.of(announcement("node-1", 1, 1), announcement("node-2", 1, 1)));
+        registry.expire("node-1", 1);
+
+        assertThat(registry.forgetGone(0, 1_000)).isEmpty();
+        assertThat(registry.forgetGone(999, 1_000)).isEmpty();
+        assertThat(registry.forgetGone(1_000, 1_000)).containsExactly("node-1");
+        assertThat(registry.find("node-2")).isPresent();
+    }
+
     private static Announcement announcement(String node, long incarnation, long sequence) {
         return new Announcement(
                 node,
