--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/DistributionTest.java
@@ -0,0 +1,107 @@
+package org.cuminreach.trial.distribution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminreach.settings.Address;
+
+class DistributionTest {
+    private static final int SERVICES = 3;
+    private static final long INCARNATION = 1_000_000;
+    private static final long OBSERVED_MILLIS = 6_000;
+
+    /** A leader that is cut off silently starts no node, and its nodes leave it. */
+    @Example
+    void cutOffLeaderServesNoStaleStartAndItsNodesLeave() throws IOException {
+        try (ControlGroup controls = ControlGroup.start()) {
+            int leader = controls.awaitLeader();
+            int other = (leader + 1) % ControlGroup.COUNT;
+            long first = controls.submit(leader, 0, Workload.document(SERVICES, 1));
+            List<Address> leaderFirst =
+                    List.of(controls.nodeAddress(leader), controls.nodeAddress(other));
+            try (NodeRig settled = new NodeRig("settled", leaderFirst, INCARNATION)) {
+                ControlGroup.await(() -> settled.version() == first);
+                controls.cutOff(leader, true);
+                try (NodeRig fresh =
+                        new NodeRig("fresh", List.of(controls.nodeAddress(leader)), INCARNATION)) {
+                    long second = controls.submit(other, first, Workload.document(SERVICES, 2));
+                    ControlGroup.await(() -> settled.version() >= second);
+                    ControlGroup.pause(OBSERVED_MILLIS);
+                    assertThat(fresh.version()).isEqualTo(0);
+                    assertThat(fresh.session.isWelcomed()).isFalse();
+                    controls.cutOff(leader, false);
+                    ControlGroup.await(() -> fresh.version() >= second);
+                }
+            }
+        }
+    }
+
+    /** Without any control, nodes keep configuration and targets. */
+    @Example
+    void nodesKeepWhatTheyHoldWhenAllControlsAreGone() throws IOException {
+        try (ControlGroup controls = ControlGroup.start()) {
+            int leader = controls.awaitLeader();
+            long version = controls.submit(leader, 0, Workload.document(SERVICES, 1));
+            try (NodeRig one = new NodeRig("one", controls.nodeAddresses(), INCARNATION);
+                    NodeRig two = new NodeRig("two", controls.nodeAddresses(), INCARNATION)) {
+                ControlGroup.await(() -> one.version() == version && one.readyTargets() == 2);
+                ControlGroup.await(() -> two.version() == version && two.readyTargets() == 2);
+                for (int control = 0; control < ControlGroup.COUNT; control++) {
+                    controls.stop(control);
+                }
+                ControlGroup.await(() -> !one.session.isWelcomed() && !two.session.isWelcomed());
+                ControlGroup.pause(OBSERVED_MILLIS);
+
+                assertThat(one.version()).isEqualTo(version);
+                assertThat(one.readyTargets()).isEqualTo(2);
+                assertThat(two.readyTargets()).isEqualTo(2);
+            }
+        }
+    }
+
+    /** A leaving target disappears at other nodes; a name whose clock went back returns. */
+    @Example
+    void leavingTargetDisappearsAndEarlierClockReturns() throws IOException {
+        try (ControlGroup controls = ControlGroup.start()) {
+            controls.awaitLeader();
+            try (NodeRig watcher = new NodeRig("watcher", controls.nodeAddresses(), INCARNATION)) {
+                try (NodeRig leaver =
+                        new NodeRig("leaver", controls.nodeAddresses(), INCARNATION)) {
+                    ControlGroup.await(() -> watcher.readyTargets() == 2);
+                    leaver.leave();
+                    long begun = System.nanoTime();
+                    ControlGroup.await(() -> watcher.readyTargets() == 1);
+                    assertThat((System.nanoTime() - begun) / 1_000_000).isLessThan(5_000L);
+                }
+                try (NodeRig back =
+                        new NodeRig("leaver", controls.nodeAddresses(), INCARNATION - 500)) {
+                    ControlGroup.await(() -> watcher.readyTargets() == 2);
+                    assertThat(back.announcer.incarnation()).isEqualTo(INCARNATION + 1);
+                }
+            }
+        }
+    }
+
+    /** A node whose control vanishes silently finds out by missing heartbeats and moves. */
+    @Example
+    void nodeLeavesControlThatFellSilent() throws IOException {
+        try (ControlGroup controls = ControlGroup.start()) {
+            int leader = controls.awaitLeader();
+            int other = (leader + 1) % ControlGroup.COUNT;
+            long first = controls.submit(leader, 0, Workload.document(SERVICES, 1));
+            try (SwallowingRelay relay = SwallowingRelay.to(controls.nodeAddress(other));
+                    NodeRig node =
+                            new NodeRig(
+                                    "node",
+                                    List.of(relay.address(), controls.nodeAddress(leader)),
+                                    INCARNATION)) {
+                ControlGroup.await(() -> node.version() == first);
+                relay.cut(true);
+                long second = controls.submit(leader, first, Workload.document(SERVICES, 2));
+                ControlGroup.await(() -> node.version() >= second);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeRig.java
@@ -0,0 +1,90 @@
+package org.cuminreach.trial.distribution;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.node.caller.EvidenceLog;
+import org.cuminreach.node.control.ControlSession;
+import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.target.TargetAnnouncer;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.log.LogFormat;
+import org.cuminreach.runtime.log.LogLevel;
+import org.cuminreach.runtime.log.LogSettings;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.frame.FrameEndpoints;
+import org.cuminreach.wire.frame.TrafficCounter;
+
+/** A node's real session with real controls, without its callers' side. */
+final class NodeRig implements AutoCloseable {
+    private static final long SILENCE_MILLIS = 3_000;
+    private static final long TICK_MILLIS = 500;
+
+    final ConfigurationHolder holder = ConfigurationHolder.empty();
+    final MeshView view = MeshView.empty();
+    final ControlSession session;
+    final TargetAnnouncer announcer;
+    private final EventLoopGroup eventLoops = EventLoops.start(1);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    NodeRig(String name, List<Address> controls, long incarnation) {
+        Address unused = new Address("127.0.0.1", 1);
+        NodeSettings settings =
+                new NodeSettings(
+                        name,
+                        "nidaros",
+                        unused,
+                        unused,
+                        unused,
+                        controls,
+                        new NodeSettings.Target("service-0", "1", unused, 9),
+                        1_000,
+                        new LogSettings(LogLevel.WARN, LogFormat.TEXT));
+        announcer = TargetAnnouncer.create(settings, incarnation);
+        FrameEndpoints endpoints =
+                FrameEndpoints.create(eventLoops, TrafficCounter.zero(), SILENCE_MILLIS);
+        session =
+                ControlSession.create(
+                        settings,
+                        holder,
+                        view,
+                        EvidenceLog.empty(),
+                        announcer,
+                        endpoints,
+                        timer,
+                        new Random(name.hashCode()));
+        session.dial();
+        timer.scheduleWithFixedDelay(
+                () -> session.tick(ProcessClock.wallMillis()),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    long version() {
+        return holder.inForce().version();
+    }
+
+    int readyTargets() {
+        return view.targets("service-0", "1").size();
+    }
+
+    void leave() {
+        announcer.enter(TargetPhase.GONE);
+        session.announce();
+    }
+
+    @Override
+    public void close() {
+        session.stop();
+        timer.shutdownNow();
+        EventLoops.stop(eventLoops);
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/SwallowingRelay.java
@@ -0,0 +1,104 @@
+package org.cuminreach.trial.distribution;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminreach.settings.Address;
+
+/** Passes bytes between two ends; while cut it swallows them and closes nothing. */
+final class SwallowingRelay implements AutoCloseable {
+    private static final int BUFFER_BYTES = 64 * 1024;
+
+    private final ServerSocket server;
+    private final Address target;
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private volatile boolean cut;
+
+    private SwallowingRelay(Address target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    }
+
+    static SwallowingRelay to(Address target) throws IOException {
+        SwallowingRelay relay = new SwallowingRelay(target);
+        Thread.ofVirtual().start(relay::accept);
+        return relay;
+    }
+
+    Address address() {
+        return new Address("127.0.0.1", server.getLocalPort());
+    }
+
+    void cut(boolean nowCut) {
+        cut = nowCut;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket near = server.accept();
+                sockets.add(near);
+                Thread.ofVirtual().start(() -> join(near));
+            }
+        } catch (IOException closed) {
+            cut = true;
+        }
+    }
+
+    private void join(Socket near) {
+        try {
+            while (cut && !near.isClosed()) {
+                Thread.sleep(20);
+            }
+            Socket far = new Socket(target.host(), target.port());
+            sockets.add(far);
+            Thread.ofVirtual().start(() -> pass(near, far));
+            pass(far, near);
+        } catch (IOException unreachable) {
+            closeQuietly(near);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void pass(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream input = from.getInputStream();
+            OutputStream output = to.getOutputStream();
+            int count = input.read(buffer);
+            while (count >= 0) {
+                if (!cut) {
+                    output.write(buffer, 0, count);
+                }
+                count = input.read(buffer);
+            }
+        } catch (IOException broken) {
+            closeQuietly(from);
+        }
+        if (!cut) {
+            closeQuietly(to);
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException unclosed) {
+            return;
+        }
+    }
+}
