--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/ControlFleet.java
@@ -0,0 +1,192 @@
+package org.cuminreach.trial.distribution;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.stream.Collectors;
+import org.cuminreach.settings.Address;
+
+/** Controls as separate processes, which it starts, kills and measures. */
+final class ControlFleet implements AutoCloseable {
+    private static final long MILLIS_PER_CLOCK_TICK = 10;
+    private static final int KIBIBYTE = 1_024;
+    private static final int USER_TICKS_FIELD = 11;
+    private static final int SYSTEM_TICKS_FIELD = 12;
+    private static final long SHORT_PAUSE_MILLIS = 100;
+
+    /** Where one control listens and what its settings file is. */
+    private record Place(String name, Address node, Address operator, Path settings) {}
+
+    private final Path home;
+    private final Path folder;
+    private final List<Place> places = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final HttpClient http = HttpClient.newHttpClient();
+
+    private ControlFleet(Path home, Path folder) {
+        this.home = home;
+        this.folder = folder;
+    }
+
+    static ControlFleet prepare(Path home, int count) throws IOException, InterruptedException {
+        ControlFleet fleet = new ControlFleet(home, Files.createTempDirectory("convergence"));
+        fleet.writeSettings(count);
+        for (Place place : fleet.places) {
+            fleet.run("initialise", place).waitFor();
+        }
+        return fleet;
+    }
+
+    List<Address> nodeAddresses() {
+        return places.stream().map(Place::node).toList();
+    }
+
+    void start() throws IOException, InterruptedException {
+        for (Place place : places) {
+            processes.add(run("serve", place));
+        }
+        while (!get("/status").contains("\"hasQuorum\" : true")) {
+            Thread.sleep(SHORT_PAUSE_MILLIS);
+        }
+    }
+
+    /** Kills every control at once, without warning. */
+    void killAll() throws InterruptedException {
+        processes.forEach(Process::destroyForcibly);
+        for (Process process : processes) {
+            process.waitFor();
+        }
+        processes.clear();
+    }
+
+    /** Submits until the document is accepted, and returns its version. */
+    long submit(long basedOn, String document) throws IOException, InterruptedException {
+        String key = UUID.randomUUID().toString();
+        while (true) {
+            HttpRequest request =
+                    HttpRequest.newBuilder(uri(0, "/documents?basedOn=" + basedOn))
+                            .header("Idempotency-Key", key)
+                            .POST(HttpRequest.BodyPublishers.ofString(document))
+                            .build();
+            String body = send(request);
+            if (body.contains("\"accepted\"")) {
+                return Long.parseLong(body.replaceAll("(?s).*\"version\" : (\\d+).*", "$1"));
+            }
+            Thread.sleep(SHORT_PAUSE_MILLIS);
+        }
+    }
+
+    /** Processor time of each control since its start, in milliseconds. */
+    List<Long> processorMillis() throws IOException {
+        List<Long> millis = new ArrayList<>();
+        for (Process process : processes) {
+            String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            long ticks =
+                    Long.parseLong(fields[USER_TICKS_FIELD])
+                            + Long.parseLong(fields[SYSTEM_TICKS_FIELD]);
+            millis.add(ticks * MILLIS_PER_CLOCK_TICK);
+        }
+        return millis;
+    }
+
+    /** Most resident memory among the controls, in bytes. */
+    long residentBytes() throws IOException {
+        long most = 0;
+        for (Process process : processes) {
+            for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+                if (line.startsWith("VmRSS:")) {
+                    most = Math.max(most, Long.parseLong(line.replaceAll("\\D", "")) * KIBIBYTE);
+                }
+            }
+        }
+        return most;
+    }
+
+    String get(String path) throws InterruptedException {
+        return send(HttpRequest.newBuilder(uri(0, path)).build());
+    }
+
+    @Override
+    public void close() {
+        processes.forEach(Process::destroyForcibly);
+    }
+
+    private void writeSettings(int count) throws IOException {
+        List<Address> replicas = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            replicas.add(freeAddress());
+        }
+        for (int index = 0; index < count; index++) {
+            places.add(writeSettings(index, replicas));
+        }
+    }
+
+    private Place writeSettings(int index, List<Address> replicas) throws IOException {
+        String name = "control-" + index;
+        String peers =
+                replicas.stream()
+                        .map(
+                                replica ->
+                                        "{\"name\": \"control-%d\", \"replicaAddress\": \"%s\"}"
+                                                .formatted(replicas.indexOf(replica), replica))
+                        .collect(Collectors.joining(", "));
+        Address node = freeAddress();
+        Address operator = freeAddress();
+        String text =
+                """
+                {"name": "%s", "dataCentre": "dc", "dataFolder": "%s", "replicaAddress": "%s",
+                 "nodeAddress": "%s", "operatorAddress": "%s", "administrationAddress": "%s",
+                 "controls": [%s]}
+                """
+                        .formatted(
+                                name,
+                                folder.resolve(name),
+                                replicas.get(index),
+                                node,
+                                operator,
+                                freeAddress(),
+                                peers);
+        Path file = Files.writeString(folder.resolve(name + ".json"), text);
+        return new Place(name, node, operator, file);
+    }
+
+    private Process run(String command, Place place) throws IOException {
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        home.resolve("bin/cuminreach-control").toString(),
+                        command,
+                        "--settings",
+                        place.settings().toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(place.name() + ".log").toFile()));
+        return builder.start();
+    }
+
+    private URI uri(int control, String path) {
+        return URI.create("http://" + places.get(control).operator() + path);
+    }
+
+    private String send(HttpRequest request) throws InterruptedException {
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (IOException unreachable) {
+            return "";
+        }
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/ConvergenceTrial.java
@@ -0,0 +1,144 @@
+package org.cuminreach.trial.distribution;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeoutException;
+import org.HdrHistogram.Histogram;
+import org.cuminreach.decisions.membership.TargetPhase;
+
+/** Measures one size of the mesh: joining, idling, changes, and both herds. */
+final class ConvergenceTrial {
+    private static final long SEED = 20_260_101L;
+    private static final int CHANGES = 10;
+    private static final int TARGET_CHANGES = 20;
+    private static final long TARGET_PAUSE_MILLIS = 150;
+    private static final long SETTLE_MILLIS = 1_500;
+    private static final long IDLE_MILLIS = 4_000;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double MEBIBYTE = 1_024.0 * 1_024.0;
+    private static final int MEDIAN = 50;
+    private static final int NINETY_NINE = 99;
+
+    private final Path home;
+    private final int nodeCount;
+    private final int controlCount;
+
+    ConvergenceTrial(Path home, int nodeCount, int controlCount) {
+        this.home = home;
+        this.nodeCount = nodeCount;
+        this.controlCount = controlCount;
+    }
+
+    ConvergenceResult run() throws IOException, InterruptedException, TimeoutException {
+        try (ControlFleet controls = ControlFleet.prepare(home, controlCount)) {
+            controls.start();
+            long version = controls.submit(0, Workload.document(Workload.SERVICES, 0));
+            try (NodeFleet nodes = NodeFleet.dial(nodeCount, controls.nodeAddresses(), SEED)) {
+                return measure(controls, nodes, version);
+            }
+        }
+    }
+
+    private ConvergenceResult measure(ControlFleet controls, NodeFleet nodes, long first)
+            throws IOException, InterruptedException, TimeoutException {
+        nodes.await(first);
+        Thread.sleep(SETTLE_MILLIS);
+        nodes.takeTimes();
+
+        long idleBytes = nodes.receivedBytes() + nodes.sentBytes();
+        List<Long> idleProcessor = controls.processorMillis();
+        Thread.sleep(IDLE_MILLIS);
+        double idlePerNode = perNode(nodes.receivedBytes() + nodes.sentBytes() - idleBytes);
+        double idleBusy = busiest(controls, idleProcessor);
+        double idleBytesPerSecond = idlePerNode / (IDLE_MILLIS / MILLIS_PER_SECOND);
+        double idleMillisPerSecond = idleBusy / (IDLE_MILLIS / MILLIS_PER_SECOND);
+
+        long begunNanos = System.nanoTime();
+        long changeBytes = nodes.receivedBytes();
+        List<Long> changeProcessor = controls.processorMillis();
+        long version = change(controls, nodes, first);
+        double changeSeconds = (System.nanoTime() - begunNanos) / 1e9;
+        double changed =
+                perNode(nodes.receivedBytes() - changeBytes)
+                        - idleBytesPerSecond / 2 * changeSeconds;
+        double changeBusy =
+                busiest(controls, changeProcessor) - idleMillisPerSecond * changeSeconds;
+        Histogram times = nodes.takeTimes();
+
+        double targetBytes = changeTargets(nodes, idleBytesPerSecond / 2);
+        long resident = controls.residentBytes();
+
+        long joinBytes = nodes.receivedBytes();
+        nodes.restartAll();
+        long nodesReturn = nodes.await(version);
+        Thread.sleep(SETTLE_MILLIS);
+        double joined = perNode(nodes.receivedBytes() - joinBytes);
+        long controlsReturn = loseControls(controls, nodes, version);
+        return new ConvergenceResult(
+                nodeCount,
+                controlCount,
+                times.getValueAtPercentile(MEDIAN),
+                times.getValueAtPercentile(NINETY_NINE),
+                times.getMaxValue(),
+                idleBytesPerSecond,
+                changed / CHANGES,
+                targetBytes,
+                joined,
+                idleMillisPerSecond,
+                changeBusy / CHANGES,
+                resident / MEBIBYTE,
+                nodesReturn,
+                controlsReturn,
+                nodes.redirects());
+    }
+
+    private static long change(ControlFleet controls, NodeFleet nodes, long first)
+            throws IOException, InterruptedException, TimeoutException {
+        long version = first;
+        for (int round = 1; round <= CHANGES; round++) {
+            String document = Workload.document(Workload.SERVICES, round);
+            nodes.beginTiming();
+            version = controls.submit(version, document);
+            nodes.await(version);
+        }
+        return version;
+    }
+
+    private double changeTargets(NodeFleet nodes, double idleReceivedPerSecond)
+            throws InterruptedException {
+        long bytes = nodes.receivedBytes();
+        long begunNanos = System.nanoTime();
+        for (int change = 0; change < TARGET_CHANGES; change++) {
+            nodes.announce(change / 2, change % 2 == 0 ? TargetPhase.DRAINING : TargetPhase.READY);
+            Thread.sleep(TARGET_PAUSE_MILLIS);
+        }
+        Thread.sleep(TARGET_PAUSE_MILLIS);
+        double seconds = (System.nanoTime() - begunNanos) / 1e9;
+        double received = perNode(nodes.receivedBytes() - bytes);
+        return (received - idleReceivedPerSecond * seconds) / TARGET_CHANGES;
+    }
+
+    private static long loseControls(ControlFleet controls, NodeFleet nodes, long version)
+            throws IOException, InterruptedException, TimeoutException {
+        long begunNanos = System.nanoTime();
+        controls.killAll();
+        controls.start();
+        long next = controls.submit(version, Workload.document(Workload.SERVICES, CHANGES + 1));
+        nodes.await(next);
+        return (System.nanoTime() - begunNanos) / 1_000_000;
+    }
+
+    private double perNode(long bytes) {
+        return (double) bytes / nodeCount;
+    }
+
+    private static double busiest(ControlFleet controls, List<Long> before) throws IOException {
+        List<Long> after = controls.processorMillis();
+        long most = 0;
+        for (int index = 0; index < after.size(); index++) {
+            most = Math.max(most, after.get(index) - before.get(index));
+        }
+        return most;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/NodeFleet.java
@@ -0,0 +1,117 @@
+package org.cuminreach.trial.distribution;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.SynchronizedHistogram;
+import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.frame.FrameEndpoints;
+import org.cuminreach.wire.frame.TrafficCounter;
+
+/** Many fake nodes in this process, and when they heard of versions. */
+final class NodeFleet implements AutoCloseable {
+    private static final int EVENT_LOOP_THREADS = 2;
+    private static final long SILENCE_MILLIS = 10_000;
+    private static final long HEARTBEAT_MILLIS = 500;
+    private static final long LONGEST_WAIT_MILLIS = 60_000;
+    private static final long POLL_MILLIS = 5;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int DIGITS = 3;
+
+    private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final TrafficCounter traffic = TrafficCounter.zero();
+    private final List<FakeNode> nodes = new ArrayList<>();
+    private final Histogram millisToHear = new SynchronizedHistogram(LONGEST_WAIT_MILLIS, DIGITS);
+    private volatile long sentNanos = System.nanoTime();
+
+    private NodeFleet() {}
+
+    static NodeFleet dial(int count, List<Address> controls, long seed) {
+        NodeFleet fleet = new NodeFleet();
+        Random random = new Random(seed);
+        FrameEndpoints endpoints =
+                FrameEndpoints.create(fleet.eventLoops, fleet.traffic, SILENCE_MILLIS);
+        for (int number = 0; number < count; number++) {
+            fleet.nodes.add(
+                    FakeNode.create(
+                            number,
+                            controls,
+                            endpoints,
+                            fleet.timer,
+                            new Random(random.nextLong()),
+                            version -> fleet.heard()));
+        }
+        fleet.nodes.forEach(FakeNode::dial);
+        fleet.timer.scheduleAtFixedRate(
+                fleet::tick, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+        return fleet;
+    }
+
+    void beginTiming() {
+        sentNanos = System.nanoTime();
+    }
+
+    /** Waits until every node is welcomed and was sent a version; returns milliseconds waited. */
+    long await(long version) throws InterruptedException, TimeoutException {
+        long begun = System.nanoTime();
+        while (!nodes.stream().allMatch(node -> node.isWelcomed() && node.version() >= version)) {
+            long passedMillis = (System.nanoTime() - begun) / NANOS_PER_MILLI;
+            if (passedMillis > LONGEST_WAIT_MILLIS) {
+                throw new TimeoutException("version " + version + " did not reach every node");
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+        return (System.nanoTime() - begun) / NANOS_PER_MILLI;
+    }
+
+    long receivedBytes() {
+        return traffic.receivedBytes();
+    }
+
+    long sentBytes() {
+        return traffic.sentBytes();
+    }
+
+    long redirects() {
+        return nodes.stream().mapToLong(FakeNode::redirects).sum();
+    }
+
+    void announce(int node, TargetPhase phase) {
+        nodes.get(node % nodes.size()).announce(phase);
+    }
+
+    void restartAll() {
+        nodes.forEach(FakeNode::restart);
+    }
+
+    Histogram takeTimes() {
+        Histogram taken = millisToHear.copy();
+        millisToHear.reset();
+        return taken;
+    }
+
+    @Override
+    public void close() {
+        nodes.forEach(FakeNode::stop);
+        timer.shutdownNow();
+        EventLoops.stop(eventLoops);
+    }
+
+    private void tick() {
+        nodes.forEach(FakeNode::tick);
+    }
+
+    private void heard() {
+        long millis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
+        millisToHear.recordValue(Math.min(millis, LONGEST_WAIT_MILLIS));
+    }
+}
