Bound what waits for a slow node, also in its socket; make the cut tests certain

The tests now hold the node at the end that is cut: the other end is cut first, so a node cannot have chosen it.

--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -10,10 +10,12 @@
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.runtime.ProcessClock;
 
 /** The targets as this node sees them: what was announced, and what its own calls met. */
 public final class MeshView {
     private static final long DISTRUST_MILLIS = 2_000;
+    private static final long REMEMBER_GONE_MILLIS = 3_600_000;
 
     /** What this node's own calls to a target met. */
     private static final class Experience {
@@ -45,6 +47,7 @@
         if (registry.merge(announcements).isEmpty()) {
             return;
         }
+        registry.forgetGone(ProcessClock.monotonicMillis(), REMEMBER_GONE_MILLIS);
         Map<String, List<Announcement>> next = new ConcurrentHashMap<>();
         for (Announcement announcement : registry.all()) {
             if (announcement.phase() == TargetPhase.READY) {
--- a/trial/src/main/java/org/cuminreach/trial/distribution/Workload.java
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/Workload.java
@@ -15,6 +15,15 @@
 
     /** Writes a document in which one route's timeout follows from the round. */
     static String document(int services, int round) {
+        return document(services, round, 1);
+    }
+
+    /** Writes a document in which every route's timeout follows from the round. */
+    static String changed(int services, int round) {
+        return document(services, round, services);
+    }
+
+    private static String document(int services, int round, int changing) {
         String listed =
                 IntStream.range(0, services)
                         .mapToObj(
@@ -24,7 +33,8 @@
                         .collect(Collectors.joining(",\n"));
         String routes =
                 IntStream.range(0, services)
-                        .mapToObj(number -> route(number, number == 0 ? 5_000 + round : 5_000))
+                        .mapToObj(
+                                number -> route(number, number < changing ? 5_000 + round : 5_000))
                         .collect(Collectors.joining(",\n"));
         return "{\"services\": [" + listed + "],\n\"routes\": [" + routes + "]}";
     }
--- a/trial/src/test/java/org/cuminreach/trial/distribution/DistributionTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/DistributionTest.java
@@ -6,9 +6,12 @@
 import java.util.List;
 import net.jqwik.api.Example;
 import org.cuminreach.settings.Address;
+import org.cuminreach.wire.MalformedFrameException;
 
 class DistributionTest {
     private static final int SERVICES = 3;
+    private static final int LARGE = 2_000;
+    private static final int ROUNDS = 60;
     private static final long INCARNATION = 1_000_000;
     private static final long OBSERVED_MILLIS = 6_000;
 
@@ -19,25 +22,38 @@
             int leader = controls.awaitLeader();
             int other = (leader + 1) % ControlGroup.COUNT;
             long first = controls.submit(leader, 0, Workload.document(SERVICES, 1));
-            List<Address> leaderFirst =
-                    List.of(controls.nodeAddress(leader), controls.nodeAddress(other));
-            try (NodeRig settled = new NodeRig("settled", leaderFirst, INCARNATION)) {
-                ControlGroup.await(() -> settled.version() == first);
-                controls.cutOff(leader, true);
-                try (NodeRig fresh =
-                        new NodeRig("fresh", List.of(controls.nodeAddress(leader)), INCARNATION)) {
-                    long second = controls.submit(other, first, Workload.document(SERVICES, 2));
-                    ControlGroup.await(() -> settled.version() >= second);
-                    ControlGroup.pause(OBSERVED_MILLIS);
-                    assertThat(fresh.version()).isEqualTo(0);
-                    assertThat(fresh.session.isWelcomed()).isFalse();
-                    controls.cutOff(leader, false);
-                    ControlGroup.await(() -> fresh.version() >= second);
+            try (SwallowingRelay refuge = SwallowingRelay.to(controls.nodeAddress(other))) {
+                refuge.cut(true);
+                try (NodeRig settled =
+                                new NodeRig(
+                                        "settled",
+                                        List.of(controls.nodeAddress(leader), refuge.address()),
+                                        INCARNATION);
+                        NodeRig fresh =
+                                new NodeRig("fresh", List.of(refuge.address()), INCARNATION)) {
+                    ControlGroup.await(() -> settled.version() == first);
+                    controls.cutOff(leader, true);
+                    refuge.cut(false);
+                    assertNoStaleStart(controls, leader, other, first);
+                    ControlGroup.await(() -> settled.version() > first && fresh.version() > first);
                 }
             }
         }
     }
 
+    private static void assertNoStaleStart(
+            ControlGroup controls, int leader, int other, long first) {
+        List<Address> leaderOnly = List.of(controls.nodeAddress(leader));
+        try (NodeRig stale = new NodeRig("stale", leaderOnly, INCARNATION)) {
+            long second = controls.submit(other, first, Workload.document(SERVICES, 2));
+            ControlGroup.pause(OBSERVED_MILLIS);
+            assertThat(stale.version()).isEqualTo(0);
+            assertThat(stale.session.isWelcomed()).isFalse();
+            controls.cutOff(leader, false);
+            ControlGroup.await(() -> stale.version() >= second);
+        }
+    }
+
     /** Without any control, nodes keep configuration and targets. */
     @Example
     void nodesKeepWhatTheyHoldWhenAllControlsAreGone() throws IOException {
@@ -91,16 +107,39 @@
             int leader = controls.awaitLeader();
             int other = (leader + 1) % ControlGroup.COUNT;
             long first = controls.submit(leader, 0, Workload.document(SERVICES, 1));
-            try (SwallowingRelay relay = SwallowingRelay.to(controls.nodeAddress(other));
-                    NodeRig node =
-                            new NodeRig(
-                                    "node",
-                                    List.of(relay.address(), controls.nodeAddress(leader)),
-                                    INCARNATION)) {
-                ControlGroup.await(() -> node.version() == first);
-                relay.cut(true);
-                long second = controls.submit(leader, first, Workload.document(SERVICES, 2));
-                ControlGroup.await(() -> node.version() >= second);
+            try (SwallowingRelay silent = SwallowingRelay.to(controls.nodeAddress(other));
+                    SwallowingRelay refuge = SwallowingRelay.to(controls.nodeAddress(leader))) {
+                refuge.cut(true);
+                List<Address> addresses = List.of(silent.address(), refuge.address());
+                try (NodeRig node = new NodeRig("node", addresses, INCARNATION)) {
+                    ControlGroup.await(() -> node.version() == first);
+                    silent.cut(true);
+                    refuge.cut(false);
+                    long second = controls.submit(leader, first, Workload.document(SERVICES, 2));
+                    ControlGroup.await(() -> node.version() >= second);
+                }
+            }
+        }
+    }
+
+    /** A node that does not read costs the others nothing, and later gets one difference. */
+    @Example
+    void slowNodeGetsTheLatestWithoutWhatItMissed() throws IOException, MalformedFrameException {
+        try (ControlGroup controls = ControlGroup.start()) {
+            int leader = controls.awaitLeader();
+            List<Address> address = List.of(controls.nodeAddress(leader));
+            long version = controls.submit(leader, 0, Workload.document(LARGE, 0));
+            try (SlowNode slow = SlowNode.dial(controls.nodeAddress(leader));
+                    NodeRig quick = new NodeRig("quick", address, INCARNATION)) {
+                for (int round = 1; round <= ROUNDS; round++) {
+                    version = controls.submit(leader, version, Workload.changed(LARGE, round));
+                    long wanted = version;
+                    ControlGroup.await(() -> quick.version() >= wanted);
+                    slow.beat();
+                }
+                int frames = slow.readUntil(version);
+
+                assertThat(frames).isLessThan(ROUNDS / 2);
             }
         }
     }
--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/SlowNode.java
@@ -0,0 +1,65 @@
+package org.cuminreach.trial.distribution;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.MalformedFrameException;
+import org.cuminreach.wire.StructCodec;
+import org.cuminreach.wire.generated.Frame;
+import org.cuminreach.wire.generated.Heartbeat;
+import org.cuminreach.wire.generated.NodeHello;
+
+/** A node that sends heartbeats but reads nothing until it is told to. */
+final class SlowNode implements AutoCloseable {
+    private static final int RECEIVE_BYTES = 8 * 1024;
+
+    private final Socket socket = new Socket();
+
+    private SlowNode() {}
+
+    static SlowNode dial(Address control) throws IOException {
+        SlowNode node = new SlowNode();
+        node.socket.setReceiveBufferSize(RECEIVE_BYTES);
+        node.socket.connect(new InetSocketAddress(control.host(), control.port()));
+        node.send(Frame.nodeHello(new NodeHello("slow", 1, "nidaros", 0)));
+        return node;
+    }
+
+    void beat() throws IOException {
+        send(Frame.heartbeat(new Heartbeat(0)));
+    }
+
+    /** Reads up to a version and returns how many changes of configuration came. */
+    int readUntil(long version) throws IOException, MalformedFrameException {
+        DataInputStream input = new DataInputStream(socket.getInputStream());
+        int changes = 0;
+        long reached = 0;
+        while (reached < version) {
+            byte[] bytes = new byte[input.readInt()];
+            input.readFully(bytes);
+            Frame frame = StructCodec.decode(bytes, new Frame());
+            if (frame.isSetConfigurationDelta()) {
+                changes++;
+                reached = frame.getConfigurationDelta().getVersion();
+            }
+            beat();
+        }
+        return changes;
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private void send(Frame frame) throws IOException {
+        byte[] bytes = StructCodec.encode(frame);
+        DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+        output.writeInt(bytes.length);
+        output.write(bytes);
+        output.flush();
+    }
+}
--- a/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
@@ -24,6 +24,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(FramePipeline.class);
     private static final int LENGTH_BYTES = 4;
     private static final int LOW_WATER_DIVISOR = 4;
+    private static final int SMALL_PENDING_BYTES = 256 * 1024;
 
     private final Supplier<FrameListener> listeners;
     private final TrafficCounter traffic;
@@ -47,6 +48,9 @@
         channel.config()
                 .setWriteBufferWaterMark(
                         new WriteBufferWaterMark(pendingBytes / LOW_WATER_DIVISOR, pendingBytes));
+        if (pendingBytes <= SMALL_PENDING_BYTES) {
+            channel.config().setSendBufferSize(pendingBytes);
+        }
         channel.pipeline()
                 .addLast(new ReadTimeoutHandler(silenceMillis, TimeUnit.MILLISECONDS))
                 .addLast(
