--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/DistributionBenchmark.java
@@ -0,0 +1,112 @@
+package org.cuminreach.trial.benchmark;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.configuration.ConfigurationDelta;
+import org.cuminreach.decisions.configuration.ConfigurationHistory;
+import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.OfferOutcome;
+import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.membership.LeaseDecision;
+import org.cuminreach.decisions.membership.LeaseSettings;
+import org.cuminreach.decisions.membership.LeaseTable;
+import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.document.MeshDocument;
+import org.cuminreach.document.RolloutPriority;
+import org.cuminreach.document.Route;
+import org.cuminreach.document.Service;
+import org.cuminreach.settings.Address;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** Processor time of a node's change of configuration and of a control's look at its leases. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DistributionBenchmark {
+    private static final int TARGETS_PER_SERVICE = 5;
+    private static final long STEP_MILLIS = 200;
+
+    /** Number of services, of routes, and a fifth of the number of targets. */
+    @Param({"115", "230", "460"})
+    public int services;
+
+    private MeshConfiguration first;
+    private ConfigurationDelta delta;
+    private LeaseTable leases;
+    private List<Announcement> announcements;
+    private long nowMillis;
+
+    /** Makes a configuration, a delta of one route, and as many targets as belong to it. */
+    @Setup
+    public void prepare() {
+        first = configuration(1, 5_000);
+        ConfigurationHistory history = ConfigurationHistory.of(first);
+        history.advance(configuration(2, 5_001));
+        delta = history.since(1);
+        leases = LeaseTable.empty(LeaseSettings.standard());
+        announcements = new ArrayList<>();
+        for (int number = 0; number < services * TARGETS_PER_SERVICE; number++) {
+            announcements.add(announcement(number));
+        }
+    }
+
+    /**
+     * Applies a delta of one route.
+     *
+     * @return the outcome
+     */
+    @Benchmark
+    public OfferOutcome applyDelta() {
+        ConfigurationHolder holder = ConfigurationHolder.empty();
+        holder.offer(first);
+        return holder.offer(delta);
+    }
+
+    /**
+     * Vouches for every target and looks at all leases.
+     *
+     * @return the decision
+     */
+    @Benchmark
+    public LeaseDecision decideLeases() {
+        nowMillis += STEP_MILLIS;
+        announcements.forEach(one -> leases.vouch(one.node(), nowMillis));
+        return leases.decide(nowMillis, true, announcements);
+    }
+
+    private MeshConfiguration configuration(long version, int timeoutMillis) {
+        List<Service> listed = new ArrayList<>();
+        List<Route> routes = new ArrayList<>();
+        for (int number = 0; number < services; number++) {
+            String name = "service-" + number;
+            listed.add(new Service(name, "1", Optional.empty()));
+            int timeout = number == 0 ? timeoutMillis : 5_000;
+            routes.add(new Route("r" + number, name + ".example", "/", name, timeout, false));
+        }
+        MeshDocument document = new MeshDocument(listed, routes, RolloutPriority.SAFETY);
+        return new MeshConfiguration(version, version, document, "", List.of());
+    }
+
+    private static Announcement announcement(int number) {
+        return new Announcement(
+                "node-" + number,
+                1,
+                1,
+                "service-" + number / TARGETS_PER_SERVICE,
+                "1",
+                "data-centre-" + number % 10,
+                new Address("127.0.0.1", 7_000),
+                9,
+                TargetPhase.READY);
+    }
+}
