--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -15,6 +15,8 @@
 
 /** The targets as this node sees them: what was announced, and what its own calls met. */
 public final class MeshView {
+    private static final long REMEMBER_GONE_MILLIS = 3_600_000;
+
     /** One process of a node; a later process of the same name starts without experience. */
     private record Process(String node, long incarnation) {}
 
@@ -52,6 +54,7 @@
         if (registry.merge(announcements).isEmpty()) {
             return;
         }
+        registry.forgetGone(nowMillis, REMEMBER_GONE_MILLIS);
         Map<String, Map<String, List<TargetView>>> next = new HashMap<>();
         Set<Process> present = new HashSet<>();
         for (Announcement announcement : registry.all()) {
