Wait for the listener of one's own connection in the frame tests

Cause: on a busy machine the test read the listener of an earlier connection and timed out (seen red once at load 90). Change: it forgets earlier listeners before it dials. The check is as strict.

--- a/wire/src/test/java/org/cuminreach/wire/frame/FrameEndpointsTest.java
+++ b/wire/src/test/java/org/cuminreach/wire/frame/FrameEndpointsTest.java
@@ -57,13 +57,14 @@
 
     @Example
     void framesArriveWhole() throws Exception {
+        latest = null;
         RecordingListener dialler = new RecordingListener();
         Channel channel = endpoints(SILENCE_MILLIS * 100).connect(address, dialler).join();
         FrameConnection connection = dialler.opened.get(LIMIT_SECONDS, TimeUnit.SECONDS);
 
         assertThat(connection.send(Frame.heartbeat(new Heartbeat(7)))).isTrue();
 
-        Frame received = latest.received.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        Frame received = awaitListener().received.get(LIMIT_SECONDS, TimeUnit.SECONDS);
         assertThat(received.getHeartbeat().getSentMillis()).isEqualTo(7);
         channel.close().sync();
     }
