--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
@@ -39,12 +39,23 @@
         }
         state.heardLeader(nowMillis);
         state.setLeader(Optional.of(from));
-        if (request.snapshot().lastIndex() > state.commitIndex()) {
-            state.install(request.snapshot());
-        }
+        take(request.snapshot());
         respond(from, true, request.snapshot().lastIndex(), request.round());
     }
 
+    /** A snapshot that the log matches commits it and leaves the acknowledged entries after it. */
+    private void take(Snapshot snapshot) {
+        if (snapshot.lastIndex() <= state.commitIndex()) {
+            return;
+        }
+        boolean matches = state.log.termAt(snapshot.lastIndex()).orElse(-1) == snapshot.lastTerm();
+        if (matches) {
+            state.commitTo(snapshot.lastIndex());
+        } else {
+            state.install(snapshot);
+        }
+    }
+
     private boolean refusedAsOld(String from, long term, long round) {
         if (term >= state.term()) {
             return false;
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Leadership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** A leader's work: replication, commit, heartbeats and confirmations by a quorum. */
@@ -62,6 +63,33 @@
         return known == null ? OptionalLong.empty() : OptionalLong.of(known.matchIndex());
     }
 
+    /** Returns the membership that makes a learner a voter, when one has caught up. */
+    Optional<Membership> promotionDue(long nowMillis) {
+        return state.membership().members().stream()
+                .filter(member -> !member.voter())
+                .filter(member -> hasCaughtUp(nowMillis, member.id()))
+                .findFirst()
+                .map(
+                        learner ->
+                                state.membership()
+                                        .with(new Member(learner.id(), learner.address(), true)));
+    }
+
+    /** Finds a voter of a new membership that may not vote yet. */
+    Optional<String> promotedTooEarly(long nowMillis, Membership next) {
+        return next.voters().stream()
+                .filter(voter -> !state.membership().isVoter(voter))
+                .filter(voter -> !hasCaughtUp(nowMillis, voter))
+                .findFirst();
+    }
+
+    private boolean hasCaughtUp(long nowMillis, String member) {
+        Progress known = progress.get(member);
+        return known != null
+                && known.heardWithin(nowMillis, state.settings.electionTimeoutMillis())
+                && known.matchIndex() >= state.commitIndex();
+    }
+
     void receive(long nowMillis, String from, Message.AppendResponse response) {
         Progress peer = progress.get(from);
         if (peer == null) {
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -85,7 +85,8 @@
 
     /**
      * Proposes a new membership. Refused while an earlier change or the leader's first entry is not
-     * committed, or when more than one voter would change.
+     * committed, when more than one voter would change, or when the new voter is not a learner that
+     * holds every committed entry. Such a learner is promoted by the leader itself.
      *
      * @param nowMillis present time
      * @param next the whole new membership
@@ -95,13 +96,16 @@
         if (leadership.isEmpty()) {
             return new ProposalOutcome.NotLeader(state.leader());
         }
-        Membership committed = state.log.membershipAt(state.commitIndex());
-        if (!leadership.get().opened() || !committed.equals(state.membership())) {
+        if (!mayChangeMembership(leadership.get())) {
             return new ProposalOutcome.Refused("an earlier change is not committed yet");
         }
         if (!state.membership().mayBecome(next)) {
             return new ProposalOutcome.Refused("only one voter may change at a time");
         }
+        Optional<String> early = leadership.get().promotedTooEarly(nowMillis, next);
+        if (early.isPresent()) {
+            return new ProposalOutcome.Refused(early.get() + " has not caught up as a learner");
+        }
         return append(nowMillis, new Payload.MembershipChange(next));
     }
 
@@ -111,7 +115,8 @@
      * waits a bounded time.
      *
      * @param nowMillis present time
-     * @param confirmation number chosen by the asker, unique while it waits
+     * @param confirmation number chosen by the asker, never used before by this identity, also not
+     *     before a restart
      * @return what to do
      */
     public List<Effect> confirm(long nowMillis, long confirmation) {
@@ -233,15 +238,26 @@
     }
 
     private void tickLeader(long nowMillis, Leadership leading) {
-        boolean removed =
-                state.membership().member(state.self).isEmpty()
-                        && state.commitIndex() == state.log.lastIndex();
+        boolean removed = committedMembership().member(state.self).isEmpty();
         if (removed || !leading.hasQuorum(nowMillis)) {
             stepDown();
             state.resetElectionDeadline(nowMillis);
             return;
         }
         leading.tick(nowMillis);
+        if (mayChangeMembership(leading)) {
+            leading.promotionDue(nowMillis)
+                    .ifPresent(
+                            next -> leading.propose(nowMillis, new Payload.MembershipChange(next)));
+        }
+    }
+
+    private Membership committedMembership() {
+        return state.log.membershipAt(state.commitIndex());
+    }
+
+    private boolean mayChangeMembership(Leadership leading) {
+        return leading.opened() && committedMembership().equals(state.membership());
     }
 
     private void campaign(long nowMillis) {
@@ -289,8 +305,10 @@
         switch (message) {
             case Message.VoteRequest request -> vote(nowMillis, from, request);
             case Message.VoteResponse response -> countVote(nowMillis, from, response);
-            case Message.AppendRequest request -> follower().append(nowMillis, from, request);
-            case Message.SnapshotRequest request -> follower().install(nowMillis, from, request);
+            case Message.AppendRequest request ->
+                    follower(request).append(nowMillis, from, request);
+            case Message.SnapshotRequest request ->
+                    follower(request).install(nowMillis, from, request);
             case Message.AppendResponse response -> {
                 if (response.term() == state.term()) {
                     leadership.ifPresent(leading -> leading.receive(nowMillis, from, response));
@@ -304,8 +322,11 @@
         }
     }
 
-    private Followership follower() {
-        candidacy = Optional.empty();
+    /** A leader of this term ends a campaign; the message of an earlier one does not. */
+    private Followership follower(Message request) {
+        if (request.term() == state.term()) {
+            candidacy = Optional.empty();
+        }
         return new Followership(state);
     }
 
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
@@ -0,0 +1,71 @@
+package org.cuminreach.decisions.agreement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+
+class FollowerTest {
+    private static final AgreementSettings SETTINGS = AgreementSettings.standard();
+    private static final Membership THREE =
+            new Membership(
+                    List.of(
+                            FakeCluster.member("r1", true),
+                            FakeCluster.member("r2", true),
+                            FakeCluster.member("r3", true)));
+
+    @Example
+    void aLateSnapshotKeepsTheEntriesAfterIt() {
+        Replica follower = start();
+        follower.receive(0, "r1", new Message.AppendRequest(1, 0, 0, entries(1, 6), 2, 1));
+
+        Snapshot late = new Snapshot(4, 1, THREE, new byte[0]);
+        List<Effect> effects = follower.receive(1, "r1", new Message.SnapshotRequest(1, late, 1));
+
+        assertThat(follower.lastIndex()).isEqualTo(6);
+        assertThat(follower.commitIndex()).isEqualTo(4);
+        assertThat(effects)
+                .contains(new Effect.Send("r1", new Message.AppendResponse(1, true, 4, 1)));
+    }
+
+    @Example
+    void aSnapshotReplacesALogThatDiffersThere() {
+        Replica follower = start();
+        follower.receive(0, "r1", new Message.AppendRequest(1, 0, 0, entries(1, 6), 2, 1));
+
+        Snapshot other = new Snapshot(4, 2, THREE, new byte[0]);
+        follower.receive(1, "r3", new Message.SnapshotRequest(2, other, 1));
+
+        assertThat(follower.lastIndex()).isEqualTo(4);
+        assertThat(follower.commitIndex()).isEqualTo(4);
+    }
+
+    @Example
+    void anOldLeaderDoesNotEndACampaign() {
+        Replica candidate = start();
+        candidate.receive(0, "r1", new Message.AppendRequest(3, 0, 0, List.of(), 0, 1));
+        List<Effect> campaign = candidate.tick(10_000);
+        assertThat(campaign)
+                .contains(new Effect.Send("r3", new Message.VoteRequest(4, 0, 0, true)));
+
+        candidate.receive(10_001, "r1", new Message.AppendRequest(2, 0, 0, List.of(), 0, 9));
+        candidate.receive(10_002, "r3", new Message.VoteResponse(4, true, true));
+
+        assertThat(candidate.term()).isEqualTo(4);
+    }
+
+    private static Replica start() {
+        DurableState first = DurableState.first(THREE, new byte[0]);
+        return Replica.start("r2", SETTINGS, new Random(1), first, 0);
+    }
+
+    private static List<LogEntry> entries(long from, long to) {
+        List<LogEntry> entries = new ArrayList<>();
+        for (long index = from; index <= to; index++) {
+            entries.add(new LogEntry(index, 1, new Payload.Command(new byte[] {1})));
+        }
+        return entries;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -0,0 +1,156 @@
+package org.cuminreach.decisions.agreement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+
+/** Disks are lost, repaired and lost again. */
+class MemberReplacementTest {
+    private static final int ENTRIES = 60;
+
+    @Property(tries = 300, seed = "43", shrinking = ShrinkingMode.OFF)
+    void aSecondDiskLostRightAfterARepairLosesNothing(
+            @ForAll long seed, @ForAll @IntRange(max = 40) int stepsOfRepair) {
+        FakeCluster cluster = new FakeCluster(seed, 5);
+        commitSome(cluster);
+        cluster.compact(cluster.leader());
+        commitSome(cluster);
+
+        cluster.destroy(follower(cluster));
+        removeLost(cluster);
+        cluster.startFresh("r6");
+        change(cluster, "r6", false);
+        cluster.run(stepsOfRepair);
+        long acceptedBefore = cluster.ledger.lastCommitted();
+        cluster.destroy(cluster.random.nextBoolean() ? follower(cluster) : cluster.leader().id);
+
+        commitSome(cluster);
+        FakeCluster.Host leader = cluster.leader();
+        assertThat(leader.appliedIndex).isGreaterThan(acceptedBefore);
+        assertThat(leader.process.orElseThrow().membership().isVoter("r6")).isTrue();
+    }
+
+    @Example
+    void aLearnerVotesOnlyOnceItHoldsWhatIsCommitted() {
+        FakeCluster cluster = new FakeCluster(7, 3);
+        commitSome(cluster);
+        change(cluster, "r4", false);
+        Optional<ProposalOutcome> early = change(cluster, "r4", true);
+
+        assertThat(early.orElseThrow()).isInstanceOf(ProposalOutcome.Refused.class);
+        cluster.run(200);
+        assertThat(cluster.leader().process.orElseThrow().membership().isVoter("r4")).isFalse();
+
+        cluster.startFresh("r4");
+        cluster.run(200);
+        assertThat(cluster.leader().process.orElseThrow().membership().isVoter("r4")).isTrue();
+    }
+
+    @Example
+    void aRemovedLeaderHandsOver() {
+        FakeCluster cluster = new FakeCluster(8, 3);
+        commitSome(cluster);
+        FakeCluster.Host old = cluster.leader();
+        cluster.changeMembership(old, old.process.orElseThrow().membership().without(old.id));
+        cluster.run(300);
+
+        assertThat(old.process.orElseThrow().isLeader()).isFalse();
+        FakeCluster.Host next = cluster.leader();
+        assertThat(next.id).isNotEqualTo(old.id);
+        assertThat(next.process.orElseThrow().membership().member(old.id)).isEmpty();
+    }
+
+    /** Why a lost disk needs a new identity: under its old one the replica forgets its promise. */
+    @Example
+    void anAmnesiacUnderItsOldIdentityLosesAnAcceptedEntry() {
+        assertThat(leaderWithoutAcceptedEntry(true)).isTrue();
+        assertThat(leaderWithoutAcceptedEntry(false)).isFalse();
+    }
+
+    /**
+     * The leader and one follower hold an accepted entry; the follower loses its disk and the
+     * leader stops. Tells whether the third replica, which lacks the entry, becomes the leader.
+     */
+    private static boolean leaderWithoutAcceptedEntry(boolean keepsIdentity) {
+        FakeCluster cluster = new FakeCluster(9, 3);
+        commitSome(cluster);
+        FakeCluster.Host leader = cluster.leader();
+        List<String> followers =
+                cluster.hosts.keySet().stream().filter(id -> !id.equals(leader.id)).toList();
+        String lagging = followers.get(0);
+        String amnesiac = followers.get(1);
+        cluster.isolate(lagging);
+        cluster.propose(leader);
+        cluster.run(100);
+        assertThat(cluster.ledger.lastCommitted())
+                .isGreaterThan(cluster.hosts.get(lagging).disk.lastIndex());
+
+        Membership membership = leader.process.orElseThrow().membership();
+        cluster.crash(leader);
+        cluster.destroy(amnesiac);
+        if (keepsIdentity) {
+            FakeCluster.Host reborn = new FakeCluster.Host(amnesiac, FakeDisk.first(membership));
+            cluster.hosts.put(amnesiac, reborn);
+            cluster.start(reborn);
+        } else {
+            cluster.startFresh("r9");
+        }
+        return becomesLeader(cluster, lagging);
+    }
+
+    private static boolean becomesLeader(FakeCluster cluster, String lagging) {
+        cluster.partition(1);
+        try {
+            cluster.run(400);
+        } catch (AssertionError violation) {
+            assertThat(violation)
+                    .hasMessageThat()
+                    .startsWith(lagging + " leads without committed entry");
+            return true;
+        }
+        return false;
+    }
+
+    private static String follower(FakeCluster cluster) {
+        String leader = cluster.leader().id;
+        return cluster.hosts.keySet().stream()
+                .filter(id -> !id.equals(leader) && !id.equals("r6"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static void removeLost(FakeCluster cluster) {
+        FakeCluster.Host leader = cluster.leader();
+        Membership membership = leader.process.orElseThrow().membership();
+        String lost =
+                membership.voters().stream()
+                        .filter(voter -> !cluster.hosts.containsKey(voter))
+                        .findFirst()
+                        .orElseThrow();
+        assertThat(cluster.changeMembership(leader, membership.without(lost)).orElseThrow())
+                .isInstanceOf(ProposalOutcome.Appended.class);
+        cluster.run(60);
+    }
+
+    private static Optional<ProposalOutcome> change(FakeCluster cluster, String id, boolean voter) {
+        FakeCluster.Host leader = cluster.leader();
+        Membership membership = leader.process.orElseThrow().membership();
+        return cluster.changeMembership(leader, membership.with(FakeCluster.member(id, voter)));
+    }
+
+    private static void commitSome(FakeCluster cluster) {
+        long before = cluster.ledger.lastCommitted();
+        for (int number = 0; number < ENTRIES; number++) {
+            cluster.propose(cluster.leader());
+            cluster.run(1);
+        }
+        cluster.run(30);
+        assertThat(cluster.ledger.lastCommitted()).isAtLeast(before + ENTRIES);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/ReplicaSafetyTest.java
@@ -0,0 +1,123 @@
+package org.cuminreach.decisions.agreement;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Safety under arbitrary faults, and progress once they stop. */
+class ReplicaSafetyTest {
+    private static final int STEPS = 1_500;
+    private static final int FEWEST_VOTERS = 3;
+    private static final int MOST_HOSTS = 9;
+
+    @Property(tries = 600, seed = "41", shrinking = ShrinkingMode.OFF)
+    void safeUnderFaultsAndLiveAfterThem(@ForAll long seed) {
+        FakeCluster cluster = new FakeCluster(seed, seed % 2 == 0 ? 3 : 5);
+        disturb(cluster, false);
+        requireProgress(cluster);
+    }
+
+    @Property(tries = 600, seed = "42", shrinking = ShrinkingMode.OFF)
+    void safeWhileMembersChange(@ForAll long seed) {
+        FakeCluster cluster = new FakeCluster(seed, seed % 2 == 0 ? 3 : 5);
+        disturb(cluster, true);
+        requireProgress(cluster);
+    }
+
+    private static void disturb(FakeCluster cluster, boolean membersChange) {
+        cluster.lossChance = cluster.random.nextDouble() * 0.3;
+        cluster.duplicationChance = cluster.random.nextDouble() * 0.3;
+        cluster.crashChance = cluster.random.nextDouble() * 0.05;
+        int slowestStepMillis = 4 + cluster.random.nextInt(100);
+        int mostDeliveries = 2 + cluster.random.nextInt(12);
+        int restartChance = 2 + cluster.random.nextInt(30);
+        for (int step = 0; step < STEPS; step++) {
+            cluster.passTime(cluster.random.nextInt(slowestStepMillis));
+            cluster.hosts.values().forEach(cluster::tick);
+            for (int delivery = 0; delivery < mostDeliveries; delivery++) {
+                cluster.deliverOne();
+            }
+            disturbOnce(cluster, membersChange);
+            if (cluster.random.nextInt(100) < restartChance) {
+                restartAll(cluster);
+            }
+            if (step % 50 == 0) {
+                cluster.checkLogs();
+            }
+        }
+    }
+
+    private static void disturbOnce(FakeCluster cluster, boolean membersChange) {
+        FakeCluster.Host host = pick(cluster);
+        switch (cluster.random.nextInt(100)) {
+            case 0 -> cluster.crash(host);
+            case 1 -> cluster.partition(2);
+            case 2 -> cluster.partition(1);
+            case 3 -> host.clockSkewMillis += cluster.random.nextInt(2_000);
+            case 4, 19, 20, 21 -> cluster.compact(host);
+            case 5 -> cluster.isolate(host.id);
+            case 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16 -> cluster.confirm(host);
+            case 17, 18 -> {
+                if (membersChange) {
+                    changeMembers(cluster, host);
+                }
+            }
+            default -> cluster.propose(host);
+        }
+    }
+
+    private static void restartAll(FakeCluster cluster) {
+        cluster.hosts.values().stream()
+                .filter(down -> down.process.isEmpty())
+                .forEach(cluster::start);
+    }
+
+    private static void changeMembers(FakeCluster cluster, FakeCluster.Host host) {
+        if (host.process.isEmpty()) {
+            return;
+        }
+        Membership now = host.process.get().membership();
+        List<String> known = new ArrayList<>(cluster.hosts.keySet());
+        String some = known.get(cluster.random.nextInt(known.size()));
+        boolean stranger = now.member(some).isEmpty();
+        if (cluster.random.nextBoolean() && known.size() < MOST_HOSTS) {
+            cluster.startFresh("r" + (known.size() + 1));
+        } else if (stranger) {
+            cluster.changeMembership(host, now.with(FakeCluster.member(some, false)));
+        } else if (!now.isVoter(some)) {
+            cluster.changeMembership(host, now.with(FakeCluster.member(some, true)));
+        } else if (now.voters().size() > FEWEST_VOTERS) {
+            cluster.changeMembership(host, now.without(some));
+        }
+    }
+
+    private static void requireProgress(FakeCluster cluster) {
+        cluster.heal();
+        FakeCluster.Host leader = cluster.leader();
+        cluster.confirm(leader);
+        int confirmedBefore = cluster.confirmations();
+        Optional<ProposalOutcome> outcome = cluster.propose(leader);
+        assertThat(outcome.orElseThrow()).isInstanceOf(ProposalOutcome.Appended.class);
+        long index = ((ProposalOutcome.Appended) outcome.get()).index();
+        cluster.run(400);
+        assertThat(cluster.ledger.lastCommitted()).isAtLeast(index);
+        assertThat(cluster.confirmations()).isGreaterThan(confirmedBefore);
+        for (Member member : cluster.leader().process.orElseThrow().membership().members()) {
+            assertWithMessage("applied by %s", member.id())
+                    .that(cluster.hosts.get(member.id()).appliedIndex)
+                    .isAtLeast(index);
+        }
+        cluster.checkLogs();
+    }
+
+    private static FakeCluster.Host pick(FakeCluster cluster) {
+        List<FakeCluster.Host> hosts = List.copyOf(cluster.hosts.values());
+        return hosts.get(cluster.random.nextInt(hosts.size()));
+    }
+}
