Acknowledge no round when refusing an old leader

A control that led in two terms took the refusal of its old heartbeat, which carries the new term and the old leadership's round number, as an answer to its present broadcast: it then confirmed reads without asking anyone. The follower now answers round 0.

--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
@@ -5,6 +5,8 @@
 
 /** A follower's work: matching its log to the leader's. */
 final class Followership {
+    private static final long NO_ROUND = 0;
+
     private final ReplicaState state;
 
     Followership(ReplicaState state) {
@@ -12,7 +14,7 @@
     }
 
     void append(long nowMillis, String from, Message.AppendRequest request) {
-        if (refusedAsOld(from, request.term(), request.round())) {
+        if (refusedAsOld(from, request.term())) {
             return;
         }
         state.heardLeader(nowMillis);
@@ -34,7 +36,7 @@
     }
 
     void install(long nowMillis, String from, Message.SnapshotRequest request) {
-        if (refusedAsOld(from, request.term(), request.round())) {
+        if (refusedAsOld(from, request.term())) {
             return;
         }
         state.heardLeader(nowMillis);
@@ -56,11 +58,12 @@
         }
     }
 
-    private boolean refusedAsOld(String from, long term, long round) {
+    /** The answer has this term, in which the round of an earlier leadership means nothing. */
+    private boolean refusedAsOld(String from, long term) {
         if (term >= state.term()) {
             return false;
         }
-        respond(from, false, state.log.lastIndex(), round);
+        respond(from, false, state.log.lastIndex(), NO_ROUND);
         return true;
     }
 
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
@@ -56,6 +56,17 @@
         assertThat(candidate.term()).isEqualTo(4);
     }
 
+    @Example
+    void refusingAnOldLeaderAcknowledgesNoRound() {
+        Replica follower = start();
+        follower.receive(0, "r3", new Message.AppendRequest(5, 0, 0, List.of(), 0, 1));
+        List<Effect> effects =
+                follower.receive(1, "r1", new Message.AppendRequest(2, 0, 0, List.of(), 0, 57));
+
+        assertThat(effects)
+                .containsExactly(new Effect.Send("r1", new Message.AppendResponse(5, false, 0, 0)));
+    }
+
     private static Replica start() {
         DurableState first = DurableState.first(THREE, new byte[0]);
         return Replica.start("r2", SETTINGS, new Random(1), first, 0);
