--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -63,7 +63,12 @@
         peers = PeerLinks.create(identity, settings.operatorAddress(), peerEndpoints);
         replica =
                 ReplicaDriver.start(
-                        identity, folder, peers, new Random(), ProcessClock.monotonicMillis());
+                        identity,
+                        folder,
+                        peers,
+                        new Random(),
+                        ProcessClock.monotonicMillis(),
+                        ControlProcess::halt);
         conductor = RolloutConductor.create(replica);
         evidence = EvidenceCollector.create(replica, peers, conductor);
         sessions = MeshSessions.create(settings.name(), replica, peers, evidence::collect);
@@ -92,9 +97,18 @@
     /** Stops the control. */
     public void stop() {
         ticker.shutdownNow();
+        closeReplica();
         EventLoops.stop(eventLoops);
     }
 
+    private void closeReplica() {
+        try {
+            replica.close();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * A control that finds no identity on its disk takes a new one and votes only once admitted.
      */
@@ -136,16 +150,20 @@
         ticker.scheduleWithFixedDelay(() -> guarded(task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Only a broken invariant, or a disk that does not sync, ends up here. */
     private static void guarded(Runnable task) {
         try {
             task.run();
         } catch (RuntimeException broken) {
-            LOGGER.error("event=invariant_broken action=stop", broken);
-            Runtime.getRuntime().halt(EXIT_CODE_BROKEN);
+            halt(broken);
         }
     }
 
+    /** Only a broken invariant, or a disk that does not sync, ends up here. */
+    private static void halt(Exception broken) {
+        LOGGER.error("event=invariant_broken action=stop", broken);
+        Runtime.getRuntime().halt(EXIT_CODE_BROKEN);
+    }
+
     private Readiness readiness() {
         boolean ready = replica.hasQuorum(ProcessClock.monotonicMillis());
         return new Readiness(ready, ready ? "in contact with a quorum" : "no quorum");
--- a/control/src/main/java/org/cuminreach/control/command/ControlClient.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlClient.java
@@ -15,6 +15,7 @@
 
 /** Asks the controls over HTTP, one after the other until one answers. */
 final class ControlClient implements AutoCloseable {
+    private static final int NOT_RUN = 503;
     private static final Duration TIMEOUT = Duration.ofSeconds(8);
 
     private final List<Address> controls;
@@ -56,9 +57,14 @@
         return Optional.empty();
     }
 
-    /** Posts to each control in turn until one gives an answer that settles the matter. */
+    /**
+     * Posts to each control in turn until one gives an answer that settles the matter. Empty when a
+     * control may have taken the request without answering and none settled it: a later control's
+     * "not run" speaks for itself alone.
+     */
     Optional<Response> post(String path, Map<String, String> headers, String body) {
         Optional<Response> last = Optional.empty();
+        boolean uncertain = false;
         for (Address control : controls) {
             var request = Dsl.post(url(control, path)).setBody(body);
             headers.forEach(request::setHeader);
@@ -70,8 +76,9 @@
                     return response;
                 }
             }
+            uncertain |= response.map(answer -> answer.getStatusCode() != NOT_RUN).orElse(true);
         }
-        return last;
+        return uncertain ? Optional.empty() : last;
     }
 
     @Override
--- a/control/src/main/java/org/cuminreach/control/command/ControlMain.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlMain.java
@@ -21,6 +21,7 @@
                                 new ServeCommand(),
                                 new CheckCommand(),
                                 new SubmitCommand(),
+                                new MembersCommand(),
                                 ReadCommand.status(),
                                 ReadCommand.history(),
                                 ReadCommand.document()));
--- a/control/src/main/java/org/cuminreach/control/command/SubmitCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/SubmitCommand.java
@@ -91,7 +91,7 @@
         Optional<Response> response =
                 client.post("/documents?basedOn=" + options.valueOf(BASED_ON), headers, text);
         if (response.isEmpty()) {
-            err.println("submit: no control answered; ask again with --key " + key);
+            err.println("submit: the outcome is not known; ask again with --key " + key);
             return ExitCode.UNKNOWN;
         }
         out.print(response.get().getResponseBody());
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
@@ -27,10 +27,12 @@
 
     private final PeerLinks peers;
     private final OperatorView view;
+    private final MembersHandler members;
 
     private OperatorHandler(PeerLinks peers, OperatorView view) {
         this.peers = peers;
         this.view = view;
+        this.members = new MembersHandler(view.replica());
     }
 
     /**
@@ -50,6 +52,7 @@
             case "POST /documents" -> submit(call);
             case "GET /documents/current" -> now(view.currentDocument());
             case "GET /status" -> now(view.status());
+            case "GET /members", "POST /members" -> members.handle(call);
             case "GET /history" -> now(view.history());
             default ->
                     now(
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
@@ -62,6 +62,10 @@
         return status.toPrettyString() + "\n";
     }
 
+    ReplicaDriver replica() {
+        return replica;
+    }
+
     HttpAnswer status() {
         return HttpAnswer.of(200, "application/json", statusJson());
     }
--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -29,7 +29,8 @@
 
 /**
  * The links to the other controls. Each control dials every other and sends over the connections it
- * dialled; a receiver accepts only what is meant for its own identity.
+ * dialled; a receiver accepts only what is meant for its own identity. A control that does not know
+ * the members yet answers the leader over the connection that the leader dialled.
  */
 public final class PeerLinks implements PeerNetwork {
     private static final Logger LOGGER = LoggerFactory.getLogger(PeerLinks.class);
@@ -50,6 +51,7 @@
     private final Address operatorAddress;
     private final FrameEndpoints endpoints;
     private final Map<String, Link> links = new ConcurrentHashMap<>();
+    private final Map<String, FrameConnection> dialledBy = new ConcurrentHashMap<>();
     private final Map<Long, CompletableFuture<SubmitResult>> forwarded = new ConcurrentHashMap<>();
     private final AtomicLong lastCorrelation = new AtomicLong();
     private volatile ReplicaDriver replica;
@@ -109,7 +111,7 @@
     @Override
     public boolean send(String to, Frame frame) {
         Link link = links.get(to);
-        FrameConnection connection = link == null ? null : link.connection;
+        FrameConnection connection = link == null ? dialledBy.get(to) : link.connection;
         return connection != null && connection.send(frame);
     }
 
@@ -182,6 +184,13 @@
                 .whenComplete((channel, failure) -> link.dialling = false);
     }
 
+    private void receiveAgreement(String from, Frame frame) throws MalformedFrameException {
+        replica.receive(
+                from,
+                AgreementCodec.toMessage(frame.getAgreement()),
+                ProcessClock.monotonicMillis());
+    }
+
     /** Hears of a connection that this control dialled. */
     private final class Outgoing implements FrameListener {
         private final String id;
@@ -202,8 +211,13 @@
         }
 
         @Override
-        public void received(FrameConnection connection, Frame frame) {
-            LOGGER.trace("event=control_alive control={}", id);
+        public void received(FrameConnection connection, Frame frame)
+                throws MalformedFrameException {
+            if (frame.getSetField() == Frame._Fields.AGREEMENT) {
+                receiveAgreement(id, frame);
+            } else {
+                LOGGER.trace("event=control_alive control={}", id);
+            }
         }
 
         @Override
@@ -237,6 +251,7 @@
 
         @Override
         public void closed(FrameConnection connection) {
+            dialledBy.remove(from, connection);
             LOGGER.debug("event=control_gone control={}", from);
         }
 
@@ -251,16 +266,13 @@
                 return;
             }
             from = hello.getId();
+            dialledBy.put(from, connection);
         }
 
         private void handle(FrameConnection connection, Frame frame)
                 throws MalformedFrameException {
             switch (frame.getSetField()) {
-                case AGREEMENT ->
-                        replica.receive(
-                                from,
-                                AgreementCodec.toMessage(frame.getAgreement()),
-                                ProcessClock.monotonicMillis());
+                case AGREEMENT -> receiveAgreement(from, frame);
                 case SUBMISSION_FORWARD -> propose(frame.getSubmissionForward());
                 case SUBMISSION_ANSWER -> answer(frame.getSubmissionAnswer());
                 case ANNOUNCEMENTS ->
--- a/control/src/main/java/org/cuminreach/control/replica/PendingConfirmations.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PendingConfirmations.java
@@ -7,12 +7,17 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
-/** Confirmations that wait for a quorum or for an index. Guarded by its owner's lock. */
+/** Confirmations that wait for a quorum or for an index. Used by the thread that writes alone. */
 final class PendingConfirmations {
     private final Map<Long, CompletableFuture<Long>> awaitingQuorum = new HashMap<>();
     private final TreeMap<Long, List<CompletableFuture<Long>>> awaitingIndex = new TreeMap<>();
     private long lastNumber;
 
+    /** A random first number keeps a late answer to an earlier process from being taken for new. */
+    PendingConfirmations(long lastNumber) {
+        this.lastNumber = lastNumber;
+    }
+
     long add(CompletableFuture<Long> result) {
         lastNumber++;
         awaitingQuorum.put(lastNumber, result);
--- a/control/src/main/java/org/cuminreach/control/replica/PendingProposals.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PendingProposals.java
@@ -3,21 +3,33 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.cuminreach.decisions.agreement.LogEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
-import org.cuminreach.decisions.configuration.MeshState;
 import org.cuminreach.decisions.configuration.SubmissionOutcome;
 
 /**
- * Commands of this control that wait for their index to be applied. Guarded by its owner's lock.
+ * Commands of this control that wait for their index to be applied. Used by the thread that writes
+ * alone.
  */
 final class PendingProposals {
-    private record Proposal(long term, String key, CompletableFuture<SubmitResult> result) {}
+    private record Proposal(
+            long term, MeshCommand command, CompletableFuture<SubmitResult> result) {}
 
     private final TreeMap<Long, Proposal> byIndex = new TreeMap<>();
 
-    void add(long index, long term, MeshCommand command, CompletableFuture<SubmitResult> result) {
-        byIndex.put(index, new Proposal(term, key(command), result));
+    /** A command of an earlier term at the same index may still come back with another leader. */
+    void add(
+            long index,
+            long term,
+            MeshCommand command,
+            CompletableFuture<SubmitResult> result,
+            Completions completions) {
+        Proposal replaced = byIndex.put(index, new Proposal(term, command, result));
+        if (replaced != null) {
+            SubmitResult unknown = new SubmitResult.Unknown("another leader took over meanwhile");
+            completions.add(() -> replaced.result().complete(unknown));
+        }
     }
 
     /** Settles the command whose index was applied; another term there means that it was lost. */
@@ -36,11 +48,14 @@
     }
 
     /** Settles the commands whose indexes a snapshot has skipped. */
-    void skipped(long lastIndex, MeshState state, Completions completions) {
+    void skipped(
+            long lastIndex,
+            Function<MeshCommand, Optional<SubmissionOutcome>> answers,
+            Completions completions) {
         while (!byIndex.isEmpty() && byIndex.firstKey() <= lastIndex) {
             Proposal proposal = byIndex.pollFirstEntry().getValue();
             SubmitResult result =
-                    state.answer(proposal.key())
+                    answers.apply(proposal.command())
                             .<SubmitResult>map(SubmitResult.Decided::new)
                             .orElseGet(
                                     () ->
@@ -49,8 +64,4 @@
             completions.add(() -> proposal.result().complete(result));
         }
     }
-
-    private static String key(MeshCommand command) {
-        return command instanceof MeshCommand.SubmitDocument submission ? submission.key() : "";
-    }
 }
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/ProposalSteps.java
@@ -0,0 +1,108 @@
+package org.cuminreach.control.replica;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cuminreach.decisions.agreement.Effect;
+import org.cuminreach.decisions.agreement.MembershipRequest;
+import org.cuminreach.decisions.agreement.ProposalOutcome;
+import org.cuminreach.decisions.agreement.Replica;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The steps that append to the log of a leader, or refuse to. */
+final class ProposalSteps {
+    private static final Logger LOGGER = LoggerFactory.getLogger(ProposalSteps.class);
+    private static final String NOT_LEADING = "this control does not lead";
+
+    private final Replica replica;
+    private final ReplicaStorage storage;
+    private final ReplicatedState state;
+    private final PendingProposals pending;
+
+    ProposalSteps(
+            Replica replica,
+            ReplicaStorage storage,
+            ReplicatedState state,
+            PendingProposals pending) {
+        this.replica = replica;
+        this.storage = storage;
+        this.state = state;
+        this.pending = pending;
+    }
+
+    /** A remembered answer is final and may be given by any control. */
+    List<Effect> propose(
+            MeshCommand command,
+            byte[] bytes,
+            long nowMillis,
+            CompletableFuture<SubmitResult> result,
+            Completions completions) {
+        Optional<SubmissionOutcome> known = state.answer(command);
+        if (known.isPresent()) {
+            completions.add(() -> result.complete(new SubmitResult.Decided(known.get())));
+            return List.of();
+        }
+        if (replica.isLeader() && !hasRoomFor(bytes)) {
+            return refuse("the disk of the leading control is nearly full", result, completions);
+        }
+        return switch (replica.propose(nowMillis, bytes)) {
+            case ProposalOutcome.Appended appended -> {
+                pending.add(appended.index(), appended.term(), command, result, completions);
+                yield appended.effects();
+            }
+            case ProposalOutcome.NotLeader notLeader -> refuse(NOT_LEADING, result, completions);
+            case ProposalOutcome.Refused refused -> refuse(refused.reason(), result, completions);
+        };
+    }
+
+    List<Effect> changeMembership(
+            MembershipRequest request,
+            long nowMillis,
+            CompletableFuture<Optional<String>> result,
+            Completions completions) {
+        return switch (request.decide(replica.membership())) {
+            case MembershipRequest.Answer.Refused refused ->
+                    answer(refused.reason(), result, completions);
+            case MembershipRequest.Answer.Change change ->
+                    switch (replica.changeMembership(nowMillis, change.next())) {
+                        case ProposalOutcome.Appended appended -> {
+                            LOGGER.info(
+                                    "event=membership_changed request={} members={}",
+                                    request,
+                                    change.next().members());
+                            completions.add(() -> result.complete(Optional.empty()));
+                            yield appended.effects();
+                        }
+                        case ProposalOutcome.NotLeader notLeader ->
+                                answer(NOT_LEADING, result, completions);
+                        case ProposalOutcome.Refused refused ->
+                                answer(refused.reason(), result, completions);
+                    };
+        };
+    }
+
+    private boolean hasRoomFor(byte[] bytes) {
+        try {
+            return storage.hasRoomFor(bytes.length);
+        } catch (IOException unknown) {
+            LOGGER.warn("event=disk_not_asked reason={}", unknown.toString());
+            return false;
+        }
+    }
+
+    private static List<Effect> refuse(
+            String reason, CompletableFuture<SubmitResult> result, Completions completions) {
+        completions.add(() -> result.complete(new SubmitResult.NotRun(reason)));
+        return List.of();
+    }
+
+    private static List<Effect> answer(
+            String refusal, CompletableFuture<Optional<String>> result, Completions completions) {
+        completions.add(() -> result.complete(Optional.of(refusal)));
+        return List.of();
+    }
+}
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -2,74 +2,75 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.cuminreach.control.storage.DataFolder;
 import org.cuminreach.decisions.agreement.AgreementSettings;
+import org.cuminreach.decisions.agreement.DurableState;
 import org.cuminreach.decisions.agreement.Effect;
-import org.cuminreach.decisions.agreement.LogEntry;
 import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.agreement.MembershipRequest;
 import org.cuminreach.decisions.agreement.Message;
-import org.cuminreach.decisions.agreement.Payload;
-import org.cuminreach.decisions.agreement.ProposalOutcome;
 import org.cuminreach.decisions.agreement.Replica;
+import org.cuminreach.decisions.agreement.Snapshot;
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
-import org.cuminreach.decisions.configuration.MeshState;
-import org.cuminreach.decisions.configuration.MeshStateImage;
 import org.cuminreach.decisions.configuration.SubmissionOutcome;
 import org.cuminreach.wire.AgreementCodec;
 import org.cuminreach.wire.ConfigurationCodec;
-import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.StructCodec;
-import org.cuminreach.wire.generated.CommandStruct;
 import org.cuminreach.wire.generated.Frame;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Carries out what the {@link Replica} decides: syncs, sends, applies. One lock guards all of it.
- * Futures are completed outside that lock.
+ * Carries out what the {@link Replica} decides. One thread takes the steps in batches, saves all
+ * that a batch asks for with one sync, and only then sends and applies; callers never wait for the
+ * disk. Futures complete and listeners hear on that thread.
  */
 public final class ReplicaDriver {
     private static final Logger LOGGER = LoggerFactory.getLogger(ReplicaDriver.class);
-    private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
+    private static final int MOST_QUEUED_PROPOSALS = 1_000;
+
+    /** One step of the replica; it may add completions. */
+    private interface Step {
+        List<Effect> take(Completions completions);
+    }
 
     private final String self;
-    private final DataFolder folder;
     private final PeerNetwork network;
     private final Replica replica;
+    private final ReplicaStorage storage;
+    private final ReplicatedState state;
+    private final ReplicaInbox<Step> inbox;
+    private final ProposalSteps steps;
     private final PendingProposals proposals = new PendingProposals();
-    private final PendingConfirmations confirmations = new PendingConfirmations();
-    private final CopyOnWriteArrayList<MeshListener> listeners = new CopyOnWriteArrayList<>();
-    private MeshState state;
-    private long appliedIndex;
-    private long snapshotIndex;
-    private volatile MeshConfiguration configuration;
+    private final PendingConfirmations confirmations;
+    private final AtomicBoolean tickQueued = new AtomicBoolean();
 
     private ReplicaDriver(
             String self,
             DataFolder folder,
             PeerNetwork network,
             RandomGenerator random,
-            long nowMillis)
+            long nowMillis,
+            ReplicaFailureListener failures)
             throws IOException {
         this.self = self;
-        this.folder = folder;
         this.network = network;
-        var durable = folder.load();
-        this.replica =
-                Replica.start(self, AgreementSettings.standard(), random, durable, nowMillis);
-        restore(
-                durable.snapshot()
-                        .map(snapshot -> snapshot.state())
-                        .orElseGet(() -> ConfigurationCodec.encode(MeshStateImage.empty())));
-        snapshotIndex = durable.snapshot().map(snapshot -> snapshot.lastIndex()).orElse(0L);
-        appliedIndex = snapshotIndex;
+        DurableState durable = folder.load();
+        replica = Replica.start(self, AgreementSettings.standard(), random, durable, nowMillis);
+        state = new ReplicatedState(durable.snapshot());
+        storage =
+                new ReplicaStorage(folder, durable.snapshot().map(Snapshot::lastIndex).orElse(0L));
+        steps = new ProposalSteps(replica, storage, state, proposals);
+        confirmations = new PendingConfirmations(random.nextLong());
+        inbox = new ReplicaInbox<>(this::carryOut, failures);
     }
 
     /**
@@ -80,6 +81,7 @@
      * @param network carries its messages
      * @param random source of its election jitter
      * @param nowMillis present time, in milliseconds of a clock that never goes back
+     * @param failures hears when the replica cannot go on
      * @return the driver
      * @throws IOException when the folder cannot be read or is damaged
      */
@@ -88,20 +90,32 @@
             DataFolder folder,
             PeerNetwork network,
             RandomGenerator random,
-            long nowMillis)
+            long nowMillis,
+            ReplicaFailureListener failures)
             throws IOException {
-        ReplicaDriver driver = new ReplicaDriver(self, folder, network, random, nowMillis);
+        ReplicaDriver driver =
+                new ReplicaDriver(self, folder, network, random, nowMillis, failures);
         network.follow(driver.membership());
+        driver.inbox.start();
         return driver;
     }
 
+    /**
+     * Ends the thread that writes, after its present batch.
+     *
+     * @throws InterruptedException when interrupted while it ends
+     */
+    public void close() throws InterruptedException {
+        inbox.close();
+    }
+
     /**
      * Adds a listener.
      *
-     * @param listener hears of changes from now on
+     * @param listener hears of changes from now on, on the thread that writes
      */
     public void listen(MeshListener listener) {
-        listeners.add(listener);
+        state.listen(listener);
     }
 
     /**
@@ -110,7 +124,13 @@
      * @param nowMillis present time
      */
     public void tick(long nowMillis) {
-        perform(() -> replica.tick(nowMillis));
+        if (tickQueued.compareAndSet(false, true)) {
+            inbox.add(
+                    completions -> {
+                        tickQueued.set(false);
+                        return replica.tick(nowMillis);
+                    });
+        }
     }
 
     /**
@@ -121,7 +141,7 @@
      * @param nowMillis present time
      */
     public void receive(String from, Message message, long nowMillis) {
-        perform(() -> replica.receive(nowMillis, from, message));
+        inbox.add(completions -> replica.receive(nowMillis, from, message));
     }
 
     /**
@@ -133,53 +153,37 @@
      */
     public CompletableFuture<SubmitResult> propose(MeshCommand command, long nowMillis) {
         CompletableFuture<SubmitResult> result = new CompletableFuture<>();
-        Completions completions = new Completions();
-        synchronized (this) {
-            Optional<SubmissionOutcome> known = rememberedAnswer(command);
-            if (known.isPresent() && replica.isLeader()) {
-                result.complete(new SubmitResult.Decided(known.get()));
-                return result;
-            }
-            byte[] bytes = StructCodec.encode(ConfigurationCodec.toStruct(command));
-            switch (replica.propose(nowMillis, bytes)) {
-                case ProposalOutcome.Appended appended -> {
-                    proposals.add(appended.index(), appended.term(), command, result);
-                    carryOut(appended.effects(), completions);
-                }
-                case ProposalOutcome.NotLeader notLeader ->
-                        result.complete(new SubmitResult.NotRun("this control does not lead"));
-                case ProposalOutcome.Refused refused ->
-                        result.complete(new SubmitResult.NotRun(refused.reason()));
-            }
+        byte[] bytes = StructCodec.encode(ConfigurationCodec.toStruct(command));
+        boolean queued =
+                inbox.size() < MOST_QUEUED_PROPOSALS
+                        && inbox.add(
+                                completions ->
+                                        steps.propose(
+                                                command, bytes, nowMillis, result, completions));
+        if (!queued) {
+            result.complete(new SubmitResult.NotRun("this control has too much to do"));
         }
-        completions.run();
         return result;
     }
 
     /**
      * Changes the membership of the controls.
      *
-     * @param next the whole new membership
+     * @param request what is asked for
      * @param nowMillis present time
-     * @return empty when the change was begun, or the reason why not
+     * @return completes empty when the change was begun, or with the reason why not
      */
-    public Optional<String> changeMembership(Membership next, long nowMillis) {
-        Completions completions = new Completions();
-        Optional<String> refusal;
-        synchronized (this) {
-            refusal =
-                    switch (replica.changeMembership(nowMillis, next)) {
-                        case ProposalOutcome.Appended appended -> {
-                            carryOut(appended.effects(), completions);
-                            yield Optional.empty();
-                        }
-                        case ProposalOutcome.NotLeader notLeader ->
-                                Optional.of("this control does not lead");
-                        case ProposalOutcome.Refused refused -> Optional.of(refused.reason());
-                    };
+    public CompletableFuture<Optional<String>> changeMembership(
+            MembershipRequest request, long nowMillis) {
+        CompletableFuture<Optional<String>> result = new CompletableFuture<>();
+        boolean queued =
+                inbox.add(
+                        completions ->
+                                steps.changeMembership(request, nowMillis, result, completions));
+        if (!queued) {
+            result.complete(Optional.of("this control stops"));
         }
-        completions.run();
-        return refusal;
+        return result;
     }
 
     /**
@@ -190,8 +194,8 @@
      */
     public CompletableFuture<Long> confirm(long nowMillis) {
         CompletableFuture<Long> result = new CompletableFuture<>();
-        perform(
-                () -> {
+        inbox.add(
+                completions -> {
                     long confirmation = confirmations.add(result);
                     result.whenComplete((index, failure) -> forget(confirmation));
                     return replica.confirm(nowMillis, confirmation);
@@ -259,7 +263,7 @@
      *
      * @return the latest entries, oldest first
      */
-    public synchronized List<HistoryEntry> history() {
+    public List<HistoryEntry> history() {
         return state.history();
     }
 
@@ -269,7 +273,7 @@
      * @return the configuration
      */
     public MeshConfiguration configuration() {
-        return configuration;
+        return state.configuration();
     }
 
     /**
@@ -281,65 +285,55 @@
         return self;
     }
 
-    private interface Step {
-        List<Effect> take();
+    private void forget(long confirmation) {
+        inbox.add(
+                completions -> {
+                    confirmations.forget(confirmation);
+                    return List.of();
+                });
     }
 
-    private void perform(Step step) {
+    private void carryOut(List<Step> batch) {
         Completions completions = new Completions();
+        List<Effect> effects = new ArrayList<>();
         synchronized (this) {
-            carryOut(step.take(), completions);
+            batch.forEach(step -> effects.addAll(step.take(completions)));
         }
-        completions.run();
-    }
-
-    private synchronized void forget(long confirmation) {
-        confirmations.forget(confirmation);
-    }
-
-    private Optional<SubmissionOutcome> rememberedAnswer(MeshCommand command) {
-        return command instanceof MeshCommand.SubmitDocument submission
-                ? state.answer(submission.key())
-                : Optional.empty();
-    }
-
-    private void carryOut(List<Effect> effects, Completions completions) {
         try {
-            for (Effect effect : effects) {
-                carryOut(effect, completions);
-            }
+            carryOut(effects, completions);
             compactIfDue();
         } catch (IOException unsynced) {
             throw new UncheckedIOException("the data folder could not be synced", unsynced);
         }
+        completions.run();
+    }
+
+    private void carryOut(List<Effect> effects, Completions completions) throws IOException {
+        storage.save(effects);
+        effects.forEach(effect -> carryOut(effect, completions));
     }
 
-    private void carryOut(Effect effect, Completions completions) throws IOException {
+    private void carryOut(Effect effect, Completions completions) {
         switch (effect) {
-            case Effect.SaveVote save -> folder.saveVote(save.term(), save.vote());
-            case Effect.SaveEntries save -> {
-                folder.saveEntries(save.entries());
-                network.follow(replica.membership());
-            }
-            case Effect.SaveSnapshot save -> {
-                folder.saveSnapshot(save.snapshot(), save.keepLaterEntries());
-                snapshotIndex = save.snapshot().lastIndex();
-            }
+            case Effect.SaveVote saved -> {}
+            case Effect.SaveEntries saved -> network.follow(membership());
+            case Effect.SaveSnapshot saved -> network.follow(membership());
             case Effect.Send send ->
                     network.send(
                             send.to(), Frame.agreement(AgreementCodec.toStruct(send.message())));
-            case Effect.Apply apply -> apply(apply.entry(), completions);
+            case Effect.Apply apply -> {
+                Optional<SubmissionOutcome> outcome = state.apply(apply.entry(), completions);
+                proposals.applied(apply.entry(), outcome, completions);
+                confirmations.applied(state.appliedIndex(), completions);
+            }
             case Effect.Restore restore -> {
-                restore(restore.snapshot().state());
-                appliedIndex = restore.snapshot().lastIndex();
-                network.follow(replica.membership());
-                announce(completions);
-                proposals.skipped(appliedIndex, state, completions);
-                confirmations.applied(appliedIndex, completions);
+                state.restore(restore.snapshot(), completions);
+                proposals.skipped(state.appliedIndex(), state::answer, completions);
+                confirmations.applied(state.appliedIndex(), completions);
             }
             case Effect.Confirmed confirmed -> {
                 confirmations.confirmed(confirmed.confirmation(), confirmed.index());
-                confirmations.applied(appliedIndex, completions);
+                confirmations.applied(state.appliedIndex(), completions);
             }
             case Effect.LeaderChanged changed ->
                     LOGGER.info(
@@ -349,51 +343,15 @@
         }
     }
 
-    private void apply(LogEntry entry, Completions completions) {
-        appliedIndex = entry.index();
-        Optional<SubmissionOutcome> outcome = Optional.empty();
-        if (entry.payload() instanceof Payload.Command command) {
-            long versionBefore = state.configuration().version();
-            outcome = state.apply(entry.index(), decode(command));
-            if (state.configuration().version() != versionBefore) {
-                announce(completions);
-            }
-        }
-        proposals.applied(entry, outcome, completions);
-        confirmations.applied(appliedIndex, completions);
-    }
-
-    private void announce(Completions completions) {
-        MeshConfiguration changed = state.configuration();
-        configuration = changed;
-        completions.add(() -> listeners.forEach(listener -> listener.changed(changed)));
-    }
-
-    private void restore(byte[] encoded) {
-        try {
-            state = MeshState.of(ConfigurationCodec.decodeState(encoded));
-        } catch (MalformedFrameException damaged) {
-            throw new IllegalStateException("a snapshot of ours does not decode", damaged);
-        }
-        configuration = state.configuration();
-    }
-
-    private static MeshCommand decode(Payload.Command command) {
-        try {
-            return ConfigurationCodec.toCommand(
-                    StructCodec.decode(command.bytes(), new CommandStruct()));
-        } catch (MalformedFrameException damaged) {
-            throw new IllegalStateException("an agreed command does not decode", damaged);
-        }
-    }
-
     private void compactIfDue() throws IOException {
-        if (appliedIndex - snapshotIndex < ENTRIES_BETWEEN_SNAPSHOTS) {
+        long appliedIndex = state.appliedIndex();
+        if (!storage.snapshotDue(appliedIndex)) {
             return;
         }
-        byte[] image = ConfigurationCodec.encode(state.image());
-        for (Effect effect : replica.compact(appliedIndex, image)) {
-            carryOut(effect, new Completions());
+        List<Effect> effects;
+        synchronized (this) {
+            effects = replica.compact(appliedIndex, state.encoded());
         }
+        storage.save(effects);
     }
 }
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaInbox.java
@@ -0,0 +1,69 @@
+package org.cuminreach.control.replica;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * What a replica has to deal with, in order of arrival, and the one thread that does so. All that
+ * arrives while the disk syncs makes up the next batch.
+ *
+ * @param <T> type of the items
+ */
+final class ReplicaInbox<T> {
+    private static final int LARGEST_BATCH = 256;
+    private static final long CLOSE_POLL_MILLIS = 50;
+
+    private final LinkedBlockingQueue<T> items = new LinkedBlockingQueue<>();
+    private final AtomicBoolean open = new AtomicBoolean(true);
+    private final Thread writer;
+
+    ReplicaInbox(Consumer<List<T>> batches, ReplicaFailureListener failures) {
+        writer = new Thread(() -> run(batches, failures), "replica-writer");
+        writer.setDaemon(true);
+    }
+
+    void start() {
+        writer.start();
+    }
+
+    /** Adds an item; returns false when it will certainly not be dealt with. */
+    boolean add(T item) {
+        return open.get() && items.add(item);
+    }
+
+    int size() {
+        return items.size();
+    }
+
+    /** Ends the thread after its present batch; an interrupt would tear a file from it. */
+    void close() throws InterruptedException {
+        open.set(false);
+        if (Thread.currentThread() != writer) {
+            writer.join();
+        }
+    }
+
+    private void run(Consumer<List<T>> batches, ReplicaFailureListener failures) {
+        try {
+            while (open.get()) {
+                T first = items.poll(CLOSE_POLL_MILLIS, TimeUnit.MILLISECONDS);
+                if (first == null) {
+                    continue;
+                }
+                List<T> batch = new ArrayList<>();
+                batch.add(first);
+                items.drainTo(batch, LARGEST_BATCH - 1);
+                batches.accept(batch);
+            }
+        } catch (InterruptedException closed) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException broken) {
+            open.set(false);
+            failures.failed(broken);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
@@ -0,0 +1,75 @@
+package org.cuminreach.control.replica;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.agreement.Effect;
+import org.cuminreach.decisions.agreement.LogEntry;
+
+/**
+ * Saves what a batch of steps asks to save, with one sync for all its entries. The caller carries
+ * out the other effects of the batch only afterwards.
+ */
+final class ReplicaStorage {
+    private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
+    private static final long LARGEST_ENTRY_FILE_BYTES = 64L * 1024 * 1024;
+
+    private final DataFolder folder;
+    private final List<LogEntry> unsaved = new ArrayList<>();
+    private long snapshotIndex;
+
+    ReplicaStorage(DataFolder folder, long snapshotIndex) {
+        this.folder = folder;
+        this.snapshotIndex = snapshotIndex;
+    }
+
+    void save(List<Effect> effects) throws IOException {
+        Optional<Effect.SaveVote> lastVote = Optional.empty();
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.SaveVote vote) {
+                lastVote = Optional.of(vote);
+            }
+        }
+        if (lastVote.isPresent()) {
+            folder.saveVote(lastVote.get().term(), lastVote.get().vote());
+        }
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.SaveEntries entries) {
+                merge(entries.entries());
+            } else if (effect instanceof Effect.SaveSnapshot snapshot) {
+                flush();
+                folder.saveSnapshot(snapshot.snapshot(), snapshot.keepLaterEntries());
+                snapshotIndex = snapshot.snapshot().lastIndex();
+            }
+        }
+        flush();
+    }
+
+    /** Tells whether enough was applied since the last snapshot to make the next one. */
+    boolean snapshotDue(long appliedIndex) {
+        boolean large = folder.entryBytes() >= LARGEST_ENTRY_FILE_BYTES;
+        long entries = appliedIndex - snapshotIndex;
+        return entries >= ENTRIES_BETWEEN_SNAPSHOTS || large && entries > 0;
+    }
+
+    boolean hasRoomFor(long bytes) throws IOException {
+        return folder.hasRoomFor(bytes);
+    }
+
+    private void merge(List<LogEntry> entries) {
+        long first = entries.getFirst().index();
+        while (!unsaved.isEmpty() && unsaved.getLast().index() >= first) {
+            unsaved.removeLast();
+        }
+        unsaved.addAll(entries);
+    }
+
+    private void flush() throws IOException {
+        if (!unsaved.isEmpty()) {
+            folder.saveEntries(List.copyOf(unsaved));
+            unsaved.clear();
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
@@ -0,0 +1,103 @@
+package org.cuminreach.control.replica;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminreach.decisions.agreement.LogEntry;
+import org.cuminreach.decisions.agreement.Payload;
+import org.cuminreach.decisions.agreement.Snapshot;
+import org.cuminreach.decisions.configuration.HistoryEntry;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.MeshState;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.MalformedFrameException;
+import org.cuminreach.wire.StructCodec;
+import org.cuminreach.wire.generated.CommandStruct;
+
+/** The state that the committed entries build here, and who hears of it. */
+final class ReplicatedState {
+    private final CopyOnWriteArrayList<MeshListener> listeners = new CopyOnWriteArrayList<>();
+    private MeshState state;
+    private long appliedIndex;
+    private volatile MeshConfiguration configuration;
+
+    ReplicatedState(Optional<Snapshot> snapshot) {
+        load(
+                snapshot.map(Snapshot::state)
+                        .orElseGet(() -> ConfigurationCodec.encode(MeshStateImage.empty())));
+        appliedIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
+    }
+
+    void listen(MeshListener listener) {
+        listeners.add(listener);
+    }
+
+    MeshConfiguration configuration() {
+        return configuration;
+    }
+
+    synchronized long appliedIndex() {
+        return appliedIndex;
+    }
+
+    synchronized List<HistoryEntry> history() {
+        return state.history();
+    }
+
+    synchronized byte[] encoded() {
+        return ConfigurationCodec.encode(state.image());
+    }
+
+    /** Finds the answer that a submission got; other commands have none. */
+    synchronized Optional<SubmissionOutcome> answer(MeshCommand command) {
+        return command instanceof MeshCommand.SubmitDocument submission
+                ? state.answer(submission.key())
+                : Optional.empty();
+    }
+
+    synchronized Optional<SubmissionOutcome> apply(LogEntry entry, Completions completions) {
+        appliedIndex = entry.index();
+        if (!(entry.payload() instanceof Payload.Command command)) {
+            return Optional.empty();
+        }
+        long versionBefore = state.configuration().version();
+        Optional<SubmissionOutcome> outcome = state.apply(entry.index(), decode(command));
+        if (state.configuration().version() != versionBefore) {
+            announce(completions);
+        }
+        return outcome;
+    }
+
+    synchronized void restore(Snapshot snapshot, Completions completions) {
+        load(snapshot.state());
+        appliedIndex = snapshot.lastIndex();
+        announce(completions);
+    }
+
+    private void load(byte[] encoded) {
+        try {
+            state = MeshState.of(ConfigurationCodec.decodeState(encoded));
+        } catch (MalformedFrameException damaged) {
+            throw new IllegalStateException("a snapshot of ours does not decode", damaged);
+        }
+        configuration = state.configuration();
+    }
+
+    private void announce(Completions completions) {
+        MeshConfiguration changed = state.configuration();
+        configuration = changed;
+        completions.add(() -> listeners.forEach(listener -> listener.changed(changed)));
+    }
+
+    private static MeshCommand decode(Payload.Command command) {
+        try {
+            return ConfigurationCodec.toCommand(
+                    StructCodec.decode(command.bytes(), new CommandStruct()));
+        } catch (MalformedFrameException damaged) {
+            throw new IllegalStateException("an agreed command does not decode", damaged);
+        }
+    }
+}
--- a/control/src/main/java/org/cuminreach/control/storage/CorruptDataException.java
+++ b/control/src/main/java/org/cuminreach/control/storage/CorruptDataException.java
@@ -6,12 +6,24 @@
 public final class CorruptDataException extends IOException {
     private static final long serialVersionUID = 1;
 
+    private CorruptDataException(String message) {
+        super(message);
+    }
+
     /**
      * Creates the exception.
      *
-     * @param message which file, where, and what an operator can do
+     * @param file name of the damaged file
+     * @param damage what is wrong with it
+     * @return the exception, which says what an operator can do
      */
-    public CorruptDataException(String message) {
-        super(message);
+    static CorruptDataException of(String file, String damage) {
+        return new CorruptDataException(
+                "file "
+                        + file
+                        + " "
+                        + damage
+                        + "; empty the data folder, start this control anew and admit it as a new"
+                        + " member");
     }
 }
--- a/control/src/main/java/org/cuminreach/control/storage/DataFolder.java
+++ b/control/src/main/java/org/cuminreach/control/storage/DataFolder.java
@@ -1,8 +1,8 @@
 package org.cuminreach.control.storage;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,32 +17,50 @@
 import org.cuminreach.wire.generated.VoteRecord;
 
 /**
- * Everything a control keeps: its identity, term and vote, snapshot and log entries. Each method
- * that saves returns once the bytes are synced. Not safe for use by several threads at once.
+ * Everything a control keeps: its identity, term and vote, snapshot and log entries. The snapshot
+ * file names the generation of the entry file that belongs to it, so that replacing the snapshot
+ * switches both at once. After a failed save the folder must not be used any more. Not safe for use
+ * by several threads at once.
  */
 public final class DataFolder implements AutoCloseable {
+    /** Room on the disk that submissions may not use, so that the log can still be compacted. */
+    public static final long RESERVE_BYTES = 128L * 1024 * 1024;
+
+    private static final String ENTRIES_PREFIX = "entries-";
+
+    private final FolderAccess folder;
     private final SyncedFile identityFile;
     private final SyncedFile voteFile;
     private final SyncedFile snapshotFile;
-    private final EntryFile entryFile;
-    private List<LogEntry> entries = new ArrayList<>();
+    private final List<LogEntry> entries = new ArrayList<>();
+    private EntryFile entryFile;
+    private long generation;
 
-    private DataFolder(Path folder) throws IOException {
-        identityFile = new SyncedFile(folder.resolve("identity"));
-        voteFile = new SyncedFile(folder.resolve("vote"));
-        snapshotFile = new SyncedFile(folder.resolve("snapshot"));
-        entryFile = EntryFile.open(folder.resolve("entries"));
+    private DataFolder(FolderAccess folder) {
+        this.folder = folder;
+        identityFile = new SyncedFile(folder, "identity");
+        voteFile = new SyncedFile(folder, "vote");
+        snapshotFile = new SyncedFile(folder, "snapshot");
     }
 
     /**
      * Opens a folder, which is made when missing.
      *
-     * @param folder the folder
+     * @param path the folder
      * @return the opened folder
      * @throws IOException when it cannot be used
      */
-    public static DataFolder open(Path folder) throws IOException {
-        Files.createDirectories(folder);
+    public static DataFolder open(Path path) throws IOException {
+        return open(LocalFolder.open(path));
+    }
+
+    /**
+     * Opens a folder by other file operations than those of the local file system.
+     *
+     * @param folder the file operations
+     * @return the opened folder
+     */
+    public static DataFolder open(FolderAccess folder) {
         return new DataFolder(folder);
     }
 
@@ -74,17 +92,15 @@
      */
     public DurableState load() throws IOException {
         Optional<Snapshot> snapshot = loadSnapshot();
-        long snapshotIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
-        entries = new ArrayList<>(entryFile.load());
-        entries.removeIf(entry -> entry.index() <= snapshotIndex);
-        refuseGap(snapshotIndex);
+        openEntries();
+        refuseGap(snapshot.map(Snapshot::lastIndex).orElse(0L));
         VoteRecord vote = loadVote();
         return new DurableState(
                 vote.getTerm(), Optional.ofNullable(vote.getVote()), snapshot, entries);
     }
 
     /**
-     * Saves the term and vote.
+     * Saves the term and vote; they are synced on return.
      *
      * @param term the term
      * @param vote identity voted for
@@ -97,34 +113,66 @@
     }
 
     /**
-     * Cuts the log before the first entry's index and appends the entries.
+     * Cuts the log before the first entry's index and appends the entries; they are synced on
+     * return.
      *
      * @param added the entries, at least one
      * @throws IOException when they could not be synced
      */
     public void saveEntries(List<LogEntry> added) throws IOException {
-        long first = added.getFirst().index();
-        entries.removeIf(entry -> entry.index() >= first);
-        entries.addAll(added);
+        EntryFile.replay(added, entries);
+        if (entryFile == null) {
+            throw new IOException("the data folder was not loaded");
+        }
         entryFile.append(added);
     }
 
     /**
-     * Saves a snapshot and drops the entries it replaces.
+     * Saves a snapshot and drops the entries it replaces; all is synced on return.
      *
      * @param snapshot the snapshot
      * @param keepLaterEntries false when every entry is to go
      * @throws IOException when it could not be synced
      */
     public void saveSnapshot(Snapshot snapshot, boolean keepLaterEntries) throws IOException {
-        snapshotFile.replace(StructCodec.encode(AgreementCodec.toStruct(snapshot)));
         entries.removeIf(entry -> !keepLaterEntries || entry.index() <= snapshot.lastIndex());
-        entryFile.rewrite(entries);
+        long replaced = generation;
+        EntryFile next = EntryFile.create(folder, entriesName(replaced + 1), entries);
+        byte[] state = StructCodec.encode(AgreementCodec.toStruct(snapshot));
+        ByteBuffer content = ByteBuffer.allocate(Long.BYTES + state.length);
+        snapshotFile.replace(content.putLong(replaced + 1).put(state).array());
+        generation = replaced + 1;
+        entryFile = next;
+        folder.delete(entriesName(replaced));
+    }
+
+    /**
+     * Tells whether the disk has room for an append besides the reserve.
+     *
+     * @param bytes size of what is to be appended
+     * @return false when it must be refused
+     * @throws IOException when the disk cannot be asked
+     */
+    public boolean hasRoomFor(long bytes) throws IOException {
+        return folder.usableBytes() >= RESERVE_BYTES + bytes;
+    }
+
+    /**
+     * Returns the size of the entry file.
+     *
+     * @return bytes, replaced entries included
+     */
+    public long entryBytes() {
+        return entryFile == null ? 0 : entryFile.sizeBytes();
     }
 
     @Override
     public void close() throws IOException {
-        entryFile.close();
+        folder.close();
+    }
+
+    private static String entriesName(long generation) {
+        return ENTRIES_PREFIX + generation;
     }
 
     private Optional<Snapshot> loadSnapshot() throws IOException {
@@ -132,12 +180,32 @@
         if (bytes.isEmpty()) {
             return Optional.empty();
         }
+        ByteBuffer content = ByteBuffer.wrap(bytes.get());
+        generation = content.getLong();
+        byte[] state = new byte[content.remaining()];
+        content.get(state);
         try {
             return Optional.of(
-                    AgreementCodec.toSnapshot(
-                            StructCodec.decode(bytes.get(), new SnapshotStruct())));
+                    AgreementCodec.toSnapshot(StructCodec.decode(state, new SnapshotStruct())));
         } catch (MalformedFrameException malformed) {
-            throw new CorruptDataException("the snapshot is damaged: " + malformed.getMessage());
+            throw CorruptDataException.of("snapshot", "is damaged: " + malformed.getMessage());
+        }
+    }
+
+    private void openEntries() throws IOException {
+        entries.clear();
+        String name = entriesName(generation);
+        Optional<byte[]> content = folder.read(name);
+        if (content.isPresent()) {
+            entryFile = EntryFile.open(folder, name, content.get(), entries);
+        } else if (generation == 0) {
+            entryFile = EntryFile.create(folder, name, entries);
+            folder.syncFolder();
+        } else {
+            throw CorruptDataException.of(name, "is missing");
+        }
+        if (generation > 0) {
+            folder.delete(entriesName(generation - 1));
         }
     }
 
@@ -149,7 +217,7 @@
         try {
             return StructCodec.decode(bytes.get(), new VoteRecord());
         } catch (MalformedFrameException malformed) {
-            throw new CorruptDataException("the vote is damaged: " + malformed.getMessage());
+            throw CorruptDataException.of("vote", "is damaged: " + malformed.getMessage());
         }
     }
 
@@ -157,8 +225,9 @@
         long expected = snapshotIndex + 1;
         for (LogEntry entry : entries) {
             if (entry.index() != expected) {
-                throw new CorruptDataException(
-                        "entry " + expected + " is missing before entry " + entry.index());
+                throw CorruptDataException.of(
+                        entriesName(generation),
+                        "lacks entry " + expected + " before entry " + entry.index());
             }
             expected++;
         }
--- a/control/src/main/java/org/cuminreach/control/storage/EntryFile.java
+++ b/control/src/main/java/org/cuminreach/control/storage/EntryFile.java
@@ -2,142 +2,96 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32C;
+import java.util.Optional;
 import org.cuminreach.decisions.agreement.LogEntry;
-import org.cuminreach.wire.AgreementCodec;
 import org.cuminreach.wire.MalformedFrameException;
-import org.cuminreach.wire.StructCodec;
-import org.cuminreach.wire.generated.EntryStruct;
 
 /**
- * The file of log entries: records of 4 length bytes, 4 checksum bytes and an encoded entry. A
- * record cut short at the end was never synced and is cut off; any other damage is refused.
+ * One file of log entries. It is only ever appended to: a record whose first index is not new
+ * replaces the entries from there on. Each record is synced before the next one is written, so that
+ * damage with a sound record behind it is corruption, and damage at the end is a torn append.
  */
-final class EntryFile implements AutoCloseable {
-    private static final int HEADER_BYTES = 8;
+final class EntryFile {
+    private final FolderAccess folder;
+    private final String name;
+    private long sizeBytes;
 
-    private final Path path;
-    private final FileChannel channel;
-    private final List<Long> offsets = new ArrayList<>();
-    private long firstIndex;
-
-    private EntryFile(Path path, FileChannel channel) {
-        this.path = path;
-        this.channel = channel;
+    private EntryFile(FolderAccess folder, String name) {
+        this.folder = folder;
+        this.name = name;
     }
 
-    static EntryFile open(Path path) throws IOException {
-        FileChannel channel =
-                FileChannel.open(
-                        path,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.READ,
-                        StandardOpenOption.WRITE);
-        return new EntryFile(path, channel);
+    /** Creates a file that holds the given entries; the name is not synced. */
+    static EntryFile create(FolderAccess folder, String name, List<LogEntry> entries)
+            throws IOException {
+        EntryFile file = new EntryFile(folder, name);
+        byte[] content = entries.isEmpty() ? new byte[0] : EntryRecord.encode(entries);
+        folder.write(name, content);
+        folder.sync(name);
+        file.sizeBytes = content.length;
+        return file;
     }
 
-    /** Reads every entry and cuts off a torn end. */
-    List<LogEntry> load() throws IOException {
-        List<LogEntry> entries = new ArrayList<>();
-        ByteBuffer content = ByteBuffer.allocate((int) channel.size());
-        while (content.hasRemaining() && channel.read(content) >= 0) {
-            continue;
-        }
-        content.flip();
-        offsets.clear();
-        while (isWhole(content)) {
-            long offset = content.position();
-            entries.add(readRecord(content));
-            offsets.add(offset);
+    /** Opens a file, adds its entries to a list and cuts off a torn end. */
+    static EntryFile open(FolderAccess folder, String name, byte[] bytes, List<LogEntry> entries)
+            throws IOException {
+        EntryFile file = new EntryFile(folder, name);
+        ByteBuffer content = ByteBuffer.wrap(bytes);
+        int offset = 0;
+        Optional<Integer> length = EntryRecord.soundLength(content, offset);
+        while (length.isPresent()) {
+            replay(file.decode(content, offset), entries);
+            offset += length.get();
+            length = EntryRecord.soundLength(content, offset);
         }
-        if (content.hasRemaining()) {
-            channel.truncate(content.position());
-            channel.force(true);
-        }
-        firstIndex = entries.isEmpty() ? 0 : entries.getFirst().index();
-        return entries;
+        file.cutTornEnd(content, offset);
+        file.sizeBytes = offset;
+        return file;
     }
 
-    /** Cuts the file before the first entry's index, appends the entries and syncs. */
-    void append(List<LogEntry> entries) throws IOException {
-        long first = entries.getFirst().index();
-        if (offsets.isEmpty()) {
-            firstIndex = first;
-        }
-        int kept = (int) (first - firstIndex);
-        if (kept < offsets.size()) {
-            channel.truncate(offsets.get(kept));
-            offsets.subList(kept, offsets.size()).clear();
-        }
-        for (LogEntry entry : entries) {
-            offsets.add(channel.size());
-            write(entry);
-        }
-        channel.force(false);
+    long sizeBytes() {
+        return sizeBytes;
     }
 
-    /** Replaces the whole content. */
-    void rewrite(List<LogEntry> entries) throws IOException {
-        channel.truncate(0);
-        offsets.clear();
-        if (entries.isEmpty()) {
-            channel.force(true);
-        } else {
-            append(entries);
-        }
-    }
-
-    @Override
-    public void close() throws IOException {
-        channel.close();
+    /** Appends entries in place of those from the first one's index on and syncs. */
+    void append(List<LogEntry> entries) throws IOException {
+        byte[] record = EntryRecord.encode(entries);
+        folder.append(name, record);
+        folder.sync(name);
+        sizeBytes += record.length;
     }
 
-    private void write(LogEntry entry) throws IOException {
-        byte[] bytes = StructCodec.encode(AgreementCodec.toStruct(entry));
-        ByteBuffer record = ByteBuffer.allocate(HEADER_BYTES + bytes.length);
-        record.putInt(bytes.length).putInt(checksum(bytes)).put(bytes).flip();
-        long position = channel.size();
-        while (record.hasRemaining()) {
-            position += channel.write(record, position);
+    /** Adds entries to a list in place of those from the first one's index on. */
+    static void replay(List<LogEntry> added, List<LogEntry> entries) {
+        long first = added.getFirst().index();
+        while (!entries.isEmpty() && entries.getLast().index() >= first) {
+            entries.removeLast();
         }
+        entries.addAll(added);
     }
 
-    private static boolean isWhole(ByteBuffer content) {
-        if (content.remaining() < HEADER_BYTES) {
-            return false;
+    private void cutTornEnd(ByteBuffer content, int end) throws IOException {
+        if (end == content.limit()) {
+            return;
+        }
+        for (int offset = end + 1; offset < content.limit(); offset++) {
+            if (EntryRecord.soundLength(content, offset).isPresent()) {
+                throw CorruptDataException.of(
+                        name, "is damaged at byte " + end + ", before sound entries");
+            }
         }
-        int length = content.getInt(content.position());
-        return length >= 0 && length <= content.remaining() - HEADER_BYTES;
+        folder.truncate(name, end);
+        folder.sync(name);
     }
 
-    private LogEntry readRecord(ByteBuffer content) throws IOException {
-        int offset = content.position();
-        byte[] bytes = new byte[content.getInt()];
-        int expected = content.getInt();
-        content.get(bytes);
-        if (checksum(bytes) != expected) {
-            throw new CorruptDataException(
-                    path
-                            + " is damaged at byte "
-                            + offset
-                            + "; replace this control's data folder");
-        }
+    private List<LogEntry> decode(ByteBuffer content, int offset) throws IOException {
         try {
-            return AgreementCodec.toEntry(StructCodec.decode(bytes, new EntryStruct()));
+            return new ArrayList<>(EntryRecord.decode(content, offset));
         } catch (MalformedFrameException malformed) {
-            throw new CorruptDataException(
-                    path + " holds no entry at byte " + offset + ": " + malformed.getMessage());
+            throw CorruptDataException.of(
+                    name, "holds no entry at byte " + offset + ": " + malformed.getMessage());
         }
     }
-
-    private static int checksum(byte[] bytes) {
-        CRC32C checksum = new CRC32C();
-        checksum.update(bytes, 0, bytes.length);
-        return (int) checksum.getValue();
-    }
 }
--- a/control/src/main/java/org/cuminreach/control/storage/SyncedFile.java
+++ b/control/src/main/java/org/cuminreach/control/storage/SyncedFile.java
@@ -2,11 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import java.util.zip.CRC32C;
 
@@ -14,54 +9,42 @@
 final class SyncedFile {
     private static final int CHECKSUM_BYTES = 8;
 
-    private final Path path;
+    private final FolderAccess folder;
+    private final String name;
 
-    SyncedFile(Path path) {
-        this.path = path;
+    SyncedFile(FolderAccess folder, String name) {
+        this.folder = folder;
+        this.name = name;
     }
 
     void replace(byte[] bytes) throws IOException {
-        Path temporary = path.resolveSibling(path.getFileName() + ".new");
+        String temporary = name + ".new";
         ByteBuffer buffer = ByteBuffer.allocate(CHECKSUM_BYTES + bytes.length);
-        buffer.putLong(checksum(bytes)).put(bytes).flip();
-        try (FileChannel channel =
-                FileChannel.open(
-                        temporary,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.TRUNCATE_EXISTING,
-                        StandardOpenOption.WRITE)) {
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
-            }
-            channel.force(true);
-        }
-        Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE);
-        syncFolder(path.getParent());
+        buffer.putLong(checksum(bytes)).put(bytes);
+        folder.write(temporary, buffer.array());
+        folder.sync(temporary);
+        folder.rename(temporary, name);
+        folder.syncFolder();
     }
 
     Optional<byte[]> read() throws IOException {
-        if (!Files.exists(path)) {
+        Optional<byte[]> content = folder.read(name);
+        if (content.isEmpty()) {
             return Optional.empty();
         }
-        ByteBuffer buffer = ByteBuffer.wrap(Files.readAllBytes(path));
+        ByteBuffer buffer = ByteBuffer.wrap(content.get());
         if (buffer.remaining() < CHECKSUM_BYTES) {
-            throw new CorruptDataException(path + " is cut short");
+            throw CorruptDataException.of(name, "is cut short");
         }
         long expected = buffer.getLong();
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         if (checksum(bytes) != expected) {
-            throw new CorruptDataException(path + " does not match its checksum");
+            throw CorruptDataException.of(name, "does not match its checksum");
         }
         return Optional.of(bytes);
     }
 
-    static void syncFolder(Path folder) throws IOException {
-        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            channel.force(true);
-        }
-    }
-
     private static long checksum(byte[] bytes) {
         CRC32C checksum = new CRC32C();
         checksum.update(bytes, 0, bytes.length);
--- /dev/null
+++ b/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
@@ -0,0 +1,215 @@
+package org.cuminreach.control.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.LogEntry;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.agreement.Payload;
+import org.cuminreach.decisions.agreement.Snapshot;
+
+class DataFolderTest {
+    private static final String ENTRIES = "entries-0";
+
+    /** What a load must find: all that was synced, and perhaps the save that the crash hit. */
+    private static final class Model {
+        private long term;
+        private long snapshotIndex;
+        private long snapshotTerm;
+        private final List<Long> terms = new ArrayList<>();
+
+        private Model copy() {
+            Model copy = new Model();
+            copy.term = term;
+            copy.snapshotIndex = snapshotIndex;
+            copy.snapshotTerm = snapshotTerm;
+            copy.terms.addAll(terms);
+            return copy;
+        }
+
+        private String describe() {
+            return term + "/" + snapshotIndex + ":" + snapshotTerm + "/" + terms;
+        }
+
+        private static String describe(DurableState state) {
+            Model model = new Model();
+            model.term = state.term();
+            model.snapshotIndex = state.snapshot().map(Snapshot::lastIndex).orElse(0L);
+            model.snapshotTerm = state.snapshot().map(Snapshot::lastTerm).orElse(0L);
+            state.entries().forEach(entry -> model.terms.add(entry.term()));
+            return model.describe();
+        }
+    }
+
+    @Property(tries = 1_000, seed = "51", shrinking = ShrinkingMode.OFF)
+    void aCrashLosesNothingSynced(@ForAll long seed) throws IOException {
+        Random random = new Random(seed);
+        FakeFolder files = new FakeFolder(seed);
+        Model known = new Model();
+        for (int life = 0; life < 6; life++) {
+            DataFolder folder = DataFolder.open(files);
+            assertThat(Model.describe(folder.load())).isEqualTo(known.describe());
+            files.crashAfter(random.nextInt(30));
+            Model next = known;
+            try {
+                for (int save = 0; save < 20; save++) {
+                    known = next;
+                    next = known.copy();
+                    saveSomething(folder, next, random);
+                }
+                known = next;
+            } catch (FakeFolder.CrashException crash) {
+                files.restart();
+                String found = Model.describe(DataFolder.open(files).load());
+                assertThat(found).isAnyOf(known.describe(), next.describe());
+                known = found.equals(next.describe()) ? next : known;
+            }
+        }
+    }
+
+    private static void saveSomething(DataFolder folder, Model model, Random random)
+            throws IOException {
+        model.term++;
+        switch (random.nextInt(5)) {
+            case 0 -> folder.saveVote(model.term, Optional.of("a"));
+            case 1 -> {
+                model.term--;
+                int kept = random.nextInt(model.terms.size() + 1);
+                boolean keepLater = random.nextBoolean();
+                model.snapshotIndex += kept;
+                model.snapshotTerm = random.nextInt(9);
+                model.terms.subList(0, keepLater ? kept : model.terms.size()).clear();
+                folder.saveSnapshot(
+                        new Snapshot(
+                                model.snapshotIndex,
+                                model.snapshotTerm,
+                                Membership.none(),
+                                new byte[300]),
+                        keepLater);
+            }
+            default -> {
+                model.term--;
+                int kept = Math.max(0, model.terms.size() - random.nextInt(3));
+                model.terms.subList(kept, model.terms.size()).clear();
+                List<LogEntry> added = new ArrayList<>();
+                for (int count = 0; count <= random.nextInt(3); count++) {
+                    long term = random.nextInt(9);
+                    model.terms.add(term);
+                    added.add(entry(model.snapshotIndex + model.terms.size(), term));
+                }
+                folder.saveEntries(added);
+            }
+        }
+    }
+
+    @Property(tries = 500, seed = "52", shrinking = ShrinkingMode.OFF)
+    void damageBeforeTheLastRecordIsRefused(@ForAll long seed) throws IOException {
+        FakeFolder files = filled(seed, 5);
+        int lastRecord = files.bytes(ENTRIES).length / 5 * 4;
+        files.damage(ENTRIES, new Random(seed).nextInt(lastRecord));
+
+        assertThat(refusal(files)).contains(ENTRIES);
+    }
+
+    @Property(tries = 200, seed = "53", shrinking = ShrinkingMode.OFF)
+    void aTornOrZeroFilledEndIsCutOnce(@ForAll long seed) throws IOException {
+        FakeFolder files = filled(seed, 3);
+        int whole = files.bytes(ENTRIES).length;
+        files.append(ENTRIES, EntryRecord.encode(List.of(entry(4, 1))));
+        files.restart();
+        DurableState state = DataFolder.open(files).load();
+
+        int loaded = state.entries().size();
+        assertThat(loaded).isAnyOf(3, 4);
+        assertWithMessage("a torn end is gone")
+                .that(files.bytes(ENTRIES).length)
+                .isEqualTo(whole / 3 * loaded);
+        assertThat(DataFolder.open(files).load().entries()).hasSize(loaded);
+    }
+
+    @Example
+    void aDamagedLengthInTheMiddleIsNoTornEnd() throws IOException {
+        FakeFolder files = filled(1, 3);
+        files.damage(ENTRIES, files.bytes(ENTRIES).length / 3 + 4);
+        assertThat(refusal(files)).contains("before sound entries");
+    }
+
+    @Example
+    void aDamagedSnapshotOrVoteIsRefused() throws IOException {
+        FakeFolder files = filled(1, 3);
+        DataFolder folder = DataFolder.open(files);
+        folder.load();
+        folder.saveVote(3, Optional.of("a"));
+        folder.saveSnapshot(new Snapshot(2, 1, Membership.none(), new byte[50]), true);
+        files.damage("snapshot", 40);
+        assertThat(refusal(files)).contains("snapshot");
+        files.damage("snapshot", 40);
+        assertThat(DataFolder.open(files).load().entries()).hasSize(1);
+        files.damage("vote", 9);
+        assertThat(refusal(files)).contains("vote");
+    }
+
+    @Example
+    void theReserveIsKeptFree() throws IOException {
+        FakeFolder files = new FakeFolder(1);
+        DataFolder folder = DataFolder.open(files);
+        files.leaveRoom(DataFolder.RESERVE_BYTES + 10);
+        assertThat(folder.hasRoomFor(10)).isTrue();
+        assertThat(folder.hasRoomFor(11)).isFalse();
+    }
+
+    @Example
+    void theLocalFileSystemKeepsWhatWasSaved() throws IOException {
+        Path path = Files.createTempDirectory("data-folder");
+        try (DataFolder folder = DataFolder.open(path)) {
+            folder.load();
+            folder.saveIdentity("a-1");
+            folder.saveVote(4, Optional.of("b"));
+            folder.saveEntries(List.of(entry(1, 1), entry(2, 1)));
+            folder.saveSnapshot(new Snapshot(1, 1, Membership.none(), new byte[] {7}), true);
+            folder.saveEntries(List.of(entry(2, 4), entry(3, 4)));
+        }
+        try (DataFolder folder = DataFolder.open(path)) {
+            DurableState state = folder.load();
+            assertThat(folder.identity()).hasValue("a-1");
+            assertThat(state.vote()).hasValue("b");
+            assertThat(state.snapshot().orElseThrow().state()).isEqualTo(new byte[] {7});
+            assertThat(state.entries().stream().map(LogEntry::term)).containsExactly(4L, 4L);
+        }
+    }
+
+    private static String refusal(FakeFolder files) throws IOException {
+        try {
+            DataFolder.open(files).load();
+            return "loaded";
+        } catch (CorruptDataException refused) {
+            return refused.getMessage();
+        }
+    }
+
+    private static FakeFolder filled(long seed, int records) throws IOException {
+        FakeFolder files = new FakeFolder(seed);
+        DataFolder folder = DataFolder.open(files);
+        folder.load();
+        for (int index = 1; index <= records; index++) {
+            folder.saveEntries(List.of(entry(index, 1)));
+        }
+        return files;
+    }
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, new Payload.Command(new byte[] {1, 2, 3}));
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cuminreach/control/storage/FakeFolder.java
@@ -0,0 +1,157 @@
+package org.cuminreach.control.storage;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+/** A folder in memory that forgets on a crash what was not synced, as far as it likes. */
+public final class FakeFolder implements FolderAccess {
+    /** Thrown in place of the operation during which the process crashed. */
+    public static final class CrashException extends IOException {
+        private static final long serialVersionUID = 1;
+    }
+
+    /** Content as written and as synced. */
+    private static final class Content {
+        private byte[] written = new byte[0];
+        private byte[] synced = new byte[0];
+    }
+
+    private final Random random;
+    private Map<String, Content> names = new HashMap<>();
+    private Map<String, Content> syncedNames = new HashMap<>();
+    private int operationsUntilCrash = Integer.MAX_VALUE;
+    private boolean syncFails;
+    private long usableBytes = Long.MAX_VALUE;
+
+    public FakeFolder(long seed) {
+        random = new Random(seed);
+    }
+
+    /** The process crashes in place of the given operation, the next one being 0. */
+    public void crashAfter(int operations) {
+        operationsUntilCrash = operations;
+    }
+
+    public void failSync() {
+        syncFails = true;
+    }
+
+    public void leaveRoom(long bytes) {
+        usableBytes = bytes;
+    }
+
+    /** What a new process finds after a crash. */
+    public void restart() {
+        operationsUntilCrash = Integer.MAX_VALUE;
+        Map<String, Content> found = random.nextBoolean() ? names : syncedNames;
+        names = new HashMap<>(found);
+        syncedNames = new HashMap<>(found);
+        names.values().forEach(this::loseUnsynced);
+    }
+
+    public byte[] bytes(String name) {
+        return names.get(name).written;
+    }
+
+    public void damage(String name, int offset) {
+        names.get(name).written[offset] ^= 0x5A;
+    }
+
+    public boolean holds(String name) {
+        return names.containsKey(name);
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) {
+        return Optional.ofNullable(names.get(name)).map(content -> content.written.clone());
+    }
+
+    @Override
+    public void write(String name, byte[] bytes) throws IOException {
+        step();
+        Content content = new Content();
+        content.written = bytes.clone();
+        names.put(name, content);
+    }
+
+    @Override
+    public void append(String name, byte[] bytes) throws IOException {
+        step();
+        Content content = names.get(name);
+        byte[] longer = Arrays.copyOf(content.written, content.written.length + bytes.length);
+        System.arraycopy(bytes, 0, longer, content.written.length, bytes.length);
+        content.written = longer;
+    }
+
+    @Override
+    public void truncate(String name, long length) throws IOException {
+        step();
+        Content content = names.get(name);
+        content.written = Arrays.copyOf(content.written, (int) length);
+    }
+
+    @Override
+    public void sync(String name) throws IOException {
+        step();
+        if (syncFails) {
+            throw new IOException("the device reports an error");
+        }
+        Content content = names.get(name);
+        content.synced = content.written;
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        step();
+        names.put(to, names.remove(from));
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        step();
+        names.remove(name);
+    }
+
+    @Override
+    public void syncFolder() throws IOException {
+        step();
+        syncedNames = new HashMap<>(names);
+    }
+
+    @Override
+    public long usableBytes() {
+        return usableBytes;
+    }
+
+    @Override
+    public void close() {
+        operationsUntilCrash = Integer.MAX_VALUE;
+    }
+
+    private void step() throws CrashException {
+        if (operationsUntilCrash == 0) {
+            throw new CrashException();
+        }
+        operationsUntilCrash--;
+    }
+
+    /** Of what was appended since the last sync any part may be there, also only its length. */
+    private void loseUnsynced(Content content) {
+        int unsynced = content.written.length - content.synced.length;
+        if (unsynced > 0) {
+            int kept = random.nextInt(unsynced + 1);
+            byte[] torn =
+                    Arrays.copyOf(
+                            Arrays.copyOf(content.written, content.synced.length + kept),
+                            content.synced.length + (random.nextBoolean() ? kept : unsynced));
+            content.written = torn;
+        } else {
+            content.written = content.synced;
+        }
+        content.synced = content.written;
+    }
+}
