--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -35,6 +35,7 @@
  */
 public final class ReplicaDriver {
     private static final Logger LOGGER = LoggerFactory.getLogger(ReplicaDriver.class);
+    private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
     private static final int MOST_QUEUED_PROPOSALS = 1_000;
 
     /** One step of the replica; it may add completions. */
@@ -59,7 +60,8 @@
             PeerNetwork network,
             RandomGenerator random,
             long nowMillis,
-            ReplicaFailureListener failures)
+            ReplicaFailureListener failures,
+            int entriesBetweenSnapshots)
             throws IOException {
         this.self = self;
         this.network = network;
@@ -67,7 +69,10 @@
         replica = Replica.start(self, AgreementSettings.standard(), random, durable, nowMillis);
         state = new ReplicatedState(durable.snapshot());
         storage =
-                new ReplicaStorage(folder, durable.snapshot().map(Snapshot::lastIndex).orElse(0L));
+                new ReplicaStorage(
+                        folder,
+                        entriesBetweenSnapshots,
+                        durable.snapshot().map(Snapshot::lastIndex).orElse(0L));
         steps = new ProposalSteps(replica, storage, state, proposals);
         confirmations = new PendingConfirmations(random.nextLong());
         inbox = new ReplicaInbox<>(this::carryOut, failures);
@@ -93,8 +98,27 @@
             long nowMillis,
             ReplicaFailureListener failures)
             throws IOException {
+        return start(self, folder, network, random, nowMillis, failures, ENTRIES_BETWEEN_SNAPSHOTS);
+    }
+
+    static ReplicaDriver start(
+            String self,
+            DataFolder folder,
+            PeerNetwork network,
+            RandomGenerator random,
+            long nowMillis,
+            ReplicaFailureListener failures,
+            int entriesBetweenSnapshots)
+            throws IOException {
         ReplicaDriver driver =
-                new ReplicaDriver(self, folder, network, random, nowMillis, failures);
+                new ReplicaDriver(
+                        self,
+                        folder,
+                        network,
+                        random,
+                        nowMillis,
+                        failures,
+                        entriesBetweenSnapshots);
         network.follow(driver.membership());
         driver.inbox.start();
         return driver;
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
@@ -13,15 +13,16 @@
  * out the other effects of the batch only afterwards.
  */
 final class ReplicaStorage {
-    private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
     private static final long LARGEST_ENTRY_FILE_BYTES = 64L * 1024 * 1024;
 
     private final DataFolder folder;
     private final List<LogEntry> unsaved = new ArrayList<>();
+    private final int entriesBetweenSnapshots;
     private long snapshotIndex;
 
-    ReplicaStorage(DataFolder folder, long snapshotIndex) {
+    ReplicaStorage(DataFolder folder, int entriesBetweenSnapshots, long snapshotIndex) {
         this.folder = folder;
+        this.entriesBetweenSnapshots = entriesBetweenSnapshots;
         this.snapshotIndex = snapshotIndex;
     }
 
@@ -51,7 +52,7 @@
     boolean snapshotDue(long appliedIndex) {
         boolean large = folder.entryBytes() >= LARGEST_ENTRY_FILE_BYTES;
         long entries = appliedIndex - snapshotIndex;
-        return entries >= ENTRIES_BETWEEN_SNAPSHOTS || large && entries > 0;
+        return entries >= entriesBetweenSnapshots || large && entries > 0;
     }
 
     boolean hasRoomFor(long bytes) throws IOException {
--- /dev/null
+++ b/control/src/test/java/org/cuminreach/control/replica/RacingOperatorsTest.java
@@ -0,0 +1,150 @@
+package org.cuminreach.control.replica;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.Example;
+import org.cuminreach.decisions.configuration.HistoryEntry;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+
+/** Operators race each other and resend while controls crash, restart and are cut off. */
+class RacingOperatorsTest {
+    private static final int OPERATORS = 4;
+    private static final int SUBMISSIONS = 25;
+    private static final int FAULTS = 8;
+    private static final long ANSWER_MILLIS = 400;
+    private static final long PATIENCE_MILLIS = 60_000;
+
+    private final SubmissionHistory history = new SubmissionHistory();
+    private final AtomicLong knownVersion = new AtomicLong();
+
+    @Example
+    void oneOrderOfSubmissionsExplainsEveryAnswer() throws Exception {
+        ExecutorService operators = Executors.newFixedThreadPool(OPERATORS);
+        try (FakeControls controls = new FakeControls(61, 3)) {
+            List<Future<?>> running = new ArrayList<>();
+            for (int number = 0; number < OPERATORS; number++) {
+                int operator = number;
+                running.add(operators.submit(() -> operate(controls, operator)));
+            }
+            disturb(controls);
+            for (Future<?> done : running) {
+                done.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            Map<String, SubmissionOutcome> answers = history.answers();
+            for (Map.Entry<String, SubmissionOutcome> first : answers.entrySet()) {
+                assertThat(askAgain(controls, first.getKey())).isEqualTo(first.getValue());
+            }
+            List<HistoryEntry> accepted = longestHistory(controls);
+            assertThat(accepted).isNotEmpty();
+            history.check(accepted);
+        } finally {
+            operators.shutdownNow();
+        }
+    }
+
+    private Void operate(FakeControls controls, int operator) throws InterruptedException {
+        Random choice = new Random(operator);
+        for (int number = 0; number < SUBMISSIONS; number++) {
+            String key = "operator-" + operator + "-" + number;
+            long basedOn = knownVersion.get();
+            for (int attempt = 0; attempt < 3; attempt++) {
+                SubmitResult result = submit(controls.leaderOrAny(choice), key, basedOn);
+                if (result instanceof SubmitResult.Decided decided) {
+                    learn(decided.outcome());
+                    if (choice.nextInt(4) > 0) {
+                        break;
+                    }
+                } else {
+                    TimeUnit.MILLISECONDS.sleep(choice.nextInt(100));
+                }
+            }
+        }
+        return null;
+    }
+
+    private void learn(SubmissionOutcome outcome) {
+        switch (outcome) {
+            case SubmissionOutcome.Accepted won ->
+                    knownVersion.accumulateAndGet(won.version(), Math::max);
+            case SubmissionOutcome.RefusedAsStale stale ->
+                    knownVersion.accumulateAndGet(stale.currentVersion(), Math::max);
+            case SubmissionOutcome.RefusedAsFaulty faulty -> throw new AssertionError(faulty);
+        }
+    }
+
+    private SubmitResult submit(ReplicaDriver driver, String key, long basedOn)
+            throws InterruptedException {
+        long began = System.nanoTime();
+        SubmitResult result = answer(driver, key, basedOn);
+        boolean open = result instanceof SubmitResult.Unknown;
+        long ended = open ? Long.MAX_VALUE : System.nanoTime();
+        history.add(new SubmissionHistory.Attempt(key, basedOn, began, ended, result));
+        return result;
+    }
+
+    private static SubmitResult answer(ReplicaDriver driver, String key, long basedOn)
+            throws InterruptedException {
+        MeshCommand command = new MeshCommand.SubmitDocument(key, key, basedOn, "{}", 1);
+        try {
+            return driver.propose(command, FakeControls.nowMillis())
+                    .get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException late) {
+            return new SubmitResult.Unknown("no answer in time");
+        } catch (ExecutionException failed) {
+            throw new AssertionError(failed);
+        }
+    }
+
+    private static void disturb(FakeControls controls) throws Exception {
+        Random choice = new Random(62);
+        for (int fault = 0; fault < FAULTS; fault++) {
+            TimeUnit.MILLISECONDS.sleep(150 + choice.nextInt(300));
+            String victim = controls.leaderOrAny(choice).self();
+            if (choice.nextBoolean()) {
+                controls.crashAndRestart(victim);
+            } else {
+                controls.isolate(victim);
+                TimeUnit.MILLISECONDS.sleep(choice.nextInt(2_500));
+                controls.isolate("");
+            }
+        }
+    }
+
+    /** Resends until some control answers; the version that it names is beside the point. */
+    private static SubmissionOutcome askAgain(FakeControls controls, String key)
+            throws InterruptedException {
+        long deadline = FakeControls.nowMillis() + PATIENCE_MILLIS;
+        while (FakeControls.nowMillis() < deadline) {
+            for (ReplicaDriver driver : controls.drivers()) {
+                SubmitResult result =
+                        driver.isLeader() ? answer(driver, key, -1) : new SubmitResult.NotRun("");
+                if (result instanceof SubmitResult.Decided decided) {
+                    return decided.outcome();
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        throw new AssertionError("no control answers");
+    }
+
+    private static List<HistoryEntry> longestHistory(FakeControls controls) {
+        List<HistoryEntry> longest = List.of();
+        for (ReplicaDriver driver : controls.drivers()) {
+            List<HistoryEntry> known = driver.history();
+            longest = known.size() > longest.size() ? known : longest;
+        }
+        return longest;
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -0,0 +1,121 @@
+package org.cuminreach.control.replica;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.control.storage.FakeFolder;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.generated.Frame;
+
+class ReplicaDriverTest {
+    private static final long ELECTED_MILLIS = 10_000;
+    private static final long PATIENCE_SECONDS = 30;
+
+    private final FakeFolder files = new FakeFolder(1);
+    private final CompletableFuture<Exception> failure = new CompletableFuture<>();
+
+    @Example
+    void refusesAsNotRunWhenTheDiskIsNearlyFullAndGoesOnOnceItIsNot() throws Exception {
+        ReplicaDriver leader = lone();
+        files.leaveRoom(DataFolder.RESERVE_BYTES + 10);
+        assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.NotRun.class);
+        long before = leader.commitIndex();
+        assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.NotRun.class);
+        assertThat(leader.commitIndex()).isEqualTo(before);
+
+        files.leaveRoom(2 * DataFolder.RESERVE_BYTES);
+        assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.Decided.class);
+        leader.close();
+    }
+
+    @Example
+    void stopsOnAFailedSyncAndAcceptsNothingMore() throws Exception {
+        ReplicaDriver leader = lone();
+        files.failSync();
+        CompletableFuture<SubmitResult> answer = propose(leader, "a", 0);
+        assertThat(failure.get(PATIENCE_SECONDS, TimeUnit.SECONDS))
+                .hasCauseThat()
+                .isInstanceOf(IOException.class);
+
+        assertThat(answer.isDone()).isFalse();
+        assertThat(submit(leader, "b", 0)).isInstanceOf(SubmitResult.NotRun.class);
+        leader.close();
+    }
+
+    @Example
+    void answersAResendAgainAfterARestartAndASnapshot() throws Exception {
+        ReplicaDriver first = lone();
+        SubmitResult accepted = submit(first, "a", 0);
+        for (int number = 0; number < 50; number++) {
+            submit(first, "stale-" + number, 0);
+        }
+        first.close();
+        files.restart();
+        assertThat(files.holds("entries-0")).isFalse();
+
+        ReplicaDriver second = start();
+        second.tick(ELECTED_MILLIS);
+        assertThat(submit(second, "a", 0)).isEqualTo(accepted);
+        assertThat(submit(second, "stale-7", 0))
+                .isEqualTo(new SubmitResult.Decided(new SubmissionOutcome.RefusedAsStale(2)));
+        second.close();
+    }
+
+    private ReplicaDriver lone() throws IOException {
+        Address address = Address.parse("10.0.0.1:1001").orElseThrow();
+        Membership membership = new Membership(List.of(new Member("r1", address, true)));
+        byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
+        DataFolder.open(files)
+                .saveSnapshot(
+                        DurableState.first(membership, state).snapshot().orElseThrow(), false);
+        ReplicaDriver leader = start();
+        leader.tick(ELECTED_MILLIS);
+        return leader;
+    }
+
+    private ReplicaDriver start() throws IOException {
+        return ReplicaDriver.start(
+                "r1",
+                DataFolder.open(files),
+                new Silence(),
+                new Random(1),
+                0,
+                failure::complete,
+                20);
+    }
+
+    private static SubmitResult submit(ReplicaDriver leader, String key, long basedOn)
+            throws Exception {
+        return propose(leader, key, basedOn).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static CompletableFuture<SubmitResult> propose(
+            ReplicaDriver leader, String key, long basedOn) {
+        return leader.propose(
+                new MeshCommand.SubmitDocument("test", key, basedOn, "{}", 1), ELECTED_MILLIS);
+    }
+
+    /** A network without anybody else. */
+    private static final class Silence implements PeerNetwork {
+        @Override
+        public boolean send(String to, Frame frame) {
+            return false;
+        }
+
+        @Override
+        public void follow(Membership membership) {}
+    }
+}
--- a/control/src/test/java/org/cuminreach/control/storage/FakeFolder.java
+++ b/control/src/test/java/org/cuminreach/control/storage/FakeFolder.java
@@ -23,9 +23,9 @@
     private final Random random;
     private Map<String, Content> names = new HashMap<>();
     private Map<String, Content> syncedNames = new HashMap<>();
-    private int operationsUntilCrash = Integer.MAX_VALUE;
-    private boolean syncFails;
-    private long usableBytes = Long.MAX_VALUE;
+    private volatile int operationsUntilCrash = Integer.MAX_VALUE;
+    private volatile boolean syncFails;
+    private volatile long usableBytes = Long.MAX_VALUE;
 
     public FakeFolder(long seed) {
         random = new Random(seed);
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
@@ -67,6 +67,21 @@
                 .containsExactly(new Effect.Send("r1", new Message.AppendResponse(5, false, 0, 0)));
     }
 
+    @Example
+    void aVoteOutlivesACrash() {
+        FakeDisk disk = FakeDisk.first(THREE);
+        for (Effect effect : start().receive(0, "r1", new Message.VoteRequest(2, 0, 0, false))) {
+            if (effect instanceof Effect.SaveVote save) {
+                disk.save(save);
+            }
+        }
+        Replica restarted = Replica.start("r2", SETTINGS, new Random(2), disk.load(), 5);
+
+        List<Effect> effects = restarted.receive(6, "r3", new Message.VoteRequest(2, 0, 0, false));
+        assertThat(effects)
+                .containsExactly(new Effect.Send("r3", new Message.VoteResponse(2, false, false)));
+    }
+
     private static Replica start() {
         DurableState first = DurableState.first(THREE, new byte[0]);
         return Replica.start("r2", SETTINGS, new Random(1), first, 0);
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/LeaderTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/LeaderTest.java
@@ -43,6 +43,23 @@
         assertThat(confirmations(fresh)).hasSize(1);
     }
 
+    @Example
+    void changesOneVoterAtATimeAndOnlyOnceItsTermIsCommitted() {
+        Replica leader = elected();
+        Membership three = leader.membership();
+        Membership two = three.without("r1");
+        assertThat(leader.changeMembership(ELECTED_MILLIS, two))
+                .isInstanceOf(ProposalOutcome.Refused.class);
+
+        leader.receive(ELECTED_MILLIS, "r3", new Message.AppendResponse(2, true, 4, 1));
+        assertThat(leader.changeMembership(ELECTED_MILLIS, two.without("r3")))
+                .isInstanceOf(ProposalOutcome.Refused.class);
+        assertThat(leader.changeMembership(ELECTED_MILLIS, two))
+                .isInstanceOf(ProposalOutcome.Appended.class);
+        assertThat(leader.changeMembership(ELECTED_MILLIS, two.without("r3")))
+                .isInstanceOf(ProposalOutcome.Refused.class);
+    }
+
     @Example
     void stepsDownOnceItWakesWithoutAQuorum() {
         Replica leader = elected();
