--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -22,6 +22,7 @@
  */
 public final class MeshState {
     private static final int REMEMBERED_ANSWERS = 10_000;
+    private static final int REMEMBERED_FAULTS = 100_000;
     private static final int HISTORY_ENTRIES = 1_000;
     private static final int LONGEST_KEY = 200;
 
@@ -29,6 +30,7 @@
     private final Set<TakenBackVersion> takenBack = new LinkedHashSet<>();
     private final Deque<HistoryEntry> history = new ArrayDeque<>();
     private MeshConfiguration configuration;
+    private int rememberedFaults;
 
     private MeshState(MeshStateImage image) {
         MeshDocument document =
@@ -45,7 +47,7 @@
                         document,
                         image.documentText(),
                         image.rollouts());
-        image.answers().forEach(answer -> answers.put(answer.key(), answer.outcome()));
+        image.answers().forEach(answer -> remember(answer.key(), answer.outcome()));
         takenBack.addAll(image.takenBack());
         history.addAll(image.history());
     }
@@ -275,13 +277,23 @@
                         step.reason());
     }
 
+    /** Forgets the oldest answers beyond a number of answers or of faults in them. */
     private void remember(String key, SubmissionOutcome outcome) {
         answers.put(key, outcome);
-        if (answers.size() > REMEMBERED_ANSWERS) {
-            answers.remove(answers.keySet().iterator().next());
+        rememberedFaults += faultsIn(outcome);
+        while (answers.size() > REMEMBERED_ANSWERS
+                || rememberedFaults > REMEMBERED_FAULTS && answers.size() > 1) {
+            String oldest = answers.keySet().iterator().next();
+            rememberedFaults -= faultsIn(answers.remove(oldest));
         }
     }
 
+    private static int faultsIn(SubmissionOutcome outcome) {
+        return outcome instanceof SubmissionOutcome.RefusedAsFaulty faulty
+                ? faulty.faults().size()
+                : 0;
+    }
+
     private void record(long index, long atMillis, String actor, String event) {
         history.add(new HistoryEntry(index, atMillis, actor, event));
         if (history.size() > HISTORY_ENTRIES) {
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/agreement/InMemoryControls.java
@@ -0,0 +1,135 @@
+package org.cuminreach.trial.agreement;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminreach.control.replica.PeerNetwork;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.AgreementCodec;
+import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.MalformedFrameException;
+import org.cuminreach.wire.generated.Frame;
+
+/** Replicas in this process with real data folders and a network that only hands over. */
+final class InMemoryControls implements AutoCloseable {
+    private static final long TICK_MILLIS = 30;
+    private static final int FIRST_PORT = 1_000;
+
+    private final Map<String, ReplicaDriver> drivers = new LinkedHashMap<>();
+    private final List<DataFolder> folders = new ArrayList<>();
+    private final ScheduledExecutorService ticker = Executors.newScheduledThreadPool(1);
+
+    static InMemoryControls start(Path parent, int count, long seed) throws IOException {
+        InMemoryControls controls = new InMemoryControls();
+        List<Member> members = new ArrayList<>();
+        for (int number = 1; number <= count; number++) {
+            Address address = Address.parse("127.0.0.1:" + (FIRST_PORT + number)).orElseThrow();
+            members.add(new Member("r" + number, address, true));
+        }
+        byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
+        DurableState first = DurableState.first(new Membership(members), state);
+        for (Member member : members) {
+            DataFolder folder = DataFolder.open(parent.resolve(count + "-" + member.id()));
+            folder.saveSnapshot(first.snapshot().orElseThrow(), false);
+            controls.folders.add(folder);
+            controls.start(member.id(), folder, new Random(seed + members.indexOf(member)));
+        }
+        controls.ticker.scheduleWithFixedDelay(
+                () -> controls.all().forEach(driver -> driver.tick(ProcessClock.monotonicMillis())),
+                TICK_MILLIS,
+                TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        return controls;
+    }
+
+    /** Waits for the leader. */
+    ReplicaDriver leader() throws InterruptedException {
+        while (true) {
+            for (ReplicaDriver driver : all()) {
+                if (driver.isLeader() && driver.hasQuorum(ProcessClock.monotonicMillis())) {
+                    return driver;
+                }
+            }
+            TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException, IOException {
+        ticker.shutdownNow();
+        for (ReplicaDriver driver : all()) {
+            driver.close();
+        }
+        for (DataFolder folder : folders) {
+            folder.close();
+        }
+    }
+
+    private synchronized List<ReplicaDriver> all() {
+        return List.copyOf(drivers.values());
+    }
+
+    private synchronized void start(String id, DataFolder folder, Random random)
+            throws IOException {
+        drivers.put(
+                id,
+                ReplicaDriver.start(
+                        id,
+                        folder,
+                        new HandOver(id),
+                        random,
+                        ProcessClock.monotonicMillis(),
+                        failure -> {
+                            throw new IllegalStateException(failure);
+                        }));
+    }
+
+    private synchronized ReplicaDriver driver(String id) {
+        return drivers.get(id);
+    }
+
+    /** Hands a message to the receiver's inbox. */
+    private final class HandOver implements PeerNetwork {
+        private final String from;
+
+        HandOver(String from) {
+            this.from = from;
+        }
+
+        @Override
+        public boolean send(String to, Frame frame) {
+            ReplicaDriver receiver = driver(to);
+            if (receiver == null) {
+                return false;
+            }
+            try {
+                receiver.receive(
+                        from,
+                        AgreementCodec.toMessage(frame.getAgreement()),
+                        ProcessClock.monotonicMillis());
+                return true;
+            } catch (MalformedFrameException malformed) {
+                throw new IllegalStateException(malformed);
+            }
+        }
+
+        @Override
+        public void follow(Membership membership) {
+            // Every replica is known already.
+        }
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/agreement/SubmissionCostMain.java
@@ -0,0 +1,123 @@
+package org.cuminreach.trial.agreement;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.HdrHistogram.Histogram;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.control.replica.SubmitResult;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.agreement.LogEntry;
+import org.cuminreach.decisions.agreement.Payload;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.runtime.ProcessClock;
+
+/**
+ * Prints what a synced save and a submission cost on 1, 3 and 5 replicas. All replicas share this
+ * machine's disk, so several of them cost more here than on VMs of their own. Arguments: a folder
+ * on the disk to measure, and the number of submissions.
+ */
+public final class SubmissionCostMain {
+    private static final int[] REPLICAS = {1, 3, 5};
+    private static final int AT_ONCE = 16;
+    private static final int DOCUMENT_BYTES = 4_096;
+    private static final long SEED = 71;
+    private static final long HIGHEST_MICROS = 60_000_000;
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private SubmissionCostMain() {}
+
+    /**
+     * Measures and prints a table.
+     *
+     * @param arguments folder and number of submissions
+     * @throws IOException when the folder cannot be used
+     * @throws InterruptedException when interrupted
+     * @throws ExecutionException when a submission fails
+     */
+    public static void main(String[] arguments)
+            throws IOException, InterruptedException, ExecutionException {
+        Path folder = Files.createTempDirectory(Path.of(arguments[0]), "submission-cost");
+        int count = Integer.parseInt(arguments[1]);
+        System.out.printf("%-32s %9s %9s %9s%n", "what", "p50 ms", "p99 ms", "per s");
+        print("synced save, 4 KiB entry", saves(folder, count), 0);
+        for (int replicas : REPLICAS) {
+            try (InMemoryControls controls = InMemoryControls.start(folder, replicas, SEED)) {
+                ReplicaDriver leader = controls.leader();
+                print(replicas + " replicas, one at a time", oneByOne(leader, count), 0);
+                Histogram together = new Histogram(HIGHEST_MICROS, DIGITS);
+                print(
+                        replicas + " replicas, " + AT_ONCE + " at once",
+                        together,
+                        atOnce(leader, count, together));
+            }
+        }
+    }
+
+    private static Histogram saves(Path parent, int count) throws IOException {
+        Histogram micros = new Histogram(HIGHEST_MICROS, DIGITS);
+        try (DataFolder folder = DataFolder.open(parent.resolve("saves"))) {
+            folder.load();
+            for (int index = 1; index <= count; index++) {
+                Payload payload = new Payload.Command(new byte[DOCUMENT_BYTES]);
+                long begun = System.nanoTime();
+                folder.saveEntries(List.of(new LogEntry(index, 1, payload)));
+                micros.recordValue(microsSince(begun));
+            }
+        }
+        return micros;
+    }
+
+    private static Histogram oneByOne(ReplicaDriver leader, int count)
+            throws InterruptedException, ExecutionException {
+        Histogram micros = new Histogram(HIGHEST_MICROS, DIGITS);
+        for (int number = 0; number < count; number++) {
+            long begun = System.nanoTime();
+            submit(leader, "single-" + number).get();
+            micros.recordValue(microsSince(begun));
+        }
+        return micros;
+    }
+
+    private static double atOnce(ReplicaDriver leader, int count, Histogram micros)
+            throws InterruptedException, ExecutionException {
+        long begun = System.nanoTime();
+        for (int number = 0; number < count; number += AT_ONCE) {
+            List<CompletableFuture<SubmitResult>> running = new ArrayList<>();
+            long batchBegun = System.nanoTime();
+            for (int at = 0; at < AT_ONCE; at++) {
+                running.add(submit(leader, "together-" + (number + at)));
+            }
+            for (CompletableFuture<SubmitResult> one : running) {
+                one.get();
+                micros.recordValue(microsSince(batchBegun));
+            }
+        }
+        return micros.getTotalCount() * MICROS_PER_MILLI * MICROS_PER_MILLI / microsSince(begun);
+    }
+
+    /** Stale submissions go through the log like accepted ones. */
+    private static CompletableFuture<SubmitResult> submit(ReplicaDriver leader, String key) {
+        String text = "{}" + " ".repeat(DOCUMENT_BYTES);
+        MeshCommand command = new MeshCommand.SubmitDocument("trial", key, 0, text, 1);
+        return leader.propose(command, ProcessClock.monotonicMillis());
+    }
+
+    private static long microsSince(long begunNanos) {
+        return Math.max(1, (System.nanoTime() - begunNanos) / 1_000);
+    }
+
+    private static void print(String what, Histogram micros, double perSecond) {
+        System.out.printf(
+                "%-32s %9.2f %9.2f %9s%n",
+                what,
+                micros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                micros.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                perSecond == 0 ? "" : Math.round(perSecond));
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/agreement/package-info.java
@@ -0,0 +1,2 @@
+/** The cost of a sync and of a submission on replicas in one process. */
+package org.cuminreach.trial.agreement;
