--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/FollowerTest.java
@@ -31,7 +31,7 @@
     }
 
     @Example
-    void aSnapshotReplacesALogThatDiffersThere() {
+    void snapshotsReplaceLogsThatDifferThere() {
         Replica follower = start();
         follower.receive(0, "r1", new Message.AppendRequest(1, 0, 0, entries(1, 6), 2, 1));
 
@@ -43,7 +43,7 @@
     }
 
     @Example
-    void anOldLeaderDoesNotEndACampaign() {
+    void anOldLeaderEndsNoCampaign() {
         Replica candidate = start();
         candidate.receive(0, "r1", new Message.AppendRequest(3, 0, 0, List.of(), 0, 1));
         List<Effect> campaign = candidate.tick(10_000);
@@ -68,7 +68,7 @@
     }
 
     @Example
-    void aVoteOutlivesACrash() {
+    void votesOutliveCrashes() {
         FakeDisk disk = FakeDisk.first(THREE);
         for (Effect effect : start().receive(0, "r1", new Message.VoteRequest(2, 0, 0, false))) {
             if (effect instanceof Effect.SaveVote save) {
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/LeaderTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/LeaderTest.java
@@ -44,7 +44,7 @@
     }
 
     @Example
-    void changesOneVoterAtATimeAndOnlyOnceItsTermIsCommitted() {
+    void changesVotersOneByOneAndOnlyOnceItsTermIsCommitted() {
         Replica leader = elected();
         Membership three = leader.membership();
         Membership two = three.without("r1");
@@ -61,7 +61,7 @@
     }
 
     @Example
-    void stepsDownOnceItWakesWithoutAQuorum() {
+    void stepsDownOnceItWakesWithoutQuorum() {
         Replica leader = elected();
         assertThat(leader.hasQuorum(ELECTED_MILLIS + 60_000)).isFalse();
         leader.tick(ELECTED_MILLIS + 60_000);
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -15,7 +15,7 @@
     private static final int ENTRIES = 60;
 
     @Property(tries = 300, seed = "43", shrinking = ShrinkingMode.OFF)
-    void aSecondDiskLostRightAfterARepairLosesNothing(
+    void losingTheNextDiskRightAfterRepairLosesNothing(
             @ForAll long seed, @ForAll @IntRange(max = 40) int stepsOfRepair) {
         FakeCluster cluster = new FakeCluster(seed, 5);
         commitSome(cluster);
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/MeshStateTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/MeshStateTest.java
@@ -16,7 +16,7 @@
     }
 
     @Example
-    void aResendGetsItsFirstAnswerAlsoAfterASnapshot() {
+    void resendsGetTheirFirstAnswerAlsoAfterSnapshots() {
         MeshState state = MeshState.of(MeshStateImage.empty());
         Optional<SubmissionOutcome> first = state.apply(1, submission("a", 0, "{}"));
         state.apply(2, submission("b", 1, "{}"));
