--- a/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -42,7 +42,7 @@
     }
 
     @Example
-    void stopsOnAFailedSyncAndAcceptsNothingMore() throws Exception {
+    void stopsOnFailedSyncAndAcceptsNothingMore() throws Exception {
         ReplicaDriver leader = lone();
         files.failSync();
         CompletableFuture<SubmitResult> answer = propose(leader, "a", 0);
@@ -56,7 +56,7 @@
     }
 
     @Example
-    void answersAResendAgainAfterARestartAndASnapshot() throws Exception {
+    void answersResendsAgainAfterRestartAndSnapshot() throws Exception {
         ReplicaDriver first = lone();
         SubmitResult accepted = submit(first, "a", 0);
         for (int number = 0; number < 50; number++) {
