--- a/trial/src/test/java/org/cuminreach/trial/control/ControlProcessesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/control/ControlProcessesTest.java
@@ -19,7 +19,7 @@
     private long current;
 
     @Example
-    void acceptedDocumentsSurviveAKilledLeaderAndAKillOfAll() throws Exception {
+    void acceptedDocumentsSurviveKilledLeaderAndKillOfAll() throws Exception {
         try (ControlProcesses controls = ControlProcesses.start(3)) {
             submitSome(controls, "before", 5);
             controls.kill(controls.leader(PATIENCE_MILLIS));
@@ -61,7 +61,7 @@
     }
 
     @Example
-    void aControlWithALostDiskJoinsUnderANewIdentity() throws Exception {
+    void controlWithLostDiskJoinsUnderNewIdentity() throws Exception {
         try (ControlProcesses controls = ControlProcesses.start(3)) {
             submitSome(controls, "before", 3);
             String leader = controls.leader(PATIENCE_MILLIS);
