--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Followership.java
@@ -5,6 +5,8 @@
 
 /** A follower's work: matching its log to the leader's. */
 final class Followership {
+    private static final long NO_ROUND = 0;
+
     private final ReplicaState state;
 
     Followership(ReplicaState state) {
@@ -12,7 +14,7 @@
     }
 
     void append(long nowMillis, String from, Message.AppendRequest request) {
-        if (refusedAsOld(from, request.term(), request.round())) {
+        if (refusedAsOld(from, request.term())) {
             return;
         }
         state.heardLeader(nowMillis);
@@ -34,22 +36,34 @@
     }
 
     void install(long nowMillis, String from, Message.SnapshotRequest request) {
-        if (refusedAsOld(from, request.term(), request.round())) {
+        if (refusedAsOld(from, request.term())) {
             return;
         }
         state.heardLeader(nowMillis);
         state.setLeader(Optional.of(from));
-        if (request.snapshot().lastIndex() > state.commitIndex()) {
-            state.install(request.snapshot());
-        }
+        take(request.snapshot());
         respond(from, true, request.snapshot().lastIndex(), request.round());
     }
 
-    private boolean refusedAsOld(String from, long term, long round) {
+    /** A snapshot that the log matches commits it and leaves the acknowledged entries after it. */
+    private void take(Snapshot snapshot) {
+        if (snapshot.lastIndex() <= state.commitIndex()) {
+            return;
+        }
+        boolean matches = state.log.termAt(snapshot.lastIndex()).orElse(-1) == snapshot.lastTerm();
+        if (matches) {
+            state.commitTo(snapshot.lastIndex());
+        } else {
+            state.install(snapshot);
+        }
+    }
+
+    /** The answer has this term, in which the round of an earlier leadership means nothing. */
+    private boolean refusedAsOld(String from, long term) {
         if (term >= state.term()) {
             return false;
         }
-        respond(from, false, state.log.lastIndex(), round);
+        respond(from, false, state.log.lastIndex(), NO_ROUND);
         return true;
     }
 
