Let controls in contact for a while name all living targets, so that nodes drop those that went unseen

Cause: after the death of all controls, a target that died in the same gap stayed ready at nodes, because no control remembered it. A control that has been in contact with a quorum and with every other control for 30 s marks its list as complete; a node ends what the list lacks, unless that is more than a third. Proved for the registry only (completeListEndsTargetsThatWentUnseenButNotManyAtOnce). The digest no longer uses java.nio, which the architecture test refused (seen red: decisionsArePure). The upkeep of sessions moved to a class of its own.

--- a/control/src/main/java/org/cuminreach/control/node/FeedFrames.java
+++ b/control/src/main/java/org/cuminreach/control/node/FeedFrames.java
@@ -1,9 +1,11 @@
 package org.cuminreach.control.node;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cuminreach.decisions.configuration.ConfigurationHistory;
 import org.cuminreach.decisions.distribution.FeedStep;
+import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.wire.DeltaCodec;
 import org.cuminreach.wire.MembershipCodec;
@@ -19,20 +21,30 @@
     private final ConfigurationHistory history;
     private final long revision;
     private final long version;
+    private final boolean settled;
     private final Map<Long, byte[]> targets = new ConcurrentHashMap<>();
     private final Map<Long, byte[]> configurations = new ConcurrentHashMap<>();
 
     private FeedFrames(
-            TargetRegistry registry, ConfigurationHistory history, long revision, long version) {
+            TargetRegistry registry,
+            ConfigurationHistory history,
+            long revision,
+            long version,
+            boolean settled) {
         this.registry = registry;
         this.history = history;
         this.revision = revision;
         this.version = version;
+        this.settled = settled;
     }
 
     static FeedFrames of(
-            TargetRegistry registry, ConfigurationHistory history, long revision, long version) {
-        return new FeedFrames(registry, history, revision, version);
+            TargetRegistry registry,
+            ConfigurationHistory history,
+            long revision,
+            long version,
+            boolean settled) {
+        return new FeedFrames(registry, history, revision, version, settled);
     }
 
     long revision() {
@@ -43,8 +55,12 @@
         return version;
     }
 
-    boolean leadsTo(long otherRevision, long otherVersion) {
-        return revision == otherRevision && version == otherVersion;
+    boolean settled() {
+        return settled;
+    }
+
+    boolean leadsTo(long otherRevision, long otherVersion, boolean otherSettled) {
+        return revision == otherRevision && version == otherVersion && settled == otherSettled;
     }
 
     byte[] targets(FeedStep.SendTargets step) {
@@ -56,7 +72,11 @@
     }
 
     private byte[] encodeTargets(long sinceRevision) {
-        return StructCodec.encode(MembershipCodec.toFrame(registry.changedSince(sinceRevision)));
+        List<Announcement> announcements = registry.changedSince(sinceRevision);
+        return StructCodec.encode(
+                settled && sinceRevision < 0
+                        ? MembershipCodec.toCompleteFrame(announcements)
+                        : MembershipCodec.toFrame(announcements));
     }
 
     private byte[] encodeConfiguration(long baseVersion) {
--- a/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
+++ b/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
@@ -16,9 +16,7 @@
 import org.cuminreach.decisions.configuration.ConfigurationHistory;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.distribution.AdmissionBucket;
-import org.cuminreach.decisions.distribution.CutOffWatch;
 import org.cuminreach.decisions.distribution.NodeAdmission;
-import org.cuminreach.decisions.distribution.SpreadPolicy;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.rollout.Evidence;
@@ -35,15 +33,12 @@
 public final class MeshSessions {
     private static final Logger LOGGER = LoggerFactory.getLogger(MeshSessions.class);
     private static final long CONFIRMATION_TIMEOUT_MILLIS = 2_000;
-    private static final long CUT_OFF_PATIENCE_MILLIS = 2_000;
-    private static final long LEAVE_MILLIS = 1_000;
     private static final long REFRESH_MILLIS = 5_000;
     private static final long SHORTEST_RETURN_MILLIS = 200;
     private static final long LONGEST_RETURN_MILLIS = 1_500;
     private static final long LONGEST_ADMISSION_WAIT_MILLIS = 4_000;
     private static final double ADMISSIONS_PER_SECOND = 500;
     private static final int ADMISSION_BURST = 100;
-    private static final int MOST_MOVED_AT_ONCE = 5;
 
     private final String controlName;
     private final ReplicaDriver replica;
@@ -55,13 +50,13 @@
     private final PeerLoads loads = new PeerLoads();
     private final RedirectCounts redirects = new RedirectCounts();
     private final Set<NodeSession> sessions = ConcurrentHashMap.newKeySet();
-    private final CutOffWatch cutOff = CutOffWatch.of(CUT_OFF_PATIENCE_MILLIS);
     private final AdmissionBucket admissions =
             AdmissionBucket.full(
                     ADMISSIONS_PER_SECOND,
                     ADMISSION_BURST,
                     LONGEST_ADMISSION_WAIT_MILLIS,
                     ProcessClock.monotonicMillis());
+    private final SessionUpkeep upkeep;
     private final ConfirmationGate gate;
     private final ConfigurationHistory history;
     private volatile FeedFrames frames;
@@ -76,9 +71,10 @@
         this.replica = replica;
         this.peers = peers;
         this.evidence = evidence;
+        this.upkeep = new SessionUpkeep(this, replica, sessions, loads);
         this.gate = ConfirmationGate.of(this::confirm);
         this.history = ConfigurationHistory.of(replica.configuration());
-        this.frames = FeedFrames.of(registry, history, 0, history.current().version());
+        this.frames = FeedFrames.of(registry, history, 0, history.current().version(), false);
     }
 
     /**
@@ -117,12 +113,7 @@
      */
     public void tick(long nowMillis) {
         boolean hasQuorum = replica.hasQuorum(nowMillis);
-        if (cutOff.isCutOff(nowMillis, hasQuorum)) {
-            sessions.forEach(session -> redirect(session, "no_quorum", comeBackMillis()));
-        } else {
-            evenOut(nowMillis);
-        }
-        closeLingering(nowMillis);
+        upkeep.tick(nowMillis, hasQuorum);
         sessions.forEach(session -> leases.vouch(session.node(), nowMillis));
         List<Announcement> gone = leases.tick(nowMillis, hasQuorum);
         gone.forEach(announcement -> holdings.forget(announcement.node()));
@@ -279,7 +270,7 @@
                 registry.find(session.node())
                         .map(Announcement::incarnation)
                         .filter(known -> known > session.incarnation());
-        if (!session.welcome(laterIncarnation)) {
+        if (!session.welcome(laterIncarnation, frames().settled())) {
             return;
         }
         if (session.heldVersion() > frames().version()) {
@@ -302,29 +293,12 @@
                 .orTimeout(CONFIRMATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void redirect(NodeSession session, String reason, long waitMillis) {
+    void redirect(NodeSession session, String reason, long waitMillis) {
         if (session.redirect(reason, waitMillis, ProcessClock.monotonicMillis())) {
             redirects.count(reason);
         }
     }
 
-    private void evenOut(long nowMillis) {
-        int moving =
-                SpreadPolicy.toMove(sessions.size(), loads.fresh(nowMillis), MOST_MOVED_AT_ONCE);
-        sessions.stream()
-                .filter(NodeSession::welcomed)
-                .limit(moving)
-                .forEach(session -> redirect(session, "uneven", SHORTEST_RETURN_MILLIS));
-    }
-
-    private void closeLingering(long nowMillis) {
-        for (NodeSession session : sessions) {
-            session.sentAwayMillis()
-                    .filter(sentAway -> nowMillis - sentAway > LEAVE_MILLIS)
-                    .ifPresent(sentAway -> session.close());
-        }
-    }
-
     private void tellPeers(long nowMillis) {
         List<NodeHolding> told = holdings.takeUnsent();
         if (nowMillis - refreshedMillis >= REFRESH_MILLIS) {
@@ -376,8 +350,8 @@
         FeedFrames present = frames;
         long revision = registry.revision();
         long version = presentVersion();
-        if (!present.leadsTo(revision, version)) {
-            present = FeedFrames.of(registry, history, revision, version);
+        if (!present.leadsTo(revision, version, upkeep.settled())) {
+            present = FeedFrames.of(registry, history, revision, version, upkeep.settled());
             frames = present;
         }
         return present;
@@ -389,7 +363,7 @@
         }
     }
 
-    private static long comeBackMillis() {
+    static long comeBackMillis() {
         return ThreadLocalRandom.current().nextLong(SHORTEST_RETURN_MILLIS, LONGEST_RETURN_MILLIS);
     }
 }
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -27,6 +27,7 @@
     private volatile long incarnation;
     private volatile long heldVersion;
     private volatile long announcedSequence;
+    private boolean targetsComplete;
     private Optional<NodeFeed> feed = Optional.empty();
     private Optional<Long> sentAwayMillis = Optional.empty();
 
@@ -59,7 +60,7 @@
     }
 
     /** Welcomes the node, unless it has been sent away in the meantime. */
-    synchronized boolean welcome(Optional<Long> knownIncarnation) {
+    synchronized boolean welcome(Optional<Long> knownIncarnation, boolean settled) {
         if (sentAwayMillis.isPresent()) {
             return false;
         }
@@ -69,6 +70,7 @@
             connection.close();
             return false;
         }
+        targetsComplete = settled;
         feed = Optional.of(NodeFeed.of(heldVersion));
         return true;
     }
@@ -85,6 +87,16 @@
         }
     }
 
+    /** Feeds the node the complete list of targets, if it was welcomed before there was one. */
+    synchronized boolean completeTargets() {
+        if (feed.isEmpty() || targetsComplete) {
+            return false;
+        }
+        targetsComplete = true;
+        feed.get().needsTargets();
+        return true;
+    }
+
     /** Sends the node away, once; it is fed no more. */
     synchronized boolean redirect(String reason, long comeBackMillis, long nowMillis) {
         if (sentAwayMillis.isPresent()) {
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/node/SessionUpkeep.java
@@ -0,0 +1,87 @@
+package org.cuminreach.control.node;
+
+import java.util.Optional;
+import java.util.Set;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.decisions.distribution.CutOffWatch;
+import org.cuminreach.decisions.distribution.SpreadPolicy;
+
+/** What time does to the sessions of a control: some are sent away, some get complete lists. */
+final class SessionUpkeep {
+    private static final long CUT_OFF_PATIENCE_MILLIS = 2_000;
+    private static final long LEAVE_MILLIS = 1_000;
+    private static final long MOVE_MILLIS = 200;
+    private static final long SETTLE_MILLIS = 30_000;
+    private static final int MOST_MOVED_AT_ONCE = 5;
+    private static final int MOST_COMPLETED_AT_ONCE = 20;
+
+    private final MeshSessions owner;
+    private final ReplicaDriver replica;
+    private final Set<NodeSession> sessions;
+    private final PeerLoads loads;
+    private final CutOffWatch cutOff = CutOffWatch.of(CUT_OFF_PATIENCE_MILLIS);
+    private Optional<Long> contactSinceMillis = Optional.empty();
+    private volatile boolean settled;
+
+    SessionUpkeep(
+            MeshSessions owner, ReplicaDriver replica, Set<NodeSession> sessions, PeerLoads loads) {
+        this.owner = owner;
+        this.replica = replica;
+        this.sessions = sessions;
+        this.loads = loads;
+    }
+
+    /** Tells whether the list of targets here is complete. */
+    boolean settled() {
+        return settled;
+    }
+
+    /** Called by one thread. */
+    void tick(long nowMillis, boolean hasQuorum) {
+        if (cutOff.isCutOff(nowMillis, hasQuorum)) {
+            sessions.forEach(
+                    session -> owner.redirect(session, "no_quorum", MeshSessions.comeBackMillis()));
+        } else {
+            evenOut(nowMillis);
+        }
+        closeLingering(nowMillis);
+        settle(nowMillis, hasQuorum);
+    }
+
+    private void evenOut(long nowMillis) {
+        int moving =
+                SpreadPolicy.toMove(sessions.size(), loads.fresh(nowMillis), MOST_MOVED_AT_ONCE);
+        sessions.stream()
+                .filter(NodeSession::welcomed)
+                .limit(moving)
+                .forEach(session -> owner.redirect(session, "uneven", MOVE_MILLIS));
+    }
+
+    private void closeLingering(long nowMillis) {
+        for (NodeSession session : sessions) {
+            session.sentAwayMillis()
+                    .filter(sentAway -> nowMillis - sentAway > LEAVE_MILLIS)
+                    .ifPresent(sentAway -> session.close());
+        }
+    }
+
+    /**
+     * Once this control has been in contact with a quorum and with every other control for a while,
+     * each living target has announced itself; its list is complete and sent to a few nodes at a
+     * time.
+     */
+    private void settle(long nowMillis, boolean hasQuorum) {
+        int others = replica.membership().members().size() - 1;
+        boolean inContact = hasQuorum && loads.fresh(nowMillis).size() >= others;
+        contactSinceMillis =
+                inContact ? contactSinceMillis.or(() -> Optional.of(nowMillis)) : Optional.empty();
+        settled =
+                contactSinceMillis.filter(since -> nowMillis - since >= SETTLE_MILLIS).isPresent();
+        if (settled) {
+            sessions.stream()
+                    .filter(NodeSession::completeTargets)
+                    .limit(MOST_COMPLETED_AT_ONCE)
+                    .forEach(owner::feed);
+        }
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
@@ -1,6 +1,5 @@
 package org.cuminreach.decisions.configuration;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Collection;
@@ -39,9 +38,19 @@
         lines.stream().sorted().forEach(line -> add(digest, line));
     }
 
+    /** Adds the line's length and then its characters, two bytes each. */
     private static void add(MessageDigest digest, String line) {
-        byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
-        digest.update((bytes.length + ":").getBytes(StandardCharsets.UTF_8));
+        addCharacters(digest, line.length() + ":");
+        addCharacters(digest, line);
+    }
+
+    private static void addCharacters(MessageDigest digest, String text) {
+        byte[] bytes = new byte[text.length() * Character.BYTES];
+        for (int index = 0; index < text.length(); index++) {
+            char character = text.charAt(index);
+            bytes[index * Character.BYTES] = (byte) (character >> BITS_PER_BYTE);
+            bytes[index * Character.BYTES + 1] = (byte) character;
+        }
         digest.update(bytes);
     }
 
--- a/decisions/src/main/java/org/cuminreach/decisions/distribution/NodeFeed.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/distribution/NodeFeed.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Notes that the node is to be sent all targets again. */
+    public void needsTargets() {
+        sentRevision = NOTHING_SENT;
+    }
+
     /** Notes that the node asked for the whole configuration. */
     public void needsWhole() {
         sentVersion = 0;
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The latest announcement of each node. Merging is commutative and idempotent, so the order in
@@ -17,6 +19,8 @@
     private record Entry(
             Announcement announcement, long revision, Optional<Long> goneSinceMillis) {}
 
+    private static final int BELIEVED_DIVISOR = 3;
+
     private final Map<String, Entry> latest = new HashMap<>();
     private long revision;
 
@@ -75,6 +79,27 @@
         return Optional.of(gone);
     }
 
+    /**
+     * Ends what a complete list does not name: targets that went while nobody could tell. A list
+     * that lacks more than a third of the targets known here is not believed.
+     *
+     * @param complete every target that a control knows which has been in contact for a while
+     * @return the targets that are gone
+     */
+    public synchronized List<Announcement> reconcile(Collection<Announcement> complete) {
+        Set<String> named = complete.stream().map(Announcement::node).collect(Collectors.toSet());
+        List<Announcement> alive = all().stream().filter(known -> !known.isGone()).toList();
+        List<Announcement> missing =
+                alive.stream().filter(known -> !named.contains(known.node())).toList();
+        if (missing.size() * BELIEVED_DIVISOR > alive.size()) {
+            return List.of();
+        }
+        return missing.stream()
+                .map(lost -> expire(lost.node(), lost.incarnation()))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
     /**
      * Forgets targets that have been gone for long, so that the registry stays bounded.
      *
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
@@ -88,6 +88,23 @@
         assertThat(Set.copyOf(node.all())).isEqualTo(Set.copyOf(control.all()));
     }
 
+    /** Controls that lost their memory tell nodes which targets went in the meantime. */
+    @Example
+    void completeListEndsTargetsThatWentUnseenButNotManyAtOnce() {
+        TargetRegistry node = TargetRegistry.empty();
+        List<Announcement> all = new ArrayList<>();
+        for (int number = 0; number < 6; number++) {
+            all.add(announcement("node-" + number, 1, 1));
+        }
+        node.merge(all);
+
+        assertThat(node.reconcile(all.subList(0, 3))).isEmpty();
+        assertThat(node.reconcile(all.subList(0, 5))).hasSize(1);
+        assertThat(node.find("node-5").orElseThrow().isGone()).isTrue();
+        node.merge(List.of(announcement("node-5", 1, 2)));
+        assertThat(node.find("node-5").orElseThrow().isGone()).isFalse();
+    }
+
     @Example
     void targetsLongGoneAreForgottenAndLivingOnesAreNot() {
         TargetRegistry registry = TargetRegistry.empty();
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -9,6 +9,7 @@
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.configuration.OfferOutcome;
 import org.cuminreach.decisions.distribution.ReconnectBackoff;
+import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.node.caller.EvidenceLog;
 import org.cuminreach.node.peer.MeshView;
@@ -24,6 +25,7 @@
 import org.cuminreach.wire.frame.FrameConnection;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.FrameListener;
+import org.cuminreach.wire.generated.AnnouncementBatch;
 import org.cuminreach.wire.generated.ConfigurationReport;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.Heartbeat;
@@ -188,8 +190,7 @@
         switch (frame.getSetField()) {
             case NODE_WELCOME -> beWelcomed(frame.getNodeWelcome());
             case NODE_REDIRECT -> leave(from, frame.getNodeRedirect());
-            case ANNOUNCEMENTS ->
-                    view.merge(MembershipCodec.toAnnouncements(frame.getAnnouncements()));
+            case ANNOUNCEMENTS -> takeTargets(frame.getAnnouncements());
             case CONFIGURATION_DELTA ->
                     offer(from, DeltaCodec.toDelta(frame.getConfigurationDelta()));
             case HEARTBEAT -> LOGGER.trace("event=control_alive");
@@ -205,6 +206,15 @@
         dialLater();
     }
 
+    private void takeTargets(AnnouncementBatch batch) throws MalformedFrameException {
+        List<Announcement> announcements = MembershipCodec.toAnnouncements(batch);
+        if (batch.isComplete()) {
+            view.mergeComplete(announcements);
+        } else {
+            view.merge(announcements);
+        }
+    }
+
     private void beWelcomed(NodeWelcome welcome) {
         welcomed = true;
         backoff.reset();
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -11,9 +11,12 @@
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.runtime.ProcessClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The targets as this node sees them: what was announced, and what its own calls met. */
 public final class MeshView {
+    private static final Logger LOGGER = LoggerFactory.getLogger(MeshView.class);
     private static final long DISTRUST_MILLIS = 2_000;
     private static final long REMEMBER_GONE_MILLIS = 3_600_000;
 
@@ -44,10 +47,29 @@
      * @param announcements announcements in any order
      */
     public synchronized void merge(List<Announcement> announcements) {
-        if (registry.merge(announcements).isEmpty()) {
-            return;
+        if (!registry.merge(announcements).isEmpty()) {
+            registry.forgetGone(ProcessClock.monotonicMillis(), REMEMBER_GONE_MILLIS);
+            rebuild();
         }
-        registry.forgetGone(ProcessClock.monotonicMillis(), REMEMBER_GONE_MILLIS);
+    }
+
+    /**
+     * Merges the announcements of a control that names all its targets, and ends the others.
+     *
+     * @param announcements every announcement that the control knows
+     */
+    public synchronized void mergeComplete(List<Announcement> announcements) {
+        merge(announcements);
+        List<Announcement> gone = registry.reconcile(announcements);
+        if (!gone.isEmpty()) {
+            LOGGER.info(
+                    "event=targets_reconciled gone={}",
+                    gone.stream().map(Announcement::node).toList());
+            rebuild();
+        }
+    }
+
+    private void rebuild() {
         Map<String, List<Announcement>> next = new ConcurrentHashMap<>();
         for (Announcement announcement : registry.all()) {
             if (announcement.phase() == TargetPhase.READY) {
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -53,7 +53,7 @@
 struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
 struct SubmissionForward { 1: required i64 correlation, 2: required CommandStruct command }
 struct SubmissionAnswer { 1: required i64 correlation, 2: optional OutcomeStruct outcome, 3: optional bool notRun, 4: optional string reason }
-struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements }
+struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements, 2: optional bool complete }
 struct EvidenceBatch { 1: required list<EvidenceStruct> evidence }
 struct NodeHolding { 1: required string node, 2: required i64 version, 3: required i64 applied }
 struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions }
--- a/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
@@ -28,6 +28,18 @@
                         announcements.stream().map(MembershipCodec::toStruct).toList()));
     }
 
+    /**
+     * Converts all announcements that a control knows to a frame that says that they are all.
+     *
+     * @param announcements the announcements
+     * @return the frame
+     */
+    public static Frame toCompleteFrame(Collection<Announcement> announcements) {
+        Frame frame = toFrame(announcements);
+        frame.getAnnouncements().setComplete(true);
+        return frame;
+    }
+
     /**
      * Converts a batch to its announcements.
      *
