--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -12,9 +12,12 @@
 import org.cuminreach.decisions.routing.TargetExperience;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.runtime.ProcessClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The targets as this node sees them: what was announced, and what its own calls met. */
 public final class MeshView {
+    private static final Logger LOGGER = LoggerFactory.getLogger(MeshView.class);
     private static final long REMEMBER_GONE_MILLIS = 3_600_000;
 
     /** One process of a node; a later process of the same name starts without experience. */
@@ -40,21 +43,31 @@
      *
      * @param announcements announcements in any order
      */
-    public void merge(List<Announcement> announcements) {
-        merge(announcements, ProcessClock.monotonicMillis());
+    public synchronized void merge(List<Announcement> announcements) {
+        if (!registry.merge(announcements).isEmpty()) {
+            long nowMillis = ProcessClock.monotonicMillis();
+            registry.forgetGone(nowMillis, REMEMBER_GONE_MILLIS);
+            rebuild(nowMillis);
+        }
     }
 
     /**
-     * Merges announcements.
+     * Merges the announcements of a control that names all its targets, and ends the others.
      *
-     * @param announcements announcements in any order
-     * @param nowMillis present time
+     * @param announcements every announcement that the control knows
      */
-    public synchronized void merge(List<Announcement> announcements, long nowMillis) {
-        if (registry.merge(announcements).isEmpty()) {
-            return;
+    public synchronized void mergeComplete(List<Announcement> announcements) {
+        merge(announcements);
+        List<Announcement> gone = registry.reconcile(announcements);
+        if (!gone.isEmpty()) {
+            LOGGER.info(
+                    "event=targets_reconciled gone={}",
+                    gone.stream().map(Announcement::node).toList());
+            rebuild(ProcessClock.monotonicMillis());
         }
-        registry.forgetGone(nowMillis, REMEMBER_GONE_MILLIS);
+    }
+
+    private void rebuild(long nowMillis) {
         Map<String, Map<String, List<TargetView>>> next = new HashMap<>();
         Set<Process> present = new HashSet<>();
         for (Announcement announcement : registry.all()) {
