Make the three outcomes of a call true on every path

Cause: a target could claim by header that its call had not run and so have it run again; an answer that no node vouched for counted as the target's; a malformed Retry-After ended the call without an outcome; a refused request could leak a slot; a count of attempts near the largest number wrapped round; the HTTP client kept cookies and gave one caller's to another; an answer ended by the closing of its connection could be cut unseen; an address taken over by another node's process could run a call meant for another target. Ruled out: ConnectException is made in one place of AsyncHttpClient 3.0.7 (NettyConnectListener, before a byte is sent); a timeout aborts the request and closes its channel. Change: node headers are stripped from targets' answers, answers without a node's outcome may have run, calls name the node they are meant for, deadlines that have passed are refused before sending, a closed caller's connection cancels the call. Conclusion: property tests on RetryPolicy, socket tests on HttpSender.

--- a/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
@@ -9,6 +9,17 @@
 
     private RetryPolicy() {}
 
+    /**
+     * Reads the attempts that a call says were made for it before it came here. They count against
+     * its own: a call below one that is being retried is not retried as often again.
+     *
+     * @param told the number that came with the call
+     * @return the number, at most the most attempts there may be
+     */
+    public static int attemptsBefore(int told) {
+        return Math.clamp(told, 0, MOST_ATTEMPTS);
+    }
+
     /**
      * Decides what to do after an attempt.
      *
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -0,0 +1,133 @@
+package org.cuminreach.decisions.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+
+class RetryPolicyTest {
+    private static final int MOST_ATTEMPTS = 3;
+    private static final int DEEPEST = 9;
+
+    /** What came of a whole call, driven as a node drives it. */
+    private record Driven(int attempts, boolean ran, AttemptOutcome last) {}
+
+    @Provide
+    Arbitrary<List<AttemptOutcome>> outcomes() {
+        return Arbitraries.of(
+                        new AttemptOutcome.Answered(200),
+                        new AttemptOutcome.NotRun("refused", 5),
+                        new AttemptOutcome.MayHaveRun("lost"))
+                .list()
+                .ofMinSize(8)
+                .ofMaxSize(8)
+                .map(List::copyOf);
+    }
+
+    @Property(seed = "5201")
+    void neverTriesAgainWhatMayHaveRunAndMayNotRunTwice(
+            @ForAll("outcomes") List<AttemptOutcome> outcomes, @ForAll long seed) {
+        Driven driven = drive(outcomes, false, 0, seed);
+        long mayHaveRun =
+                outcomes.stream()
+                        .limit(driven.attempts())
+                        .filter(outcome -> !(outcome instanceof AttemptOutcome.NotRun))
+                        .count();
+        assertThat(mayHaveRun).isAtMost(1);
+    }
+
+    @Property(seed = "5202")
+    void neverSaysNotRunAfterAnAttemptThatMayHaveRun(
+            @ForAll("outcomes") List<AttemptOutcome> outcomes,
+            @ForAll boolean idempotent,
+            @ForAll long seed) {
+        Driven driven = drive(outcomes, idempotent, 0, seed);
+        if (driven.ran()) {
+            assertThat(driven.last()).isNotInstanceOf(AttemptOutcome.NotRun.class);
+        }
+    }
+
+    @Property(seed = "5203")
+    void attemptsAreBounded(
+            @ForAll("outcomes") List<AttemptOutcome> outcomes,
+            @ForAll boolean idempotent,
+            @ForAll int told,
+            @ForAll long seed) {
+        int before = RetryPolicy.attemptsBefore(told);
+        Driven driven = drive(outcomes, idempotent, before, seed);
+        assertThat(driven.attempts()).isAtMost(Math.max(1, MOST_ATTEMPTS - before));
+    }
+
+    @Property(seed = "5204")
+    void retriesAreATenthOfFreshCallsAndASmallReserve(@ForAll @IntRange(max = 5_000) int calls) {
+        RetryBudget budget = RetryBudget.full();
+        int retries = 0;
+        for (int call = 0; call < calls; call++) {
+            budget.earn();
+            while (budget.spend()) {
+                retries++;
+            }
+        }
+        assertThat(retries).isAtMost(10 + calls / 10);
+    }
+
+    @Example
+    void attemptsBelowAFailingLeafDoNotMultiplyWithDepth() {
+        assertThat(leafAttempts(DEEPEST, 0)).isAtMost(4);
+        assertThat(leafAttempts(DEEPEST, 0)).isEqualTo(leafAttempts(MOST_ATTEMPTS, 0));
+    }
+
+    /** Attempts at the leaf when every level tries as often as it may. */
+    private static int leafAttempts(int depth, int told) {
+        int attempts = RetryPolicy.attemptsBefore(told);
+        int leaf = 0;
+        RetryDecision decision;
+        do {
+            attempts++;
+            leaf += depth == 1 ? 1 : leafAttempts(depth - 1, attempts);
+            decision = decide(new AttemptOutcome.MayHaveRun("lost"), true, true, attempts, 1);
+        } while (decision instanceof RetryDecision.Retry);
+        return leaf;
+    }
+
+    private static Driven drive(
+            List<AttemptOutcome> outcomes, boolean idempotent, int before, long seed) {
+        int attempts = 0;
+        boolean mayHaveRun = false;
+        boolean ran = false;
+        for (AttemptOutcome outcome : outcomes) {
+            attempts++;
+            RetryDecision decision =
+                    decide(outcome, idempotent, mayHaveRun, before + attempts, seed);
+            mayHaveRun |= outcome instanceof AttemptOutcome.MayHaveRun;
+            ran |= !(outcome instanceof AttemptOutcome.NotRun);
+            switch (decision) {
+                case RetryDecision.Answer answer -> {
+                    return new Driven(attempts, ran, outcome);
+                }
+                case RetryDecision.GiveUp giveUp -> {
+                    return new Driven(attempts, ran, giveUp.outcome());
+                }
+                case RetryDecision.Retry retry -> assertThat(retry.delayMillis()).isAtMost(20);
+            }
+        }
+        throw new AssertionError("a call was tried more often than " + outcomes.size() + " times");
+    }
+
+    private static RetryDecision decide(
+            AttemptOutcome outcome,
+            boolean idempotent,
+            boolean mayHaveRunBefore,
+            int attempts,
+            long seed) {
+        CallProgress progress = new CallProgress(idempotent, mayHaveRunBefore, attempts, 1_000);
+        return RetryPolicy.decide(outcome, progress, RetryBudget.full(), new Random(seed));
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -56,7 +56,7 @@
     private NodeProcess(NodeSettings settings) {
         this.settings = settings;
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
-        guard = TargetGuard.create(settings.target(), sender);
+        guard = TargetGuard.create(settings.name(), settings.target(), sender);
         session =
                 ControlSession.create(
                         settings,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -121,7 +121,8 @@
                         route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
                         nowMillis + timeoutMillis(call, route.get()),
                         current.configuration().version(),
-                        CallAnswers.number(call, MeshHeaders.ATTEMPTS, 0));
+                        RetryPolicy.attemptsBefore(
+                                CallAnswers.number(call, MeshHeaders.ATTEMPTS, 0)));
         return attempt(attempts, current.configuration());
     }
 
@@ -187,9 +188,14 @@
                 attempts.attempts(),
                 reason);
         long remaining = attempts.remainingMillis(begunMillis);
+        if (remaining <= 0) {
+            return decide(
+                    attempts, configuration, version, new SendOutcome.NeverSent("deadline_passed"));
+        }
         view.begun(target.node());
-        return sender.send(
-                        target.inbound(), attempts.call(), headers(attempts, remaining), remaining)
+        HttpHeaders headers =
+                headers(attempts, remaining).set(MeshHeaders.TARGET_NODE, target.node());
+        return sender.send(target.inbound(), attempts.call(), headers, remaining)
                 .thenCompose(
                         sent -> {
                             long micros = (System.nanoTime() - begunNanos) / 1_000;
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -9,14 +9,16 @@
 public final class CallAnswers {
     private static final String JSON = "application/json";
     private static final int MILLIS_PER_SECOND = 1_000;
+    private static final int LONGEST_RETRY_AFTER_SECONDS = 3_600;
 
     private CallAnswers() {}
 
     /**
-     * Reads what came of an attempt.
+     * Reads what came of an attempt. Only a node may say that a call has not run, or that an answer
+     * is its target's; whatever else answers leaves open whether it ran.
      *
-     * @param sent what came of sending it
-     * @return the outcome; a refusal by the target's node counts as not run
+     * @param sent what came of sending it to the target's node
+     * @return the outcome
      */
     public static AttemptOutcome outcome(SendOutcome sent) {
         return switch (sent) {
@@ -40,6 +42,35 @@
         return answer;
     }
 
+    /**
+     * Returns what a target's node answers after it sent a call to its target.
+     *
+     * @param sent what came of sending it
+     * @return the answer for the node that sent the call
+     */
+    public static HttpAnswer ofTarget(SendOutcome sent) {
+        return switch (sent) {
+            case SendOutcome.Whole whole ->
+                    new HttpAnswer(
+                                    whole.answer().status(),
+                                    MeshHeaders.ofTarget(whole.answer().headers()),
+                                    whole.answer().body())
+                            .with(MeshHeaders.OUTCOME, MeshHeaders.ANSWERED);
+            case SendOutcome.NeverSent never -> notRun(503, never.reason(), Optional.of(1L));
+            case SendOutcome.Lost lost -> mayHaveRun(lost.reason());
+        };
+    }
+
+    /**
+     * Returns the answer of a call that may have run.
+     *
+     * @param reason why nothing more is known
+     * @return the answer
+     */
+    public static HttpAnswer mayHaveRun(String reason) {
+        return refusal(reason.equals("timeout") ? 504 : 502, MeshHeaders.MAY_HAVE_RUN, reason);
+    }
+
     /**
      * Reads a whole number from a header.
      *
@@ -90,11 +121,7 @@
                 switch (outcome) {
                     case AttemptOutcome.NotRun notRun ->
                             notRun(503, notRun.reason(), Optional.of(notRun.retryAfterMillis()));
-                    case AttemptOutcome.MayHaveRun mayHaveRun ->
-                            refusal(
-                                    mayHaveRun.reason().equals("timeout") ? 504 : 502,
-                                    MeshHeaders.MAY_HAVE_RUN,
-                                    mayHaveRun.reason());
+                    case AttemptOutcome.MayHaveRun mayHaveRun -> mayHaveRun(mayHaveRun.reason());
                     case AttemptOutcome.Answered answered ->
                             throw new IllegalStateException("an answered call is not refused");
                 };
@@ -103,15 +130,12 @@
 
     private static AttemptOutcome outcome(HttpAnswer answer) {
         String told = answer.headers().get(MeshHeaders.OUTCOME);
-        if (MeshHeaders.NOT_RUN.equals(told)) {
-            String seconds = answer.headers().get("Retry-After");
-            long millis = seconds == null ? 0 : Long.parseLong(seconds) * MILLIS_PER_SECOND;
-            return new AttemptOutcome.NotRun("refused_by_target_node", millis);
-        }
-        if (MeshHeaders.MAY_HAVE_RUN.equals(told)) {
-            return new AttemptOutcome.MayHaveRun("lost_at_target_node");
-        }
-        return new AttemptOutcome.Answered(answer.status());
+        return switch (told) {
+            case MeshHeaders.NOT_RUN ->
+                    new AttemptOutcome.NotRun("refused_by_target_node", retryAfterMillis(answer));
+            case MeshHeaders.ANSWERED -> new AttemptOutcome.Answered(answer.status());
+            case null, default -> new AttemptOutcome.MayHaveRun("lost_at_target_node");
+        };
     }
 
     private static HttpAnswer refusal(int status, String outcome, String reason) {
@@ -119,6 +143,15 @@
         return HttpAnswer.of(status, JSON, body).with(MeshHeaders.OUTCOME, outcome);
     }
 
+    private static long retryAfterMillis(HttpAnswer answer) {
+        try {
+            long seconds = Long.parseLong(answer.headers().get("Retry-After", ""));
+            return Math.clamp(seconds, 0, LONGEST_RETRY_AFTER_SECONDS) * MILLIS_PER_SECOND;
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
     private static long seconds(long millis) {
         return Math.max(1, Math.ceilDiv(millis, MILLIS_PER_SECOND));
     }
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -6,11 +6,14 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.ListenableFuture;
+import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -21,6 +24,8 @@
 public final class HttpSender implements AutoCloseable {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     private final AsyncHttpClient client;
 
@@ -46,11 +51,13 @@
                                 .setConnectTimeout(CONNECT_TIMEOUT)
                                 .setPooledConnectionIdleTimeout(IDLE_TIMEOUT)
                                 .setReadTimeout(Duration.ofMillis(-1))
+                                .setCookieStore(null)
+                                .setEnableAutomaticDecompression(false)
                                 .setCompressionEnforced(false)));
     }
 
     /**
-     * Sends a call.
+     * Sends a call. When the call is abandoned before its answer, its connection is closed.
      *
      * @param to where to
      * @param call method, path and body of the call
@@ -68,8 +75,23 @@
         if (call.body().length > 0) {
             request.setBody(call.body());
         }
-        return client.executeRequest(request.build())
-                .toCompletableFuture()
+        Request built;
+        try {
+            built = request.build();
+        } catch (IllegalArgumentException malformed) {
+            return CompletableFuture.completedFuture(
+                    new SendOutcome.NeverSent("malformed_request"));
+        }
+        if (call.abandoned().isDone()) {
+            return CompletableFuture.completedFuture(new SendOutcome.NeverSent("abandoned"));
+        }
+        return execute(call, built);
+    }
+
+    private CompletableFuture<SendOutcome> execute(HttpCall call, Request request) {
+        ListenableFuture<Response> sending = client.executeRequest(request);
+        call.abandoned().thenRun(() -> sending.cancel(true));
+        return sending.toCompletableFuture()
                 .handle((response, failure) -> toOutcome(call, response, failure));
     }
 
@@ -96,17 +118,24 @@
 
     private static SendOutcome toOutcome(Throwable cause) {
         return switch (cause) {
+            case CancellationException cancelled -> new SendOutcome.Lost("abandoned");
             case ConnectException unreached -> new SendOutcome.NeverSent("cannot_connect");
             case TimeoutException late -> new SendOutcome.Lost("timeout");
             default -> new SendOutcome.Lost("connection_lost");
         };
     }
 
+    /** An answer whose end only the closing of its connection marks counts as cut. */
     private static boolean isCut(HttpCall call, Response response, byte[] body) {
-        String length = response.getHeader(HttpHeaderNames.CONTENT_LENGTH);
-        if (length == null || call.method().equals("HEAD") || response.getStatusCode() == 304) {
+        int status = response.getStatusCode();
+        if (call.method().equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED) {
             return false;
         }
+        String length = response.getHeader(HttpHeaderNames.CONTENT_LENGTH);
+        if (length == null) {
+            return !"chunked"
+                    .equalsIgnoreCase(response.getHeader(HttpHeaderNames.TRANSFER_ENCODING));
+        }
         return !length.equals(Integer.toString(body.length));
     }
 }
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -23,6 +23,9 @@
     /** Outcome as the mesh knows it: {@code answered}, {@code not-run} or {@code may-have-run}. */
     public static final String OUTCOME = "X-Cuminreach-Outcome";
 
+    /** Name of the node whose target a call is meant for; another node refuses it. */
+    public static final String TARGET_NODE = "X-Cuminreach-Target-Node";
+
     /** Configuration version under which the call was routed. */
     public static final String CONFIGURATION = "X-Cuminreach-Configuration";
 
@@ -38,6 +41,10 @@
     /** Value of {@link #OUTCOME}: a target may have run the call. */
     public static final String MAY_HAVE_RUN = "may-have-run";
 
+    /** What only nodes may say in an answer. */
+    private static final List<String> OF_NODES =
+            List.of(OUTCOME, REQUEST_ID, CONFIGURATION, TARGET_VERSION);
+
     private static final List<String> HOP_BY_HOP =
             List.of(
                     "connection",
@@ -53,6 +60,18 @@
 
     private MeshHeaders() {}
 
+    /**
+     * Copies the headers of a target's answer.
+     *
+     * @param headers headers of the answer
+     * @return a copy without those of one connection and those that only nodes may set
+     */
+    public static HttpHeaders ofTarget(HttpHeaders headers) {
+        HttpHeaders copy = endToEnd(headers);
+        OF_NODES.forEach(copy::remove);
+        return copy;
+    }
+
     /**
      * Copies the headers that travel from end to end.
      *
--- a/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
@@ -32,12 +32,14 @@
             long deadlineMillis,
             CompletableFuture<HttpAnswer> answer) {}
 
+    private final String node;
     private final NodeSettings.Target target;
     private final HttpSender sender;
     private final FairQueue<Arrival> queue;
     private volatile boolean draining;
 
-    private TargetGuard(NodeSettings.Target target, HttpSender sender) {
+    private TargetGuard(String node, NodeSettings.Target target, HttpSender sender) {
+        this.node = node;
         this.target = target;
         this.sender = sender;
         this.queue = FairQueue.ofSlots(target.slots());
@@ -46,12 +48,13 @@
     /**
      * Returns the guard of a target.
      *
+     * @param node name of the node beside it
      * @param target the target
      * @param sender sends calls to it
      * @return the guard
      */
-    public static TargetGuard create(NodeSettings.Target target, HttpSender sender) {
-        return new TargetGuard(target, sender);
+    public static TargetGuard create(String node, NodeSettings.Target target, HttpSender sender) {
+        return new TargetGuard(node, target, sender);
     }
 
     @Override
@@ -65,6 +68,11 @@
                         call.header(MeshHeaders.REQUEST_ID, ""),
                         nowMillis + remaining,
                         new CompletableFuture<>());
+        String meantFor = call.header(MeshHeaders.TARGET_NODE, node);
+        if (!meantFor.equals(node)) {
+            refuse(arrival, "other_node_at_this_address", 1);
+            return arrival.answer();
+        }
         if (draining) {
             refuse(arrival, "draining", DRAINING_RETRY_MILLIS);
             return arrival.answer();
@@ -129,8 +137,9 @@
         long remaining = arrival.deadlineMillis() - ProcessClock.monotonicMillis();
         HttpHeaders headers =
                 MeshHeaders.endToEnd(arrival.call().headers())
+                        .remove(MeshHeaders.TARGET_NODE)
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
-        sender.send(target.address(), arrival.call(), headers, remaining)
+        send(arrival, headers, remaining)
                 .whenComplete(
                         (sent, failure) -> {
                             release((System.nanoTime() - begunNanos) / NANOS_PER_MILLI);
@@ -138,6 +147,14 @@
                         });
     }
 
+    private CompletableFuture<SendOutcome> send(
+            Arrival arrival, HttpHeaders headers, long remainingMillis) {
+        if (remainingMillis <= 0) {
+            return CompletableFuture.completedFuture(new SendOutcome.NeverSent("deadline_passed"));
+        }
+        return sender.send(target.address(), arrival.call(), headers, remainingMillis);
+    }
+
     private void release(double ranMillis) {
         List<Arrival> next;
         synchronized (queue) {
@@ -147,30 +164,11 @@
     }
 
     private void finish(Arrival arrival, SendOutcome sent, Throwable failure) {
-        if (failure != null) {
-            arrival.answer().completeExceptionally(failure);
-            return;
-        }
-        switch (sent) {
-            case SendOutcome.Whole whole ->
-                    arrival.answer()
-                            .complete(
-                                    new HttpAnswer(
-                                            whole.answer().status(),
-                                            MeshHeaders.endToEnd(whole.answer().headers()),
-                                            whole.answer().body()));
-            case SendOutcome.NeverSent never -> refuse(arrival, never.reason(), 1);
-            case SendOutcome.Lost lost -> {
-                LOGGER.info(
-                        "event=call_lost request={} reason={}", arrival.requestId(), lost.reason());
-                String body =
-                        "{\"outcome\":\"may-have-run\",\"reason\":\"" + lost.reason() + "\"}\n";
-                arrival.answer()
-                        .complete(
-                                HttpAnswer.of(502, "application/json", body)
-                                        .with(MeshHeaders.OUTCOME, MeshHeaders.MAY_HAVE_RUN));
-            }
+        SendOutcome known = failure == null ? sent : new SendOutcome.Lost("sender_failed");
+        if (!(known instanceof SendOutcome.Whole)) {
+            LOGGER.info("event=call_unanswered request={} outcome={}", arrival.requestId(), known);
         }
+        arrival.answer().complete(CallAnswers.ofTarget(known));
     }
 
     private static void refuse(Arrival arrival, String reason, long retryAfterMillis) {
--- /dev/null
+++ b/node/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -0,0 +1,186 @@
+package org.cuminreach.node.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.settings.Address;
+
+class HttpSenderTest {
+    private static final long GENEROUS_MILLIS = 20_000;
+
+    private EventLoopGroup eventLoops;
+    private HttpSender sender;
+
+    @BeforeTry
+    void start() {
+        eventLoops = EventLoops.start(1);
+        sender = HttpSender.create(eventLoops);
+    }
+
+    @AfterTry
+    void stop() throws IOException {
+        sender.close();
+        EventLoops.stop(eventLoops);
+    }
+
+    @Example
+    void refusedConnectionIsNeverSent() throws Exception {
+        Address nobody;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            nobody = new Address("127.0.0.1", socket.getLocalPort());
+        }
+        assertThat(send(nobody, call(), GENEROUS_MILLIS)).isInstanceOf(SendOutcome.NeverSent.class);
+    }
+
+    @Example
+    void connectionClosedAfterTheRequestIsLost() throws Exception {
+        assertLost((head, body, socket) -> socket.close());
+    }
+
+    @Example
+    void connectionResetAfterTheRequestIsLost() throws Exception {
+        assertLost(
+                (head, body, socket) -> {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                });
+    }
+
+    @Example
+    void answerShorterThanItsLengthIsLost() throws Exception {
+        assertLost(
+                (head, body, socket) -> {
+                    ScriptedTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\ncut");
+                    socket.close();
+                });
+    }
+
+    @Example
+    void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
+        assertLost(
+                (head, body, socket) -> {
+                    ScriptedTarget.write(
+                            socket,
+                            "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n");
+                    socket.close();
+                });
+    }
+
+    @Example
+    void answerThatOnlyTheCloseEndsIsLost() throws Exception {
+        assertLost(
+                (head, body, socket) -> {
+                    ScriptedTarget.write(socket, "HTTP/1.1 200 X\r\n\r\ncut?");
+                    socket.close();
+                });
+    }
+
+    @Example
+    void wholeChunkedAnswerIsWhole() throws Exception {
+        try (ScriptedTarget target =
+                ScriptedTarget.start(
+                        (head, body, socket) ->
+                                ScriptedTarget.write(
+                                        socket,
+                                        "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                                + "3\r\nall\r\n0\r\n\r\n"))) {
+            assertThat(body(send(target.address(), call(), GENEROUS_MILLIS))).isEqualTo("all");
+        }
+    }
+
+    @Example
+    void lateAnswerNeverReachesTheNextRequest() throws Exception {
+        try (ScriptedTarget target = ScriptedTarget.start(HttpSenderTest::answerFirstLate)) {
+            SendOutcome first = send(target.address(), call(), 300);
+            assertThat(first).isEqualTo(new SendOutcome.Lost("timeout"));
+            SendOutcome second = send(target.address(), call(), GENEROUS_MILLIS);
+            assertThat(body(second)).isEqualTo("2");
+            assertThat(target.connections()).isEqualTo(2);
+        }
+    }
+
+    @Example
+    void noCookieOfOneCallTravelsWithAnother() throws Exception {
+        try (ScriptedTarget target =
+                ScriptedTarget.start(
+                        (head, body, socket) ->
+                                ScriptedTarget.write(
+                                        socket,
+                                        "HTTP/1.1 200 X\r\nSet-Cookie: session=first\r\n"
+                                                + "Content-Length: 0\r\n\r\n"))) {
+            send(target.address(), call(), GENEROUS_MILLIS);
+            send(target.address(), call(), GENEROUS_MILLIS);
+            assertThat(target.heads().get(1)).doesNotContain("session=first");
+        }
+    }
+
+    @Example
+    void abandonedCallClosesItsConnection() throws Exception {
+        try (ScriptedTarget target =
+                ScriptedTarget.start((head, body, socket) -> socket.getInputStream().read())) {
+            HttpCall call = call();
+            var sending = sender.send(target.address(), call, headers(), GENEROUS_MILLIS);
+            until(() -> target.heads().size() == 1);
+            call.abandoned().complete(null);
+            assertThat(sending.get(GENEROUS_MILLIS, TimeUnit.MILLISECONDS))
+                    .isEqualTo(new SendOutcome.Lost("abandoned"));
+            until(() -> target.closedByPeer() == 1);
+        }
+    }
+
+    private static void answerFirstLate(String head, String body, Socket socket)
+            throws IOException, InterruptedException {
+        if (head.contains("first-late: 1")) {
+            Thread.sleep(600);
+        }
+        ScriptedTarget.answer(socket, 200, head.contains("first-late: 1") ? "1" : "2");
+    }
+
+    private int sent;
+
+    private SendOutcome send(Address to, HttpCall call, long timeoutMillis) throws Exception {
+        sent++;
+        return sender.send(to, call, headers().set("first-late", sent), timeoutMillis)
+                .get(GENEROUS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void assertLost(ScriptedTarget.Script script) throws Exception {
+        try (ScriptedTarget target = ScriptedTarget.start(script)) {
+            assertThat(send(target.address(), call(), GENEROUS_MILLIS))
+                    .isInstanceOf(SendOutcome.Lost.class);
+        }
+    }
+
+    private static String body(SendOutcome outcome) {
+        assertThat(outcome).isInstanceOf(SendOutcome.Whole.class);
+        return new String(((SendOutcome.Whole) outcome).answer().body());
+    }
+
+    private static HttpCall call() {
+        return new HttpCall("POST", "/order", headers(), "one".getBytes(), "127.0.0.1");
+    }
+
+    private static HttpHeaders headers() {
+        return new DefaultHttpHeaders().set("Host", "parts.test");
+    }
+
+    private static void until(java.util.function.BooleanSupplier condition)
+            throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(GENEROUS_MILLIS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).isLessThan(deadline);
+            Thread.sleep(5);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/cuminreach/node/http/ScriptedTarget.java
@@ -0,0 +1,135 @@
+package org.cuminreach.node.http;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminreach.settings.Address;
+
+/** A target that answers byte by byte as its script says, over plain sockets. */
+public final class ScriptedTarget implements AutoCloseable {
+    /** What to do with a request. */
+    @FunctionalInterface
+    public interface Script {
+        /** Answers a request; the socket is closed when it throws. */
+        void answer(String head, String body, Socket socket)
+                throws IOException, InterruptedException;
+    }
+
+    private final ServerSocket listening;
+    private final Script script;
+    private final List<String> heads = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger closedByPeer = new AtomicInteger();
+
+    private ScriptedTarget(ServerSocket listening, Script script) {
+        this.listening = listening;
+        this.script = script;
+    }
+
+    public static ScriptedTarget start(Script script) throws IOException {
+        return start(0, script);
+    }
+
+    public static ScriptedTarget start(int port, Script script) throws IOException {
+        ServerSocket socket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        ScriptedTarget target = new ScriptedTarget(socket, script);
+        Thread.ofVirtual().start(target::accept);
+        return target;
+    }
+
+    /** Writes text as it stands. */
+    public static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    /** Writes a whole answer. */
+    public static void answer(Socket socket, int status, String body) throws IOException {
+        write(
+                socket,
+                "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s"
+                        .formatted(status, body.length(), body));
+    }
+
+    public Address address() {
+        return new Address("127.0.0.1", listening.getLocalPort());
+    }
+
+    public List<String> heads() {
+        return heads;
+    }
+
+    public int connections() {
+        return sockets.size();
+    }
+
+    public int closedByPeer() {
+        return closedByPeer.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        while (!listening.isClosed()) {
+            try {
+                Socket socket = listening.accept();
+                sockets.add(socket);
+                Thread.ofVirtual().start(() -> serve(socket));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                String head = readHead(in);
+                if (head.isEmpty()) {
+                    closedByPeer.incrementAndGet();
+                    return;
+                }
+                heads.add(head);
+                script.answer(head, new String(in.readNBytes(length(head))), socket);
+            }
+        } catch (IOException | InterruptedException ended) {
+            closedByPeer.incrementAndGet();
+        }
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return "";
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    private static int length(String head) {
+        return head.lines()
+                .filter(line -> line.toLowerCase().startsWith("content-length:"))
+                .mapToInt(line -> Integer.parseInt(line.substring(15).trim()))
+                .findFirst()
+                .orElse(0);
+    }
+}
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpCall.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpCall.java
@@ -1,6 +1,7 @@
 package org.cuminreach.runtime.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * A whole HTTP request.
@@ -10,9 +11,38 @@
  * @param headers its headers
  * @param body its whole body; not to be changed
  * @param remoteHost IP number it came from
+ * @param abandoned completes when the connection it came by closes before its answer
  */
 public record HttpCall(
-        String method, String target, HttpHeaders headers, byte[] body, String remoteHost) {
+        String method,
+        String target,
+        HttpHeaders headers,
+        byte[] body,
+        String remoteHost,
+        CompletableFuture<Void> abandoned) {
+    /**
+     * Returns a request that is never abandoned.
+     *
+     * @param method its method
+     * @param target its path and query
+     * @param headers its headers
+     * @param body its whole body; not to be changed
+     * @param remoteHost IP number it came from
+     */
+    public HttpCall(
+            String method, String target, HttpHeaders headers, byte[] body, String remoteHost) {
+        this(method, target, headers, body, remoteHost, new CompletableFuture<>());
+    }
+
+    /**
+     * Returns this request for work that goes on when its connection closes.
+     *
+     * @return the same request, never abandoned
+     */
+    public HttpCall neverAbandoned() {
+        return new HttpCall(method, target, headers, body, remoteHost);
+    }
+
     /**
      * Returns the path.
      *
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -31,6 +31,7 @@
     private final HttpServer server;
     private final Deque<Pending> pending = new ArrayDeque<>();
     private boolean answering;
+    private HttpCall answered;
 
     HttpConnectionHandler(HttpServer server) {
         this.server = server;
@@ -72,6 +73,7 @@
             return;
         }
         answering = true;
+        answered = next.call();
         server.begun();
         handle(next.call())
                 .whenComplete(
@@ -91,6 +93,7 @@
     private void finish(
             ChannelHandlerContext context, Pending done, HttpAnswer answer, Throwable failure) {
         answering = false;
+        answered = null;
         server.ended();
         HttpAnswer sent = answer;
         if (failure != null) {
@@ -122,6 +125,14 @@
         }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pending.clear();
+        if (answered != null) {
+            answered.abandoned().complete(null);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         LOGGER.debug("event=connection_failed reason=\"{}\"", cause.toString());
