--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/idempotency/IdempotencyKey.java
@@ -0,0 +1,40 @@
+package org.cuminreach.decisions.idempotency;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.regex.Pattern;
+
+/**
+ * A key by which a caller marks a request and its repetitions.
+ *
+ * @param text the key as sent
+ * @param createdMillis when it was made, in milliseconds since the epoch, when the key tells: it
+ *     does as a UUID of version 7
+ */
+public record IdempotencyKey(String text, OptionalLong createdMillis) {
+    private static final int LONGEST_TEXT = 200;
+    private static final Pattern TIMED_UUID =
+            Pattern.compile(
+                    "\\p{XDigit}{8}-\\p{XDigit}{4}-7\\p{XDigit}{3}"
+                            + "-[89abAB]\\p{XDigit}{3}-\\p{XDigit}{12}");
+    private static final int HEXADECIMAL = 16;
+
+    /**
+     * Reads a key.
+     *
+     * @param text the key as sent
+     * @return the key, or empty when it is blank or too long
+     */
+    public static Optional<IdempotencyKey> read(String text) {
+        String trimmed = text.trim();
+        if (trimmed.isEmpty() || trimmed.length() > LONGEST_TEXT) {
+            return Optional.empty();
+        }
+        if (!TIMED_UUID.matcher(trimmed).matches()) {
+            return Optional.of(new IdempotencyKey(trimmed, OptionalLong.empty()));
+        }
+        String time = trimmed.substring(0, 8) + trimmed.substring(9, 13);
+        return Optional.of(
+                new IdempotencyKey(trimmed, OptionalLong.of(Long.parseLong(time, HEXADECIMAL))));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/idempotency/KeyHomes.java
@@ -0,0 +1,104 @@
+package org.cuminreach.decisions.idempotency;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Which node of a service is the home of a key, and since when. The home is chosen by rendezvous
+ * hashing, so that a node that joins or leaves moves only its own share of the keys. Not safe for
+ * use by several threads at once.
+ */
+public final class KeyHomes {
+    private static final int MOST_CHANGES = 64;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    /** A set of nodes and the time from which it held. */
+    private record Change(long atMillis, List<String> nodes) {}
+
+    private final Deque<Change> changes = new ArrayDeque<>();
+
+    private KeyHomes() {}
+
+    /**
+     * Returns the homes of a service that has no nodes yet.
+     *
+     * @return homes without nodes
+     */
+    public static KeyHomes none() {
+        return new KeyHomes();
+    }
+
+    /**
+     * Notes that the nodes of the service are others now.
+     *
+     * @param nodes names of its nodes
+     * @param nowMillis present time
+     */
+    public void change(Collection<String> nodes, long nowMillis) {
+        changes.addFirst(new Change(nowMillis, List.copyOf(nodes)));
+        if (changes.size() > MOST_CHANGES) {
+            changes.removeLast();
+        }
+    }
+
+    /**
+     * Finds the home of a key.
+     *
+     * @param key the key
+     * @return name of the node, or empty when the service has none
+     */
+    public Optional<String> home(String key) {
+        return changes.isEmpty() ? Optional.empty() : home(key, changes.getFirst().nodes());
+    }
+
+    /**
+     * Finds since when the home of a key is the same.
+     *
+     * @param key the key
+     * @param nowMillis present time
+     * @return the time; changes too long ago to be remembered count as changes of the home
+     */
+    public long homeSince(String key, long nowMillis) {
+        Optional<String> present = home(key);
+        long since = nowMillis;
+        for (Change change : changes) {
+            if (!home(key, change.nodes()).equals(present)) {
+                return since;
+            }
+            since = change.atMillis();
+        }
+        return since;
+    }
+
+    private static Optional<String> home(String key, List<String> nodes) {
+        String home = null;
+        long highest = 0;
+        for (String node : nodes) {
+            long weight = weight(key, node);
+            boolean wins =
+                    home == null
+                            || weight > highest
+                            || (weight == highest && node.compareTo(home) < 0);
+            if (wins) {
+                home = node;
+                highest = weight;
+            }
+        }
+        return Optional.ofNullable(home);
+    }
+
+    private static long weight(String key, String node) {
+        long hash = FNV_OFFSET;
+        for (byte each : (node + '\n' + key).getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ each) * FNV_PRIME;
+        }
+        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+        hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return hash ^ (hash >>> 33);
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -13,8 +13,11 @@
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.EvidenceLog;
+import org.cuminreach.node.caller.KeyHomeTable;
+import org.cuminreach.node.caller.KeyedCalls;
 import org.cuminreach.node.control.ControlSession;
 import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.TargetAnnouncer;
@@ -23,6 +26,7 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
 import org.cuminreach.runtime.administration.Readiness;
+import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
@@ -47,9 +51,11 @@
     private final MeshView view = MeshView.empty();
     private final EvidenceLog evidence = EvidenceLog.empty();
     private final HttpSender sender = HttpSender.create(eventLoops);
+    private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetGuard guard;
     private final ControlSession session;
+    private final KeyedCalls keyed;
     private HttpServer callers;
     private HttpServer inbound;
 
@@ -67,6 +73,8 @@
                         FrameEndpoints.create(eventLoops, controlTraffic, SILENCE_MILLIS),
                         timer,
                         new Random());
+        keyed = KeyedCalls.create(settings.name(), session::isWelcomed, keyHomes, sender);
+        view.onNews(news -> keyHomes.take(news, ProcessClock.wallMillis()));
     }
 
     /**
@@ -124,9 +132,15 @@
 
     private void listen() {
         CallerHandler callerHandler =
-                CallerHandler.create(settings.dataCentre(), holder, view, sender, evidence, timer);
+                CallerHandler.create(
+                        settings.dataCentre(), holder, view, sender, evidence, keyed, timer);
+        HttpHandler inboundHandler =
+                call ->
+                        call.headers().contains(MeshHeaders.KEY_HOME)
+                                ? callerHandler.handleAsKeyHome(call)
+                                : guard.handle(call);
         callers = HttpServer.listen(settings.callerAddress(), eventLoops, callerHandler).join();
-        inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, guard).join();
+        inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, inboundHandler).join();
         HttpServer.listen(
                         settings.administrationAddress(),
                         eventLoops,
@@ -136,7 +150,10 @@
 
     private void startTicking() {
         timer.scheduleWithFixedDelay(
-                () -> session.tick(ProcessClock.wallMillis()),
+                () -> {
+                    session.tick(ProcessClock.wallMillis());
+                    keyed.tick(ProcessClock.wallMillis());
+                },
                 SESSION_TICK_MILLIS,
                 SESSION_TICK_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -8,8 +8,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.idempotency.IdempotencyKey;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.decisions.retry.CallProgress;
 import org.cuminreach.decisions.retry.RetryBudget;
@@ -49,6 +51,7 @@
     private final MeshView view;
     private final HttpSender sender;
     private final EvidenceLog evidence;
+    private final KeyedCalls keyed;
     private final ScheduledExecutorService timer;
     private final RetryBudget budget = RetryBudget.full();
     private volatile Routes routes =
@@ -61,12 +64,14 @@
             MeshView view,
             HttpSender sender,
             EvidenceLog evidence,
+            KeyedCalls keyed,
             ScheduledExecutorService timer) {
         this.dataCentre = dataCentre;
         this.holder = holder;
         this.view = view;
         this.sender = sender;
         this.evidence = evidence;
+        this.keyed = keyed;
         this.timer = timer;
     }
 
@@ -78,6 +83,7 @@
      * @param view the targets as the node sees them
      * @param sender sends calls to other nodes
      * @param evidence receives what the calls met
+     * @param keyed runs calls with an idempotency key once
      * @param timer waits between attempts
      * @return the handler
      */
@@ -87,13 +93,13 @@
             MeshView view,
             HttpSender sender,
             EvidenceLog evidence,
+            KeyedCalls keyed,
             ScheduledExecutorService timer) {
-        return new CallerHandler(dataCentre, holder, view, sender, evidence, timer);
+        return new CallerHandler(dataCentre, holder, view, sender, evidence, keyed, timer);
     }
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
-        long nowMillis = ProcessClock.monotonicMillis();
         Routes current = currentRoutes();
         Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
         String requestId =
@@ -111,19 +117,70 @@
             return CompletableFuture.completedFuture(
                     CallAnswers.notRun(404, "no_route", Optional.empty()));
         }
+        boolean idempotent = route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method());
+        if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
+            return handleKeyed(call, route.get(), requestId, current, false);
+        }
+        return start(call, route.get(), requestId, current.configuration());
+    }
+
+    /**
+     * Answers a call that another node sent to this one as the home of its idempotency key.
+     *
+     * @param call the call
+     * @return completes with the answer
+     */
+    public CompletableFuture<HttpAnswer> handleAsKeyHome(HttpCall call) {
+        Routes current = currentRoutes();
+        Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
+        if (route.isEmpty()) {
+            return CompletableFuture.completedFuture(CallAnswers.mayHaveRun("no_route"));
+        }
+        return handleKeyed(
+                call, route.get(), call.header(MeshHeaders.REQUEST_ID, ""), current, true);
+    }
+
+    private CompletableFuture<HttpAnswer> handleKeyed(
+            HttpCall call, Route route, String requestId, Routes current, boolean fromNode) {
+        Optional<IdempotencyKey> key =
+                IdempotencyKey.read(call.header(MeshHeaders.IDEMPOTENCY_KEY, ""));
+        if (key.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    CallAnswers.notRun(400, "malformed_idempotency_key", Optional.empty()));
+        }
+        long remaining = timeoutMillis(call, route);
+        HttpHeaders headers =
+                MeshHeaders.endToEnd(call.headers())
+                        .set(MeshHeaders.REQUEST_ID, requestId)
+                        .set(MeshHeaders.CALLER, call.header(MeshHeaders.CALLER, call.remoteHost()))
+                        .set(MeshHeaders.REMAINING_MILLIS, remaining);
+        KeyedCall keyedCall =
+                new KeyedCall(
+                        call,
+                        route.service(),
+                        KeyedCall.scoped(key.get(), call),
+                        headers,
+                        remaining);
+        Supplier<CompletableFuture<HttpAnswer>> run =
+                () -> start(call.neverAbandoned(), route, requestId, current.configuration());
+        return fromNode ? keyed.fromNode(keyedCall, run) : keyed.fromCaller(keyedCall, run);
+    }
+
+    private CompletableFuture<HttpAnswer> start(
+            HttpCall call, Route route, String requestId, MeshConfiguration configuration) {
         budget.earn();
         CallAttempts attempts =
                 new CallAttempts(
                         call,
-                        route.get(),
+                        route,
                         requestId,
                         call.header(MeshHeaders.CALLER, call.remoteHost()),
-                        route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
-                        nowMillis + timeoutMillis(call, route.get()),
-                        current.configuration().version(),
+                        route.idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
+                        ProcessClock.monotonicMillis() + timeoutMillis(call, route),
+                        configuration.version(),
                         RetryPolicy.attemptsBefore(
                                 CallAnswers.number(call, MeshHeaders.ATTEMPTS, 0)));
-        return attempt(attempts, current.configuration());
+        return attempt(attempts, configuration);
     }
 
     private Routes currentRoutes() {
@@ -206,6 +263,7 @@
 
     private HttpHeaders headers(CallAttempts attempts, long remainingMillis) {
         return MeshHeaders.endToEnd(attempts.call().headers())
+                .remove(MeshHeaders.KEY_HOME)
                 .set(MeshHeaders.REQUEST_ID, attempts.requestId())
                 .set(MeshHeaders.CALLER, attempts.caller())
                 .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -26,6 +26,15 @@
     /** Name of the node whose target a call is meant for; another node refuses it. */
     public static final String TARGET_NODE = "X-Cuminreach-Target-Node";
 
+    /** Name of the node that a call is sent to as the home of its idempotency key. */
+    public static final String KEY_HOME = "X-Cuminreach-Key-Home";
+
+    /** Says that an answer is that of an earlier call with the same key. */
+    public static final String REPEATED = "X-Cuminreach-Repeated";
+
+    /** Key by which a caller marks a call and its repetitions. */
+    public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
     /** Configuration version under which the call was routed. */
     public static final String CONFIGURATION = "X-Cuminreach-Configuration";
 
@@ -43,7 +52,7 @@
 
     /** What only nodes may say in an answer. */
     private static final List<String> OF_NODES =
-            List.of(OUTCOME, REQUEST_ID, CONFIGURATION, TARGET_VERSION);
+            List.of(OUTCOME, REQUEST_ID, CONFIGURATION, TARGET_VERSION, REPEATED);
 
     private static final List<String> HOP_BY_HOP =
             List.of(
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
@@ -23,6 +24,7 @@
 
     private final TargetRegistry registry = TargetRegistry.empty();
     private final Map<String, Experience> experiences = new ConcurrentHashMap<>();
+    private Consumer<List<Announcement>> newsListener = news -> {};
     private volatile Map<String, List<Announcement>> ready = Map.of();
 
     private MeshView() {}
@@ -36,15 +38,26 @@
         return new MeshView();
     }
 
+    /**
+     * Names who is told of announcements that are news, in their order.
+     *
+     * @param listener is called while announcements are merged; must not block
+     */
+    public synchronized void onNews(Consumer<List<Announcement>> listener) {
+        newsListener = listener;
+    }
+
     /**
      * Merges announcements.
      *
      * @param announcements announcements in any order
      */
     public synchronized void merge(List<Announcement> announcements) {
-        if (registry.merge(announcements).isEmpty()) {
+        List<Announcement> news = registry.merge(announcements);
+        if (news.isEmpty()) {
             return;
         }
+        newsListener.accept(news);
         Map<String, List<Announcement>> next = new ConcurrentHashMap<>();
         for (Announcement announcement : registry.all()) {
             if (announcement.phase() == TargetPhase.READY) {
