Prove at most once, whole answers and a planned stop on real nodes

Nodes now count a request as running until its last byte is written, wait until no request has come for 300 ms, and free their addresses before stop returns (red before: a node restarted in the same process found its addresses taken).

--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -42,6 +42,8 @@
     private static final long GUARD_TICK_MILLIS = 20;
     private static final long STOP_POLL_MILLIS = 20;
     private static final long LEAVE_MILLIS = 500;
+    private static final long QUIET_MILLIS = 300;
+    private static final long LONGEST_CLOSE_MILLIS = 3_000;
 
     private final NodeSettings settings;
     private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
@@ -58,6 +60,7 @@
     private final KeyedCalls keyed;
     private HttpServer callers;
     private HttpServer inbound;
+    private HttpServer administration;
 
     private NodeProcess(NodeSettings settings) {
         this.settings = settings;
@@ -106,24 +109,40 @@
         guard.drain();
         callers.beginClosing();
         inbound.beginClosing();
-        long deadlineMillis = ProcessClock.monotonicMillis() + settings.stopMillis();
-        while (inProgress() > 0 && ProcessClock.monotonicMillis() < deadlineMillis) {
-            Thread.sleep(STOP_POLL_MILLIS);
-        }
+        awaitQuiet(ProcessClock.monotonicMillis() + settings.stopMillis());
         LOGGER.info("event=node_stopped cut={}", inProgress());
         close();
     }
 
+    /** Waits until no request runs and none has come for a while on connections still open. */
+    private void awaitQuiet(long deadlineMillis) throws InterruptedException {
+        long received = -1;
+        long quietSinceMillis = 0;
+        while (ProcessClock.monotonicMillis() < deadlineMillis) {
+            long nowMillis = ProcessClock.monotonicMillis();
+            long present = callers.received() + inbound.received();
+            if (inProgress() > 0 || present != received) {
+                received = present;
+                quietSinceMillis = nowMillis;
+            } else if (nowMillis - quietSinceMillis >= QUIET_MILLIS) {
+                return;
+            }
+            Thread.sleep(STOP_POLL_MILLIS);
+        }
+    }
+
     private void close() {
         timer.shutdownNow();
         callers.close();
         inbound.close();
+        administration.close();
         try {
             sender.close();
         } catch (IOException unclosed) {
             LOGGER.debug("event=sender_unclosed", unclosed);
         }
         EventLoops.stop(eventLoops);
+        eventLoops.terminationFuture().awaitUninterruptibly(LONGEST_CLOSE_MILLIS);
     }
 
     private int inProgress() {
@@ -141,11 +160,13 @@
                                 : guard.handle(call);
         callers = HttpServer.listen(settings.callerAddress(), eventLoops, callerHandler).join();
         inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, inboundHandler).join();
-        HttpServer.listen(
-                        settings.administrationAddress(),
-                        eventLoops,
-                        AdministrationHandler.of(metrics(), this::readiness, this::statusJson))
-                .join();
+        administration =
+                HttpServer.listen(
+                                settings.administrationAddress(),
+                                eventLoops,
+                                AdministrationHandler.of(
+                                        metrics(), this::readiness, this::statusJson))
+                        .join();
     }
 
     private void startTicking() {
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -94,7 +95,6 @@
             ChannelHandlerContext context, Pending done, HttpAnswer answer, Throwable failure) {
         answering = false;
         answered = null;
-        server.ended();
         HttpAnswer sent = answer;
         if (failure != null) {
             LOGGER.error("event=handler_failed target={}", done.call().target(), failure);
@@ -102,11 +102,11 @@
         }
         boolean keepAlive = done.keepAlive() && !server.isClosing();
         boolean head = done.call().method().equals(HttpMethod.HEAD.name());
-        write(context, sent, head, !keepAlive);
+        write(context, sent, head, !keepAlive).addListener(written -> server.ended());
         answerNext(context);
     }
 
-    private static void write(
+    private static ChannelFuture write(
             ChannelHandlerContext context, HttpAnswer answer, boolean head, boolean close) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
@@ -119,10 +119,9 @@
         }
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-        } else {
-            context.writeAndFlush(response, context.voidPromise());
+            return context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
+        return context.writeAndFlush(response);
     }
 
     @Override
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cuminreach.settings.Address;
 
 /** Listens on one address and answers HTTP/1.1 requests of bounded size. */
@@ -26,6 +27,7 @@
     private final HttpHandler handler;
     private final ChannelGroup connections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+    private final AtomicLong received = new AtomicLong();
     private final AtomicInteger inProgress = new AtomicInteger();
     private volatile Channel listening;
     private volatile boolean closing;
@@ -82,7 +84,7 @@
     }
 
     /**
-     * Returns how many requests are being answered.
+     * Returns how many requests have not yet been answered to the last byte.
      *
      * @return requests in progress
      */
@@ -90,6 +92,15 @@
         return inProgress.get();
     }
 
+    /**
+     * Returns how many requests have come since the start.
+     *
+     * @return requests, those in progress included
+     */
+    public long received() {
+        return received.get();
+    }
+
     /**
      * Returns how many connections are open.
      *
@@ -112,6 +123,7 @@
     }
 
     void begun() {
+        received.incrementAndGet();
         inProgress.incrementAndGet();
     }
 
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/once/HistoryRun.java
@@ -0,0 +1,202 @@
+package org.cuminreach.trial.once;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.runtime.http.HttpAnswer;
+
+/**
+ * Numbered calls through a small mesh whose targets fail by a seeded schedule, and what is wrong
+ * with what callers and targets saw. What befalls a call depends on its number and the seed only.
+ */
+public final class HistoryRun {
+    private static final int FAULTS = 10;
+    private static final long LATE_MILLIS = 1_500;
+    private static final int LONGEST_PADDING = 3_000;
+    private static final int SENDS_A_CALL = 3;
+    private static final int KEYED_IN = 2;
+
+    private final long seed;
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final List<String> violations = new CopyOnWriteArrayList<>();
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicInteger repeated = new AtomicInteger();
+    private final AtomicInteger notRun = new AtomicInteger();
+    private final AtomicInteger mayHaveRun = new AtomicInteger();
+
+    private HistoryRun(long seed) {
+        this.seed = seed;
+    }
+
+    /**
+     * Returns a run that has not begun.
+     *
+     * @param seed seed of its faults
+     * @return the run
+     */
+    public static HistoryRun ofSeed(long seed) {
+        return new HistoryRun(seed);
+    }
+
+    /**
+     * Behaves as a target of this run.
+     *
+     * @param head request line and headers
+     * @param body the body
+     * @param socket where to answer
+     * @throws IOException to reset the connection
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void answerAsTarget(String head, String body, Socket socket)
+            throws IOException, InterruptedException {
+        if (head.contains(" /ready ")) {
+            ScriptedTarget.answer(socket, 200, "ready");
+            return;
+        }
+        String number = head.substring(head.indexOf("/call/") + 6, head.indexOf(" HTTP"));
+        int fault = draw(number).nextInt(FAULTS);
+        if (fault == 0) {
+            reset(socket);
+        }
+        runs.merge(number, 1, Integer::sum);
+        String answer = expected(number);
+        switch (fault) {
+            case 1 -> reset(socket);
+            case 2 -> Thread.sleep(LATE_MILLIS);
+            case 3 -> {
+                ScriptedTarget.write(
+                        socket,
+                        "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s"
+                                .formatted(answer.length() + 1, answer));
+                throw new IOException("cut as told");
+            }
+            case 4 -> {
+                ScriptedTarget.write(
+                        socket,
+                        "HTTP/1.1 503 X\r\n%s: not-run\r\nContent-Length: %d\r\n\r\n%s"
+                                .formatted(MeshHeaders.OUTCOME, answer.length(), answer));
+                return;
+            }
+            default -> Thread.sleep(draw(number).nextInt(5));
+        }
+        ScriptedTarget.answer(socket, 200, answer);
+    }
+
+    /**
+     * Makes calls, each sent three times when it has a key, and checks what comes back.
+     *
+     * @param mesh the mesh
+     * @param nodes how many nodes it has
+     * @param firstNumber number of the first call
+     * @param calls how many calls
+     */
+    public void call(SmallMesh mesh, int nodes, int firstNumber, int calls) {
+        for (int index = 0; index < calls; index++) {
+            String number = Integer.toString(firstNumber + index);
+            Random random = draw("caller" + number);
+            boolean keyed = random.nextInt(KEYED_IN) > 0;
+            HttpHeaders headers = new DefaultHttpHeaders();
+            if (keyed) {
+                String key = SmallMesh.timedKey(System.currentTimeMillis(), random);
+                headers.set(MeshHeaders.IDEMPOTENCY_KEY, key);
+            }
+            for (int sent = 0; sent < (keyed ? SENDS_A_CALL : 1); sent++) {
+                int node = random.nextInt(nodes);
+                check(number, mesh.send(node, "POST", "/call/" + number, headers, "x").join());
+            }
+        }
+    }
+
+    /**
+     * Returns what was wrong.
+     *
+     * @return a line for each broken promise
+     */
+    public List<String> violations() {
+        runs.forEach(
+                (number, count) -> {
+                    if (count > 1) {
+                        violations.add("call " + number + " ran " + count + " times");
+                    }
+                });
+        return violations;
+    }
+
+    /**
+     * Returns how many calls came back with which outcome.
+     *
+     * @return one line of text
+     */
+    public String summary() {
+        return "answered=%d repeated=%d not_run=%d may_have_run=%d ran=%d"
+                .formatted(
+                        answered.get(),
+                        repeated.get(),
+                        notRun.get(),
+                        mayHaveRun.get(),
+                        runs.size());
+    }
+
+    /**
+     * Returns how many repetitions got the answer of the first.
+     *
+     * @return repeated answers
+     */
+    public int repeated() {
+        return repeated.get();
+    }
+
+    private void check(String number, SendOutcome outcome) {
+        if (!(outcome instanceof SendOutcome.Whole whole)) {
+            violations.add("call " + number + " got no whole answer: " + outcome);
+            return;
+        }
+        HttpAnswer answer = whole.answer();
+        String told = answer.headers().get(MeshHeaders.OUTCOME, "none");
+        switch (told) {
+            case MeshHeaders.ANSWERED -> checkAnswer(number, answer);
+            case MeshHeaders.NOT_RUN -> {
+                notRun.incrementAndGet();
+                if (runs.containsKey(number)) {
+                    violations.add("call " + number + " ran and was called not run");
+                }
+            }
+            case MeshHeaders.MAY_HAVE_RUN -> mayHaveRun.incrementAndGet();
+            default -> violations.add("call " + number + " has the outcome " + told);
+        }
+    }
+
+    private void checkAnswer(String number, HttpAnswer answer) {
+        answered.incrementAndGet();
+        if (answer.headers().contains(MeshHeaders.REPEATED)) {
+            repeated.incrementAndGet();
+        }
+        String body = new String(answer.body(), StandardCharsets.UTF_8);
+        if (!body.equals(expected(number))) {
+            violations.add("call " + number + " got the answer " + body);
+        }
+    }
+
+    private String expected(String number) {
+        return number + " " + "p".repeat(draw(number).nextInt(LONGEST_PADDING));
+    }
+
+    private Random draw(String number) {
+        return new Random(seed * 31 + number.hashCode());
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        throw new IOException("reset as told");
+    }
+}
--- a/node/src/test/java/org/cuminreach/node/http/ScriptedTarget.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
@@ -1,4 +1,4 @@
-package org.cuminreach.node.http;
+package org.cuminreach.trial.once;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminreach.settings.Address;
@@ -18,11 +19,22 @@
     /** What to do with a request. */
     @FunctionalInterface
     public interface Script {
-        /** Answers a request; the socket is closed when it throws. */
+        /**
+         * Answers a request; the socket is closed when it throws.
+         *
+         * @param head request line and headers
+         * @param body the body
+         * @param socket where to answer
+         * @throws IOException to close the socket
+         * @throws InterruptedException when interrupted while waiting
+         */
         void answer(String head, String body, Socket socket)
                 throws IOException, InterruptedException;
     }
 
+    private static final int BACKLOG_CONNECTIONS = 50;
+    private static final String LENGTH_HEADER = "content-length:";
+
     private final ServerSocket listening;
     private final Script script;
     private final List<String> heads = new CopyOnWriteArrayList<>();
@@ -34,25 +46,42 @@
         this.script = script;
     }
 
+    /**
+     * Starts a target on a free port.
+     *
+     * @param script what it does with requests
+     * @return the running target
+     * @throws IOException when it cannot listen
+     */
     public static ScriptedTarget start(Script script) throws IOException {
-        return start(0, script);
-    }
-
-    public static ScriptedTarget start(int port, Script script) throws IOException {
-        ServerSocket socket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        ServerSocket socket =
+                new ServerSocket(0, BACKLOG_CONNECTIONS, InetAddress.getLoopbackAddress());
         ScriptedTarget target = new ScriptedTarget(socket, script);
         Thread.ofVirtual().start(target::accept);
         return target;
     }
 
-    /** Writes text as it stands. */
+    /**
+     * Writes text as it stands.
+     *
+     * @param socket where to write
+     * @param text the text
+     * @throws IOException when the connection is lost
+     */
     public static void write(Socket socket, String text) throws IOException {
         OutputStream out = socket.getOutputStream();
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
     }
 
-    /** Writes a whole answer. */
+    /**
+     * Writes a whole answer.
+     *
+     * @param socket where to write
+     * @param status its status
+     * @param body its body
+     * @throws IOException when the connection is lost
+     */
     public static void answer(Socket socket, int status, String body) throws IOException {
         write(
                 socket,
@@ -60,18 +89,38 @@
                         .formatted(status, body.length(), body));
     }
 
+    /**
+     * Returns where it listens.
+     *
+     * @return the address
+     */
     public Address address() {
         return new Address("127.0.0.1", listening.getLocalPort());
     }
 
+    /**
+     * Returns the request lines and headers it received.
+     *
+     * @return in the order of arrival
+     */
     public List<String> heads() {
         return heads;
     }
 
+    /**
+     * Returns how many connections it has taken.
+     *
+     * @return connections, closed ones included
+     */
     public int connections() {
         return sockets.size();
     }
 
+    /**
+     * Returns how many connections have ended from the other side.
+     *
+     * @return ended connections
+     */
     public int closedByPeer() {
         return closedByPeer.get();
     }
@@ -106,7 +155,10 @@
                     return;
                 }
                 heads.add(head);
-                script.answer(head, new String(in.readNBytes(length(head))), socket);
+                script.answer(
+                        head,
+                        new String(in.readNBytes(length(head)), StandardCharsets.ISO_8859_1),
+                        socket);
             }
         } catch (IOException | InterruptedException ended) {
             closedByPeer.incrementAndGet();
@@ -127,8 +179,8 @@
 
     private static int length(String head) {
         return head.lines()
-                .filter(line -> line.toLowerCase().startsWith("content-length:"))
-                .mapToInt(line -> Integer.parseInt(line.substring(15).trim()))
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(LENGTH_HEADER))
+                .mapToInt(line -> Integer.parseInt(line.substring(LENGTH_HEADER.length()).trim()))
                 .findFirst()
                 .orElse(0);
     }
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/once/SmallMesh.java
@@ -0,0 +1,267 @@
+package org.cuminreach.trial.once;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.cuminreach.control.ControlProcess;
+import org.cuminreach.control.ControlSettings;
+import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.node.NodeProcess;
+import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.log.LogFormat;
+import org.cuminreach.runtime.log.LogLevel;
+import org.cuminreach.runtime.log.LogSettings;
+import org.cuminreach.settings.Address;
+import org.cuminreach.wire.ConfigurationCodec;
+
+/** One control and a node beside each given target, all in this process, and one service. */
+public final class SmallMesh implements AutoCloseable {
+    /** Value of the Host header of the service's route. */
+    public static final String HOST = "parts.test";
+
+    private static final String SERVICE = "parts";
+    private static final String VERSION = "1";
+    private static final int SLOTS = 16;
+    private static final long STOP_MILLIS = 10_000;
+    private static final long LONGEST_WAIT_MILLIS = 60_000;
+    private static final long POLL_MILLIS = 20;
+    private static final LogSettings QUIET = new LogSettings(LogLevel.WARN, LogFormat.TEXT);
+
+    private final ControlProcess control;
+    private final Address controlAddress;
+    private final List<NodeSettings> settings = new ArrayList<>();
+    private final List<NodeProcess> nodes = new ArrayList<>();
+    private final EventLoopGroup eventLoops = EventLoops.start(1);
+    private final HttpSender sender = HttpSender.create(eventLoops);
+
+    private SmallMesh(ControlProcess control, Address controlAddress) {
+        this.control = control;
+        this.controlAddress = controlAddress;
+    }
+
+    /**
+     * Starts a mesh and waits until every node knows every target.
+     *
+     * @param folder an empty folder for the control
+     * @param targets where the targets answer
+     * @param timeoutMillis timeout of the route
+     * @return the running mesh
+     * @throws IOException when the folder cannot be used
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public static SmallMesh start(Path folder, List<Address> targets, int timeoutMillis)
+            throws IOException, InterruptedException {
+        ControlSettings settings = controlSettings(folder);
+        initialise(settings);
+        SmallMesh mesh = new SmallMesh(ControlProcess.start(settings), settings.nodeAddress());
+        mesh.submit(settings.operatorAddress(), timeoutMillis);
+        for (Address target : targets) {
+            mesh.startNode(target);
+        }
+        for (int node = 0; node < targets.size(); node++) {
+            mesh.awaitRoutes(node);
+        }
+        return mesh;
+    }
+
+    /**
+     * Starts one more node.
+     *
+     * @param target where its target answers
+     * @throws IOException when there is no free port
+     */
+    public void startNode(Address target) throws IOException {
+        NodeSettings next =
+                new NodeSettings(
+                        "node-" + settings.size(),
+                        "here",
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        List.of(controlAddress),
+                        new NodeSettings.Target(SERVICE, VERSION, target, SLOTS),
+                        STOP_MILLIS,
+                        QUIET);
+        settings.add(next);
+        nodes.add(NodeProcess.start(next));
+    }
+
+    /**
+     * Stops a node gracefully.
+     *
+     * @param node its number, from 0
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public void stopNode(int node) throws InterruptedException {
+        nodes.get(node).stop();
+    }
+
+    /**
+     * Starts a node that was stopped again, without its memory.
+     *
+     * @param node its number, from 0
+     */
+    public void restartNode(int node) {
+        nodes.set(node, NodeProcess.start(settings.get(node)));
+    }
+
+    /**
+     * Returns the settings of a node.
+     *
+     * @param node its number, from 0
+     * @return the settings
+     */
+    public NodeSettings settings(int node) {
+        return settings.get(node);
+    }
+
+    /**
+     * Sends a call through a node.
+     *
+     * @param node number of the node, from 0
+     * @param method HTTP method
+     * @param path path of the call
+     * @param headers headers besides Host
+     * @param body the body
+     * @return completes with what the caller sees
+     */
+    public CompletableFuture<SendOutcome> send(
+            int node, String method, String path, HttpHeaders headers, String body) {
+        HttpHeaders sent = headers.copy().set("Host", HOST);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        HttpCall call = new HttpCall(method, path, sent, bytes, "127.0.0.1");
+        return sender.send(settings.get(node).callerAddress(), call, sent, LONGEST_WAIT_MILLIS);
+    }
+
+    /**
+     * Makes a key that tells its time.
+     *
+     * @param millis the time, in milliseconds since the epoch
+     * @param random source of the rest
+     * @return a UUID of version 7
+     */
+    public static String timedKey(long millis, Random random) {
+        long most = (millis << 16) | 0x7000 | random.nextInt(0x1000);
+        long least = (random.nextLong() >>> 2) | (1L << 63);
+        return new UUID(most, least).toString();
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @param condition the condition
+     * @throws InterruptedException when interrupted while waiting
+     */
+    public static void await(BooleanSupplier condition) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + LONGEST_WAIT_MILLIS * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadlineNanos) {
+                throw new IllegalStateException("the condition never held");
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    @Override
+    public void close() throws IOException, InterruptedException {
+        for (NodeProcess node : nodes) {
+            node.stop();
+        }
+        control.stop();
+        sender.close();
+        EventLoops.stop(eventLoops);
+    }
+
+    private void awaitRoutes(int node) throws InterruptedException {
+        Address administration = settings.get(node).administrationAddress();
+        String all = "\"readyTargets\": " + settings.size();
+        try {
+            await(
+                    () -> {
+                        String status = text(administration, "/status");
+                        return status.contains(all) && !status.contains("\"configuration\": 0");
+                    });
+        } catch (IllegalStateException never) {
+            throw new IllegalStateException(text(administration, "/status"), never);
+        }
+    }
+
+    private String text(Address address, String path) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Host", HOST);
+        HttpCall call = new HttpCall("GET", path, headers, new byte[0], "127.0.0.1");
+        SendOutcome sent = sender.send(address, call, headers, LONGEST_WAIT_MILLIS).join();
+        return sent instanceof SendOutcome.Whole whole
+                ? new String(whole.answer().body(), StandardCharsets.UTF_8)
+                : "";
+    }
+
+    private void submit(Address operator, int timeoutMillis) throws InterruptedException {
+        String document =
+                """
+                {"services": [{"name": "%s", "version": "%s"}],
+                 "routes": [{"name": "%s", "host": "%s", "service": "%s", "timeoutMillis": %d}]}
+                """
+                        .formatted(SERVICE, VERSION, SERVICE, HOST, SERVICE, timeoutMillis);
+        HttpHeaders headers = new DefaultHttpHeaders().set("Idempotency-Key", "first");
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        "/documents?basedOn=0",
+                        headers,
+                        document.getBytes(StandardCharsets.UTF_8),
+                        "127.0.0.1");
+        await(
+                () ->
+                        sender.send(operator, call, headers, LONGEST_WAIT_MILLIS).join()
+                                        instanceof SendOutcome.Whole whole
+                                && whole.answer().status() == 200);
+    }
+
+    private static ControlSettings controlSettings(Path folder) throws IOException {
+        Address replica = freeAddress();
+        return new ControlSettings(
+                "control",
+                "here",
+                folder.resolve("control"),
+                replica,
+                freeAddress(),
+                freeAddress(),
+                freeAddress(),
+                List.of(new ControlSettings.Peer("control", replica)),
+                QUIET);
+    }
+
+    private static void initialise(ControlSettings settings) throws IOException {
+        try (DataFolder folder = DataFolder.open(settings.dataFolder())) {
+            Member only = new Member(settings.name(), settings.replicaAddress(), true);
+            byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
+            DurableState first = DurableState.first(new Membership(List.of(only)), state);
+            folder.saveSnapshot(first.snapshot().orElseThrow(), false);
+            folder.saveIdentity(settings.name());
+        }
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- a/node/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -15,6 +15,7 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.settings.Address;
+import org.cuminreach.trial.once.ScriptedTarget;
 
 class HttpSenderTest {
     private static final long GENEROUS_MILLIS = 20_000;
--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
@@ -0,0 +1,194 @@
+package org.cuminreach.trial.once;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.settings.Address;
+
+class AtMostOnceOnNodesTest {
+    private static final int NODES = 3;
+    private static final int TIMEOUT_MILLIS = 1_000;
+    private static final int CALLERS = 6;
+    private static final int CALLS_A_CALLER = 60;
+    private static final long SEED = 5_501;
+
+    private final List<ScriptedTarget> targets = new ArrayList<>();
+    private SmallMesh mesh;
+
+    @AfterTry
+    void stop() throws Exception {
+        if (mesh != null) {
+            mesh.close();
+        }
+        for (ScriptedTarget target : targets) {
+            target.close();
+        }
+    }
+
+    @Example
+    void historyOfFaultyTargetsKeepsEveryPromise() throws Exception {
+        HistoryRun run = HistoryRun.ofSeed(SEED);
+        start(run::answerAsTarget);
+        awaitKeys();
+        List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int caller = 0; caller < CALLERS; caller++) {
+            int first = caller * CALLS_A_CALLER;
+            callers.add(
+                    CompletableFuture.runAsync(
+                            () -> run.call(mesh, NODES, first, CALLS_A_CALLER),
+                            task -> Thread.ofVirtual().start(task)));
+        }
+        callers.forEach(CompletableFuture::join);
+        System.out.println("history " + run.summary());
+        assertThat(run.violations()).isEmpty();
+        assertThat(run.repeated()).isGreaterThan(CALLS_A_CALLER);
+    }
+
+    @Example
+    void restartedNodesNeverRunAKeyAgain() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        start(
+                (head, body, socket) -> {
+                    runs.incrementAndGet();
+                    ScriptedTarget.answer(socket, 200, "done");
+                });
+        awaitKeys();
+        runs.set(0);
+        HttpHeaders headers = timedKey(1);
+        assertThat(outcome(0, headers)).isEqualTo(MeshHeaders.ANSWERED);
+        assertThat(outcome(1, headers)).isEqualTo(MeshHeaders.ANSWERED);
+        for (int node = 0; node < NODES; node++) {
+            mesh.stopNode(node);
+            mesh.restartNode(node);
+        }
+        SmallMesh.await(() -> outcome(2, headers).equals(MeshHeaders.MAY_HAVE_RUN));
+        awaitKeys();
+        int before = runs.get();
+        assertThat(outcome(0, headers)).isEqualTo(MeshHeaders.MAY_HAVE_RUN);
+        assertThat(runs.get()).isEqualTo(before);
+    }
+
+    @Example
+    void crossedResendsRunOnce() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        start(
+                (head, body, socket) -> {
+                    runs.incrementAndGet();
+                    Thread.sleep(100);
+                    ScriptedTarget.answer(socket, 200, "done");
+                });
+        awaitKeys();
+        runs.set(0);
+        HttpHeaders headers = timedKey(2);
+        List<CompletableFuture<SendOutcome>> sent = new ArrayList<>();
+        for (int copy = 0; copy < 12; copy++) {
+            sent.add(mesh.send(copy % NODES, "POST", "/order", headers, "x"));
+        }
+        sent.forEach(each -> assertThat(outcome(each)).isEqualTo(MeshHeaders.ANSWERED));
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
+    @Example
+    void plannedStopUnderLoadCutsNothing() throws Exception {
+        start(
+                (head, body, socket) -> {
+                    Thread.sleep(5);
+                    ScriptedTarget.answer(socket, 200, "done");
+                });
+        AtomicBoolean ending = new AtomicBoolean();
+        List<String> unanswered = new CopyOnWriteArrayList<>();
+        AtomicInteger answered = new AtomicInteger();
+        List<Thread> callers = new ArrayList<>();
+        for (int caller = 0; caller < CALLERS; caller++) {
+            int first = caller;
+            callers.add(
+                    Thread.ofVirtual().start(() -> callUntil(ending, first, answered, unanswered)));
+        }
+        SmallMesh.await(() -> answered.get() > 300);
+        mesh.stopNode(0);
+        int before = answered.get();
+        SmallMesh.await(() -> answered.get() > before + 300);
+        ending.set(true);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        assertThat(unanswered).isEmpty();
+        mesh.restartNode(0);
+    }
+
+    /** A caller that goes to the next node when one takes no connections. */
+    private void callUntil(
+            AtomicBoolean ending, int first, AtomicInteger answered, List<String> unanswered) {
+        HttpHeaders none = new DefaultHttpHeaders();
+        for (int number = first; !ending.get(); number++) {
+            SendOutcome outcome = mesh.send(number % NODES, "POST", "/order", none, "x").join();
+            switch (outcome) {
+                case SendOutcome.NeverSent elsewhere -> {}
+                case SendOutcome.Lost lost -> unanswered.add(lost.toString());
+                case SendOutcome.Whole whole -> {
+                    String told = whole.answer().headers().get(MeshHeaders.OUTCOME, "none");
+                    if (told.equals(MeshHeaders.ANSWERED)) {
+                        answered.incrementAndGet();
+                    } else {
+                        unanswered.add(told + new String(whole.answer().body()));
+                    }
+                }
+            }
+        }
+    }
+
+    private void start(ScriptedTarget.Script script) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("small-mesh");
+        for (int target = 0; target < NODES; target++) {
+            targets.add(ScriptedTarget.start(script));
+        }
+        List<Address> addresses = targets.stream().map(ScriptedTarget::address).toList();
+        mesh = SmallMesh.start(folder, addresses, TIMEOUT_MILLIS);
+    }
+
+    /** Waits until new keys are certain to be new on every home. */
+    private void awaitKeys() throws InterruptedException {
+        Random random = new Random(SEED);
+        for (int sample = 0; sample < 24; sample++) {
+            SmallMesh.await(
+                    () -> {
+                        String told = outcome(0, timedKey(random.nextLong()), "/ready");
+                        return told.equals(MeshHeaders.ANSWERED);
+                    });
+        }
+    }
+
+    private static HttpHeaders timedKey(long seed) {
+        String key = SmallMesh.timedKey(System.currentTimeMillis(), new Random(seed));
+        return new DefaultHttpHeaders().set(MeshHeaders.IDEMPOTENCY_KEY, key);
+    }
+
+    private String outcome(int node, HttpHeaders headers) {
+        return outcome(node, headers, "/order");
+    }
+
+    private String outcome(int node, HttpHeaders headers, String path) {
+        return outcome(mesh.send(node, "POST", path, headers, "x"));
+    }
+
+    private static String outcome(CompletableFuture<SendOutcome> sending) {
+        return sending.join() instanceof SendOutcome.Whole whole
+                ? whole.answer().headers().get(MeshHeaders.OUTCOME, "none")
+                : "none";
+    }
+}
