--- a/decisions/src/main/java/org/cuminreach/decisions/idempotency/KeyHomes.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/idempotency/KeyHomes.java
@@ -1,6 +1,5 @@
 package org.cuminreach.decisions.idempotency;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -94,8 +93,9 @@
 
     private static long weight(String key, String node) {
         long hash = FNV_OFFSET;
-        for (byte each : (node + '\n' + key).getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ each) * FNV_PRIME;
+        String text = node + '\n' + key;
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * FNV_PRIME;
         }
         hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
         hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
