Count an answer in the millisecond of a send as one of an earlier call

Red in the full run on a busy machine: SilentConnectionsTest, 2 calls paid where 1 should, because the last answer and the next send fell into one millisecond and the peer passed for slow.

--- a/decisions/src/main/java/org/cuminreach/decisions/retry/PathSuspicion.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/PathSuspicion.java
@@ -40,7 +40,7 @@
      */
     public synchronized boolean timedOut(long begunMillis) {
         consecutiveTimeouts++;
-        boolean silent = lastAnswerMillis < begunMillis;
+        boolean silent = lastAnswerMillis <= begunMillis;
         if (silent || consecutiveTimeouts >= MOST_CONSECUTIVE_TIMEOUTS) {
             consecutiveTimeouts = 0;
             return true;
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/PathSuspicionTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/PathSuspicionTest.java
@@ -12,6 +12,13 @@
         assertThat(path.timedOut(200)).isTrue();
     }
 
+    @Example
+    void answerInMillisecondOfSendIsOfEarlierCall() {
+        PathSuspicion path = PathSuspicion.none();
+        path.answered(200);
+        assertThat(path.timedOut(200)).isTrue();
+    }
+
     @Example
     void slowCallBesideOthersThatAreAnsweredIsNot() {
         PathSuspicion path = PathSuspicion.none();
