--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -58,15 +58,9 @@
      * @param announcements announcements in any order
      */
     public synchronized void merge(List<Announcement> announcements) {
-<<<<<<< HEAD
         List<Announcement> news = registry.merge(announcements);
-        if (news.isEmpty()) {
-            return;
-        }
-        newsListener.accept(news);
-        registry.forgetGone(ProcessClock.monotonicMillis(), REMEMBER_GONE_MILLIS);
-=======
-        if (!registry.merge(announcements).isEmpty()) {
+        if (!news.isEmpty()) {
+            newsListener.accept(news);
             registry.forgetGone(ProcessClock.monotonicMillis(), REMEMBER_GONE_MILLIS);
             rebuild();
         }
@@ -84,12 +78,12 @@
             LOGGER.info(
                     "event=targets_reconciled gone={}",
                     gone.stream().map(Announcement::node).toList());
+            newsListener.accept(gone);
             rebuild();
         }
     }
 
     private void rebuild() {
->>>>>>> main
         Map<String, List<Announcement>> next = new ConcurrentHashMap<>();
         for (Announcement announcement : registry.all()) {
             if (announcement.phase() == TargetPhase.READY) {
