--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -14,8 +14,11 @@
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.CountingHandler;
 import org.cuminreach.node.caller.EvidenceLog;
+import org.cuminreach.node.caller.KeyHomeTable;
+import org.cuminreach.node.caller.KeyedCalls;
 import org.cuminreach.node.control.ControlSession;
 import org.cuminreach.node.http.HttpSender;
+import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.TargetAnnouncer;
@@ -25,6 +28,7 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
 import org.cuminreach.runtime.administration.Readiness;
+import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
@@ -40,6 +44,8 @@
     private static final long GUARD_TICK_MILLIS = 20;
     private static final long STOP_POLL_MILLIS = 20;
     private static final long LEAVE_MILLIS = 500;
+    private static final long QUIET_MILLIS = 300;
+    private static final long LONGEST_CLOSE_MILLIS = 3_000;
 
     private final NodeSettings settings;
     private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
@@ -50,16 +56,24 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceLog evidence = EvidenceLog.empty();
     private final HttpSender sender = HttpSender.create(eventLoops);
+    private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetGuard guard;
     private final ControlSession session;
+    private final KeyedCalls keyed;
     private HttpServer callers;
     private HttpServer inbound;
+    private HttpServer administration;
 
     private NodeProcess(NodeSettings settings) {
         this.settings = settings;
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
-        guard = TargetGuard.create(settings.target(), sender, TargetMetrics.register(registry));
+        guard =
+                TargetGuard.create(
+                        settings.name(),
+                        settings.target(),
+                        sender,
+                        TargetMetrics.register(registry));
         session =
                 ControlSession.create(
                         settings,
@@ -70,6 +84,8 @@
                         FrameEndpoints.create(eventLoops, controlTraffic, SILENCE_MILLIS),
                         timer,
                         new Random());
+        keyed = KeyedCalls.create(settings.name(), session::isWelcomed, keyHomes, sender);
+        view.onNews(news -> keyHomes.take(news, ProcessClock.wallMillis()));
     }
 
     /**
@@ -101,24 +117,40 @@
         guard.drain();
         callers.beginClosing();
         inbound.beginClosing();
-        long deadlineMillis = ProcessClock.monotonicMillis() + settings.stopMillis();
-        while (inProgress() > 0 && ProcessClock.monotonicMillis() < deadlineMillis) {
-            Thread.sleep(STOP_POLL_MILLIS);
-        }
+        awaitQuiet(ProcessClock.monotonicMillis() + settings.stopMillis());
         LOGGER.info("event=node_stopped cut={}", inProgress());
         close();
     }
 
+    /** Waits until no request runs and none has come for a while on connections still open. */
+    private void awaitQuiet(long deadlineMillis) throws InterruptedException {
+        long received = -1;
+        long quietSinceMillis = 0;
+        while (ProcessClock.monotonicMillis() < deadlineMillis) {
+            long nowMillis = ProcessClock.monotonicMillis();
+            long present = callers.received() + inbound.received();
+            if (inProgress() > 0 || present != received) {
+                received = present;
+                quietSinceMillis = nowMillis;
+            } else if (nowMillis - quietSinceMillis >= QUIET_MILLIS) {
+                return;
+            }
+            Thread.sleep(STOP_POLL_MILLIS);
+        }
+    }
+
     private void close() {
         timer.shutdownNow();
         callers.close();
         inbound.close();
+        administration.close();
         try {
             sender.close();
         } catch (IOException unclosed) {
             LOGGER.debug("event=sender_unclosed", unclosed);
         }
         EventLoops.stop(eventLoops);
+        eventLoops.terminationFuture().awaitUninterruptibly(LONGEST_CLOSE_MILLIS);
     }
 
     private int inProgress() {
@@ -134,20 +166,31 @@
                         view,
                         sender,
                         evidence,
+                        keyed,
                         timer);
+        HttpHandler inboundHandler =
+                call ->
+                        call.headers().contains(MeshHeaders.KEY_HOME)
+                                ? callerHandler.handleAsKeyHome(call)
+                                : guard.handle(call);
         CountingHandler counting = CountingHandler.of(callerHandler, registry);
         callers = HttpServer.listen(settings.callerAddress(), eventLoops, counting).join();
-        inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, guard).join();
-        HttpServer.listen(
-                        settings.administrationAddress(),
-                        eventLoops,
-                        AdministrationHandler.of(metrics(), this::readiness, this::statusJson))
-                .join();
+        inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, inboundHandler).join();
+        administration =
+                HttpServer.listen(
+                                settings.administrationAddress(),
+                                eventLoops,
+                                AdministrationHandler.of(
+                                        metrics(), this::readiness, this::statusJson))
+                        .join();
     }
 
     private void startTicking() {
         timer.scheduleWithFixedDelay(
-                () -> session.tick(ProcessClock.wallMillis()),
+                () -> {
+                    session.tick(ProcessClock.wallMillis());
+                    keyed.tick(ProcessClock.wallMillis());
+                },
                 SESSION_TICK_MILLIS,
                 SESSION_TICK_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
@@ -25,6 +26,7 @@
 
     private final TargetRegistry registry = TargetRegistry.empty();
     private final Map<Process, TargetExperience> experiences = new HashMap<>();
+    private Consumer<List<Announcement>> newsListener = news -> {};
     private volatile Map<String, Map<String, List<TargetView>>> ready = Map.of();
 
     private MeshView() {}
@@ -38,14 +40,25 @@
         return new MeshView();
     }
 
+    /**
+     * Names who is told of announcements that are news, in their order.
+     *
+     * @param listener is called while announcements are merged; must not block
+     */
+    public synchronized void onNews(Consumer<List<Announcement>> listener) {
+        newsListener = listener;
+    }
+
     /**
      * Merges announcements.
      *
      * @param announcements announcements in any order
      */
     public synchronized void merge(List<Announcement> announcements) {
-        if (!registry.merge(announcements).isEmpty()) {
+        List<Announcement> news = registry.merge(announcements);
+        if (!news.isEmpty()) {
             long nowMillis = ProcessClock.monotonicMillis();
+            newsListener.accept(news);
             registry.forgetGone(nowMillis, REMEMBER_GONE_MILLIS);
             rebuild(nowMillis);
         }
@@ -63,6 +76,7 @@
             LOGGER.info(
                     "event=targets_reconciled gone={}",
                     gone.stream().map(Announcement::node).toList());
+            newsListener.accept(gone);
             rebuild(ProcessClock.monotonicMillis());
         }
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
@@ -37,13 +37,16 @@
             long deadlineMillis,
             CompletableFuture<HttpAnswer> answer) {}
 
+    private final String node;
     private final NodeSettings.Target target;
     private final HttpSender sender;
     private final FairQueue<Arrival> queue;
     private final TargetMetrics metrics;
     private volatile boolean draining;
 
-    private TargetGuard(NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+    private TargetGuard(
+            String node, NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+        this.node = node;
         this.metrics = metrics;
         this.target = target;
         this.sender = sender;
@@ -53,14 +56,15 @@
     /**
      * Returns the guard of a target.
      *
+     * @param node name of the node beside it
      * @param target the target
      * @param sender sends calls to it
      * @param metrics counts what comes of calls
      * @return the guard
      */
     public static TargetGuard create(
-            NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
-        return new TargetGuard(target, sender, metrics);
+            String node, NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+        return new TargetGuard(node, target, sender, metrics);
     }
 
     @Override
@@ -76,6 +80,11 @@
                         System.nanoTime(),
                         nowMillis + remaining,
                         new CompletableFuture<>());
+        String meantFor = call.header(MeshHeaders.TARGET_NODE, node);
+        if (!meantFor.equals(node)) {
+            refuse(arrival, "other_node_at_this_address", 1);
+            return arrival.answer();
+        }
         if (draining) {
             refuse(arrival, "draining", DRAINING_RETRY_MILLIS);
             return arrival.answer();
@@ -146,8 +155,9 @@
         long remaining = arrival.deadlineMillis() - ProcessClock.monotonicMillis();
         HttpHeaders headers =
                 MeshHeaders.endToEnd(arrival.call().headers())
+                        .remove(MeshHeaders.TARGET_NODE)
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
-        sender.send(target.address(), arrival.call(), headers, remaining)
+        send(arrival, headers, remaining)
                 .whenComplete(
                         (sent, failure) -> {
                             double ranMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
@@ -156,6 +166,14 @@
                         });
     }
 
+    private CompletableFuture<SendOutcome> send(
+            Arrival arrival, HttpHeaders headers, long remainingMillis) {
+        if (remainingMillis <= 0) {
+            return CompletableFuture.completedFuture(new SendOutcome.NeverSent("deadline_passed"));
+        }
+        return sender.send(target.address(), arrival.call(), headers, remainingMillis);
+    }
+
     private void release(Caller caller, double ranMillis) {
         List<Arrival> next;
         List<RefusedCall<Arrival>> late;
@@ -168,34 +186,15 @@
     }
 
     private void finish(Arrival arrival, SendOutcome sent, Throwable failure) {
-        if (failure != null) {
-            arrival.answer().completeExceptionally(failure);
-            return;
-        }
-        switch (sent) {
-            case SendOutcome.Whole whole -> {
-                metrics.count(TargetMetrics.Outcome.ANSWERED);
-                HttpHeaders headers =
-                        MeshHeaders.endToEnd(whole.answer().headers())
-                                .set(MeshHeaders.LOAD, load().text());
-                arrival.answer()
-                        .complete(
-                                new HttpAnswer(
-                                        whole.answer().status(), headers, whole.answer().body()));
-            }
-            case SendOutcome.NeverSent never -> refuse(arrival, never.reason(), 1);
-            case SendOutcome.Lost lost -> {
-                metrics.count(TargetMetrics.Outcome.LOST);
-                LOGGER.info(
-                        "event=call_lost request={} reason={}", arrival.requestId(), lost.reason());
-                String body =
-                        "{\"outcome\":\"may-have-run\",\"reason\":\"" + lost.reason() + "\"}\n";
-                arrival.answer()
-                        .complete(
-                                HttpAnswer.of(502, "application/json", body)
-                                        .with(MeshHeaders.OUTCOME, MeshHeaders.MAY_HAVE_RUN));
-            }
+        SendOutcome known = failure == null ? sent : new SendOutcome.Lost("sender_failed");
+        if (known instanceof SendOutcome.Whole) {
+            metrics.count(TargetMetrics.Outcome.ANSWERED);
+        } else {
+            metrics.count(TargetMetrics.Outcome.LOST);
+            LOGGER.info("event=call_unanswered request={} outcome={}", arrival.requestId(), known);
         }
+        arrival.answer()
+                .complete(CallAnswers.ofTarget(known).with(MeshHeaders.LOAD, load().text()));
     }
 
     private LoadReport load() {
--- a/node/src/test/java/org/cuminreach/node/target/TargetGuardTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetGuardTest.java
@@ -52,6 +52,7 @@
         try (HttpSender sender = HttpSender.create(eventLoops)) {
             TargetGuard guard =
                     TargetGuard.create(
+                            "node",
                             new NodeSettings.Target("service", "1", address, SLOTS),
                             sender,
                             TargetMetrics.register(new PrometheusRegistry()));
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -31,6 +32,7 @@
     private final HttpServer server;
     private final Deque<Pending> pending = new ArrayDeque<>();
     private boolean answering;
+    private HttpCall answered;
 
     HttpConnectionHandler(HttpServer server) {
         this.server = server;
@@ -72,6 +74,7 @@
             return;
         }
         answering = true;
+        answered = next.call();
         server.begun();
         handle(next.call())
                 .whenComplete(
@@ -91,7 +94,7 @@
     private void finish(
             ChannelHandlerContext context, Pending done, HttpAnswer answer, Throwable failure) {
         answering = false;
-        server.ended();
+        answered = null;
         HttpAnswer sent = answer;
         if (failure != null) {
             LOGGER.error("event=handler_failed target={}", done.call().target(), failure);
@@ -99,11 +102,11 @@
         }
         boolean keepAlive = done.keepAlive() && !server.isClosing();
         boolean head = done.call().method().equals(HttpMethod.HEAD.name());
-        write(context, sent, head, !keepAlive);
+        write(context, sent, head, !keepAlive).addListener(written -> server.ended());
         answerNext(context);
     }
 
-    private static void write(
+    private static ChannelFuture write(
             ChannelHandlerContext context, HttpAnswer answer, boolean head, boolean close) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
@@ -116,9 +119,16 @@
         }
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-        } else {
-            context.writeAndFlush(response, context.voidPromise());
+            return context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+        return context.writeAndFlush(response);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        pending.clear();
+        if (answered != null) {
+            answered.abandoned().complete(null);
         }
     }
 
