--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -19,6 +19,7 @@
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.control.rollout.EvidenceCollector;
 import org.cuminreach.control.rollout.RolloutConductor;
+import org.cuminreach.control.rollout.RolloutReporter;
 import org.cuminreach.control.storage.DataFolder;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.rollout.Evidence;
@@ -48,6 +49,7 @@
     private final ReplicaDriver replica;
     private final PeerLinks peers;
     private final RolloutConductor conductor;
+    private final RolloutReporter rollouts;
     private final EvidenceCollector evidence;
     private final MeshSessions sessions;
     private final OperatorView view;
@@ -65,6 +67,8 @@
                 ReplicaDriver.start(
                         identity, folder, peers, new Random(), ProcessClock.monotonicMillis());
         conductor = RolloutConductor.create(replica);
+        rollouts = RolloutReporter.create(replica.configuration());
+        replica.listen(rollouts);
         evidence = EvidenceCollector.create(replica, peers, conductor);
         sessions = MeshSessions.create(settings.name(), replica, peers, evidence::collect);
         view = OperatorView.create(settings.name(), replica, sessions);
@@ -153,6 +157,7 @@
 
     private PrometheusRegistry metrics() {
         PrometheusRegistry registry = new PrometheusRegistry();
+        rollouts.register(registry);
         gauge(registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
         gauge(
                 registry,
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.wire.EvidenceCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameConnection;
@@ -84,7 +85,7 @@
         }
         switch (frame.getSetField()) {
             case ANNOUNCEMENTS -> announce(frame);
-            case EVIDENCE -> sessions.evidence(MembershipCodec.toEvidence(frame.getEvidence()));
+            case EVIDENCE -> sessions.evidence(EvidenceCodec.toEvidence(frame.getEvidence()));
             case CONFIGURATION_REPORT -> report(frame.getConfigurationReport());
             case HEARTBEAT -> from.send(frame);
             default -> throw new MalformedFrameException("no node sends " + frame.getSetField());
--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -14,6 +14,7 @@
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.AgreementCodec;
 import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.EvidenceCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameConnection;
@@ -265,7 +266,7 @@
                 case SUBMISSION_ANSWER -> answer(frame.getSubmissionAnswer());
                 case ANNOUNCEMENTS ->
                         events.announced(MembershipCodec.toAnnouncements(frame.getAnnouncements()));
-                case EVIDENCE -> events.saw(MembershipCodec.toEvidence(frame.getEvidence()));
+                case EVIDENCE -> events.saw(EvidenceCodec.toEvidence(frame.getEvidence()));
                 case HOLDINGS -> events.hold(frame.getHoldings().getHoldings());
                 case HEARTBEAT -> connection.send(frame);
                 default ->
--- a/control/src/main/java/org/cuminreach/control/rollout/EvidenceCollector.java
+++ b/control/src/main/java/org/cuminreach/control/rollout/EvidenceCollector.java
@@ -4,7 +4,7 @@
 import org.cuminreach.control.replica.PeerLinks;
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.decisions.rollout.Evidence;
-import org.cuminreach.wire.MembershipCodec;
+import org.cuminreach.wire.EvidenceCodec;
 
 /** Brings the evidence of nodes to the leader, where the judge works. */
 public final class EvidenceCollector {
@@ -41,9 +41,7 @@
             conductor.add(evidence);
         } else {
             replica.leader()
-                    .ifPresent(
-                            leader ->
-                                    peers.send(leader, MembershipCodec.toEvidenceFrame(evidence)));
+                    .ifPresent(leader -> peers.send(leader, EvidenceCodec.toFrame(evidence)));
         }
     }
 }
--- a/control/src/main/java/org/cuminreach/control/rollout/RolloutConductor.java
+++ b/control/src/main/java/org/cuminreach/control/rollout/RolloutConductor.java
@@ -1,7 +1,9 @@
 package org.cuminreach.control.rollout;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.cuminreach.control.replica.ReplicaDriver;
@@ -14,16 +16,20 @@
 import org.cuminreach.decisions.rollout.RolloutJudge;
 import org.cuminreach.decisions.rollout.Verdict;
 import org.cuminreach.document.Rollout;
+import org.cuminreach.runtime.ProcessClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Runs the judge on the leader and proposes its verdicts, one at a time for each rollout. */
+/**
+ * Runs the judge on the leader and proposes its verdicts, one at a time for each rollout. The
+ * evidence is kept by the leader alone: a new leader gathers its own and judges by that.
+ */
 public final class RolloutConductor {
     private static final Logger LOGGER = LoggerFactory.getLogger(RolloutConductor.class);
 
     private final ReplicaDriver replica;
-    private final EvidenceLedger ledger = EvidenceLedger.empty();
     private final Set<String> proposing = new HashSet<>();
+    private Optional<EvidenceLedger> ledger = Optional.empty();
 
     private RolloutConductor(ReplicaDriver replica) {
         this.replica = replica;
@@ -40,52 +46,67 @@
     }
 
     /**
-     * Adds evidence.
+     * Adds evidence; a control that does not lead leaves it out.
      *
      * @param evidence what nodes saw
      */
     public synchronized void add(List<Evidence> evidence) {
-        ledger.add(evidence);
+        ledger.ifPresent(open -> open.add(evidence, ProcessClock.wallMillis()));
     }
 
     /**
-     * Judges every rollout that is moving, if this control leads.
+     * Judges every rollout that is moving or watched, if this control leads.
      *
      * @param nowMillis present time of the clock that never goes back
      * @param wallMillis present wall-clock time
      */
     public synchronized void tick(long nowMillis, long wallMillis) {
-        if (!replica.isLeader() || !replica.hasQuorum(nowMillis)) {
+        if (!replica.isLeader()) {
+            ledger = Optional.empty();
             return;
         }
+        if (ledger.isEmpty()) {
+            ledger = Optional.of(EvidenceLedger.open(wallMillis));
+        }
         MeshConfiguration configuration = replica.configuration();
-        for (RolloutProgress progress : configuration.rollouts()) {
-            boolean moving = progress.phase() == RolloutPhase.MOVING;
-            if (moving && !proposing.contains(progress.service())) {
-                judge(configuration, progress, nowMillis, wallMillis);
-            }
+        Map<String, Rollout> judged = judged(configuration, wallMillis);
+        Map<String, String> versions = new HashMap<>();
+        judged.forEach((service, wanted) -> versions.put(service, wanted.version()));
+        ledger.get().judge(versions);
+        if (!replica.hasQuorum(nowMillis)) {
+            return;
         }
+        judged.keySet().removeIf(proposing::contains);
+        judged.forEach(
+                (service, wanted) ->
+                        judge(
+                                wanted,
+                                configuration.rollout(service).orElseThrow(),
+                                nowMillis,
+                                wallMillis));
     }
 
-    private void judge(
-            MeshConfiguration configuration,
-            RolloutProgress progress,
-            long nowMillis,
-            long wallMillis) {
-        Optional<Rollout> wanted =
-                configuration.document().service(progress.service()).flatMap(s -> s.rollout());
-        if (wanted.isEmpty()) {
-            return;
+    private static Map<String, Rollout> judged(MeshConfiguration configuration, long wallMillis) {
+        Map<String, Rollout> judged = new HashMap<>();
+        for (RolloutProgress progress : configuration.rollouts()) {
+            configuration
+                    .document()
+                    .service(progress.service())
+                    .flatMap(service -> service.rollout())
+                    .filter(wanted -> RolloutJudge.isJudged(wanted, progress, wallMillis))
+                    .ifPresent(wanted -> judged.put(progress.service(), wanted));
         }
-        Verdict verdict =
-                RolloutJudge.judge(
-                        wanted.get(), progress, ledger.of(progress.service()), wallMillis);
-        switch (verdict) {
+        return judged;
+    }
+
+    private void judge(Rollout wanted, RolloutProgress progress, long nowMillis, long wallMillis) {
+        int share = progress.sharePerMille();
+        switch (RolloutJudge.judge(wanted, progress, ledger.orElseThrow(), wallMillis)) {
             case Verdict.Wait wait -> LOGGER.trace("event=rollout_waits {}", progress);
             case Verdict.Advance advance ->
                     propose(
                             progress,
-                            RolloutPhase.MOVING,
+                            progress.phase(),
                             advance.sharePerMille(),
                             advance.reason(),
                             nowMillis,
@@ -94,7 +115,7 @@
                     propose(
                             progress,
                             RolloutPhase.DONE,
-                            progress.sharePerMille(),
+                            share,
                             done.reason(),
                             nowMillis,
                             wallMillis);
@@ -106,6 +127,14 @@
                             takeBack.reason(),
                             nowMillis,
                             wallMillis);
+            case Verdict.Late late ->
+                    propose(
+                            progress,
+                            RolloutPhase.LATE,
+                            share,
+                            late.reason(),
+                            nowMillis,
+                            wallMillis);
         }
     }
 
@@ -125,7 +154,6 @@
                 sharePerMille,
                 reason);
         proposing.add(progress.service());
-        ledger.forget(progress.service());
         MeshCommand.StepRollout step =
                 new MeshCommand.StepRollout(
                         progress.service(),
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -232,7 +232,7 @@
                 configuration
                         .rollout(step.service())
                         .filter(progress -> progress.version().equals(step.version()))
-                        .filter(progress -> progress.phase() != RolloutPhase.TAKEN_BACK);
+                        .filter(progress -> mayFollow(progress.phase(), step.phase()));
         if (known.isEmpty()) {
             return;
         }
@@ -252,6 +252,15 @@
         record(index, step.atMillis(), "rollout judge", describe(step));
     }
 
+    /** What was taken back stays so; what is done moves no more, but can still be taken back. */
+    private static boolean mayFollow(RolloutPhase known, RolloutPhase next) {
+        return switch (known) {
+            case MOVING, LATE -> true;
+            case DONE -> next == RolloutPhase.TAKEN_BACK;
+            case TAKEN_BACK -> false;
+        };
+    }
+
     private void replaceRollout(long index, RolloutProgress next) {
         List<RolloutProgress> rollouts = new ArrayList<>(configuration.rollouts());
         rollouts.replaceAll(
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceKey.java
@@ -0,0 +1,13 @@
+package org.cuminreach.decisions.rollout;
+
+/**
+ * What evidence is about.
+ *
+ * @param service name of the service
+ * @param version name of the version
+ * @param route name of the route
+ * @param target name of the node beside the target
+ * @param dataCentre data centre of the target
+ */
+public record EvidenceKey(
+        String service, String version, String route, String target, String dataCentre) {}
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
@@ -1,57 +1,127 @@
 package org.cuminreach.decisions.rollout;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** The evidence gathered since each rollout's latest step. Not safe for several threads at once. */
+/**
+ * The evidence of each service in slots of time, so that versions can be compared at the same time.
+ * Bounded: the oldest slots of a service are merged, slots have a bounded number of cells, and
+ * evidence that was gathered over too long a span is left out. Of the first calls at a target of a
+ * new version only the failures count, since a cold target is slow. Not safe for several threads at
+ * once.
+ */
 public final class EvidenceLedger {
-    private record Key(String service, String version, String route) {}
+    private static final long SLOT_MILLIS = 2_000;
+    private static final int MOST_SLOTS = 64;
+    private static final int MOST_SERVICES = 1_024;
+    private static final long LONGEST_SPAN_MILLIS = 30_000;
+    private static final long COLD_CALLS = 20;
+    private static final int MOST_NEW_TARGETS = 4_096;
 
-    private final Map<Key, Evidence> gathered = new HashMap<>();
+    /** A target of a new version. */
+    private record NewTarget(String service, String version, String target) {}
 
-    private EvidenceLedger() {}
+    private final Map<String, List<EvidenceSlot>> services = new HashMap<>();
+    private final Map<String, String> newVersions = new HashMap<>();
+    private final Map<NewTarget, Long> callsOfTargets = new HashMap<>();
+    private final long openedMillis;
+
+    private EvidenceLedger(long openedMillis) {
+        this.openedMillis = openedMillis;
+    }
 
     /**
      * Returns a ledger without evidence.
      *
+     * @param nowMillis present time, from which on it listens
      * @return an empty ledger
      */
-    public static EvidenceLedger empty() {
-        return new EvidenceLedger();
+    public static EvidenceLedger open(long nowMillis) {
+        return new EvidenceLedger(nowMillis);
     }
 
     /**
-     * Adds evidence.
+     * Returns since when it listens.
      *
-     * @param evidence evidence of one node and span
+     * @return time of its opening, in milliseconds
      */
-    public void add(Collection<Evidence> evidence) {
-        for (Evidence next : evidence) {
-            Key key = new Key(next.service(), next.version(), next.route());
-            gathered.merge(key, next, Evidence::plus);
-        }
+    public long openedMillis() {
+        return openedMillis;
     }
 
     /**
-     * Returns the evidence of a service.
+     * Adds evidence.
      *
-     * @param service name of the service
-     * @return evidence of each version and route
+     * @param evidence what nodes saw
+     * @param nowMillis present time
      */
-    public List<Evidence> of(String service) {
-        return gathered.values().stream()
-                .filter(evidence -> evidence.service().equals(service))
-                .toList();
+    public void add(Collection<Evidence> evidence, long nowMillis) {
+        for (Evidence next : evidence) {
+            if (next.spanMillis() <= LONGEST_SPAN_MILLIS) {
+                slotOf(next.key().service(), nowMillis).add(withoutColdTimes(next));
+            }
+        }
     }
 
     /**
-     * Forgets the evidence of a service, after a step.
+     * Names the rollouts that are judged; evidence of other services is forgotten.
      *
-     * @param service name of the service
+     * @param judged the new version of each service
      */
-    public void forget(String service) {
-        gathered.keySet().removeIf(key -> key.service().equals(service));
+    public void judge(Map<String, String> judged) {
+        if (judged.equals(newVersions)) {
+            return;
+        }
+        services.keySet().removeIf(name -> !isKept(name, judged));
+        callsOfTargets.keySet().removeIf(key -> !isKept(key.service(), judged));
+        newVersions.clear();
+        newVersions.putAll(judged);
+    }
+
+    private boolean isKept(String service, Map<String, String> judged) {
+        return judged.containsKey(service) && judged.get(service).equals(newVersions.get(service));
+    }
+
+    List<EvidenceSlot> slotsOf(String service) {
+        return services.getOrDefault(service, List.of());
+    }
+
+    private Evidence withoutColdTimes(Evidence evidence) {
+        EvidenceKey key = evidence.key();
+        if (!key.version().equals(newVersions.get(key.service()))) {
+            return evidence;
+        }
+        NewTarget target = new NewTarget(key.service(), key.version(), key.target());
+        if (callsOfTargets.size() >= MOST_NEW_TARGETS && !callsOfTargets.containsKey(target)) {
+            return evidence;
+        }
+        long before = callsOfTargets.getOrDefault(target, 0L);
+        callsOfTargets.put(target, before + evidence.counts().reached());
+        return before >= COLD_CALLS
+                ? evidence
+                : new Evidence(
+                        key,
+                        evidence.counts().withoutTimes(),
+                        evidence.spanMillis(),
+                        evidence.guarded());
+    }
+
+    private EvidenceSlot slotOf(String service, long nowMillis) {
+        if (services.size() >= MOST_SERVICES && !services.containsKey(service)) {
+            services.remove(services.keySet().iterator().next());
+        }
+        List<EvidenceSlot> slots = services.computeIfAbsent(service, name -> new ArrayList<>());
+        if (slots.isEmpty() || slots.getLast().endMillis() <= nowMillis) {
+            long start = nowMillis - Math.floorMod(nowMillis, SLOT_MILLIS);
+            slots.add(new EvidenceSlot(start, start + SLOT_MILLIS));
+        }
+        if (slots.size() > MOST_SLOTS) {
+            EvidenceSlot second = slots.remove(1);
+            slots.getFirst().absorb(second);
+        }
+        return slots.getLast();
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
@@ -1,105 +1,268 @@
 package org.cuminreach.decisions.rollout;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.cuminreach.decisions.configuration.RolloutPhase;
 import org.cuminreach.decisions.configuration.RolloutProgress;
 import org.cuminreach.document.Rollout;
+import org.cuminreach.document.ThinEvidence;
 
-/** Judges a rollout in fixed steps of share against fixed thresholds. */
+/**
+ * Judges a rollout by sequential tests with stated error rates, and paces its stages against the
+ * time by which it is to be done.
+ */
 public final class RolloutJudge {
-    private static final int[] STEPS_PER_MILLE = {10, 50, 250, 1_000};
-    private static final long SHORTEST_STEP_MILLIS = 2_000;
-    private static final long FEWEST_CALLS = 20;
-    private static final double FAILURE_MARGIN = 0.05;
-    private static final double SLOWNESS_FACTOR = 2.0;
+    private static final long SHORTEST_STAGE_MILLIS = 3_000;
+    private static final long LONGEST_STAGE_MILLIS = 12_000;
+    private static final long FIRST_LOOK_MILLIS = 3_000;
+    private static final long LISTENING_MILLIS = 10_000;
+    private static final long FINISHING_MILLIS = 8_000;
+    private static final long TARGET_FAULT_CALLS = 12;
+    private static final double TARGET_FAULT_SUSPICION = 6.0;
+    private static final long ROUTE_CALLS = 4;
+    private static final int ROUTE_SHARE_PER_MILLE = 200;
+    private static final double ROUTE_LEAST_PART = 0.01;
+    private static final double SUSPICION = 2.0;
 
     private RolloutJudge() {}
 
     /**
-     * Judges a rollout that is moving.
+     * Judges a rollout that is moving, or done and still watched.
      *
      * @param wanted what the document wants
      * @param progress where the rollout stands
-     * @param evidence what was seen of the service since the latest step
+     * @param ledger what was seen of the service
      * @param nowMillis present wall-clock time, in milliseconds since the epoch
      * @return the verdict
      */
     public static Verdict judge(
-            Rollout wanted, RolloutProgress progress, List<Evidence> evidence, long nowMillis) {
-        Optional<String> badness = badness(progress.version(), evidence);
-        if (badness.isPresent()) {
-            return new Verdict.TakeBack(badness.get());
+            Rollout wanted, RolloutProgress progress, EvidenceLedger ledger, long nowMillis) {
+        if (progress.phase() == RolloutPhase.TAKEN_BACK) {
+            return new Verdict.Wait();
         }
-        if (progress.sharePerMille() == 0) {
-            return new Verdict.Advance(nextShare(wanted, progress), "first step");
+        List<EvidenceSlot> slots = ledger.slotsOf(progress.service());
+        Assessment assessment = assess(slots, progress.version(), wanted);
+        if (assessment.badness().isPresent()) {
+            return new Verdict.TakeBack(assessment.badness().get());
         }
-        long calls = callsOf(progress.version(), evidence);
-        boolean stepEnded = nowMillis - progress.steppedMillis() >= SHORTEST_STEP_MILLIS;
-        if (!stepEnded || calls < FEWEST_CALLS) {
+        if (progress.phase() == RolloutPhase.DONE) {
             return new Verdict.Wait();
         }
-        if (progress.sharePerMille() >= wanted.sharePerMille()) {
-            return new Verdict.Done("good over " + calls + " calls at the wanted share");
-        }
-        return new Verdict.Advance(nextShare(wanted, progress), "good over " + calls + " calls");
+        boolean guarded = !slots.isEmpty() && slots.getLast().isGuarded(progress.version());
+        Optional<Verdict> step =
+                assessment.suspicion() > SUSPICION || guarded
+                        ? Optional.empty()
+                        : step(wanted, progress, ledger, assessment, nowMillis);
+        return step.orElseGet(() -> atSetTime(wanted, progress, ledger, assessment, nowMillis));
+    }
+
+    /**
+     * Tells whether a rollout is still to be judged.
+     *
+     * @param wanted what the document wants
+     * @param progress where the rollout stands
+     * @param nowMillis present wall-clock time, in milliseconds since the epoch
+     * @return true while it moves, and for its time of watching after it is done
+     */
+    public static boolean isJudged(Rollout wanted, RolloutProgress progress, long nowMillis) {
+        long watchMillis = wanted.criteria().watchSeconds() * 1_000L;
+        boolean watched =
+                progress.phase() == RolloutPhase.DONE
+                        && nowMillis - progress.steppedMillis() < watchMillis;
+        return progress.phase().isMoving() || watched;
     }
 
-    private static int nextShare(Rollout wanted, RolloutProgress progress) {
-        for (int step : STEPS_PER_MILLE) {
-            if (step > progress.sharePerMille()) {
-                return Math.min(step, wanted.sharePerMille());
+    /** Badness that only one of several targets shows is a fault of that target. */
+    private static Assessment assess(List<EvidenceSlot> slots, String version, Rollout wanted) {
+        VersionComparison comparison = VersionComparison.of(slots, version, wanted.criteria());
+        Assessment whole = comparison.assess(Optional.empty());
+        if (whole.badness().isEmpty() || comparison.targets().size() < 2) {
+            return whole;
+        }
+        for (String target : comparison.targets()) {
+            Assessment rest = comparison.assess(Optional.of(target));
+            if (rest.badness().isEmpty() && rest.suspicion() < TARGET_FAULT_SUSPICION) {
+                return withoutTarget(whole, rest);
             }
         }
-        return wanted.sharePerMille();
+        return whole;
     }
 
-    private static long callsOf(String version, List<Evidence> evidence) {
-        return evidence.stream()
-                .filter(seen -> seen.version().equals(version))
-                .mapToLong(Evidence::calls)
-                .sum();
+    private static Assessment withoutTarget(Assessment whole, Assessment rest) {
+        long ofTarget = whole.callCount() - rest.callCount();
+        boolean others = rest.callCount() >= TARGET_FAULT_CALLS;
+        if (others) {
+            return rest;
+        }
+        boolean waitedEnough = ofTarget >= TARGET_FAULT_CALLS;
+        return waitedEnough
+                ? whole
+                : new Assessment(Optional.empty(), whole.suspicion(), rest.calls());
     }
 
-    private static Optional<String> badness(String version, List<Evidence> evidence) {
-        for (Evidence fresh : evidence) {
-            if (!fresh.version().equals(version) || fresh.calls() < FEWEST_CALLS) {
-                continue;
-            }
-            Optional<Evidence> old =
-                    evidence.stream()
-                            .filter(seen -> seen.route().equals(fresh.route()))
-                            .filter(seen -> !seen.version().equals(version))
-                            .filter(seen -> seen.calls() >= FEWEST_CALLS)
-                            .findFirst();
-            Optional<String> reason = compare(fresh, old);
-            if (reason.isPresent()) {
-                return reason;
-            }
+    private static Optional<Verdict> step(
+            Rollout wanted,
+            RolloutProgress progress,
+            EvidenceLedger ledger,
+            Assessment assessment,
+            long nowMillis) {
+        List<EvidenceSlot> slots = ledger.slotsOf(progress.service());
+        double callsPerMilli = callsPerMilli(slots, nowMillis);
+        long listened = nowMillis - Math.max(ledger.openedMillis(), progress.startedMillis());
+        if (progress.sharePerMille() == 0 && listened < FIRST_LOOK_MILLIS) {
+            return Optional.empty();
+        }
+        long left = wanted.doneBy().toEpochMilli() - FINISHING_MILLIS - nowMillis;
+        int steps = RolloutPace.stepsLeft(progress.sharePerMille(), wanted.sharePerMille());
+        long allowed = Math.max(0, left) / steps;
+        if (nowMillis - progress.steppedMillis() < dwell(progress, allowed)) {
+            return Optional.empty();
+        }
+        if (isProven(wanted, progress, slots, assessment)) {
+            return Optional.of(forward(wanted, progress, progress.sharePerMille(), assessment));
         }
-        return Optional.empty();
+        return thinStep(wanted, progress, assessment, callsPerMilli, allowed);
     }
 
-    private static Optional<String> compare(Evidence fresh, Optional<Evidence> old) {
-        double failing = failureShare(fresh);
-        double failingBefore = old.map(RolloutJudge::failureShare).orElse(0.0);
-        if (failing > failingBefore + FAILURE_MARGIN) {
-            return Optional.of(
-                    "route %s fails %.3f of calls, the old version %.3f"
-                            .formatted(fresh.route(), failing, failingBefore));
+    private static long dwell(RolloutProgress progress, long allowed) {
+        if (progress.sharePerMille() == 0) {
+            return 0;
+        }
+        return Math.clamp(allowed / 2, SHORTEST_STAGE_MILLIS, LONGEST_STAGE_MILLIS);
+    }
+
+    private static boolean isProven(
+            Rollout wanted,
+            RolloutProgress progress,
+            List<EvidenceSlot> slots,
+            Assessment assessment) {
+        if (progress.sharePerMille() == 0) {
+            return true;
         }
-        if (old.isPresent() && meanMicros(fresh) > SLOWNESS_FACTOR * meanMicros(old.get())) {
+        long needed = RolloutPace.callsNeeded(progress.sharePerMille(), wanted.criteria());
+        if (assessment.callCount() < needed) {
+            return false;
+        }
+        if (progress.sharePerMille() < ROUTE_SHARE_PER_MILLE) {
+            return true;
+        }
+        return oldRoutes(slots, progress.version()).stream()
+                .allMatch(route -> assessment.calls().getOrDefault(route, 0L) >= ROUTE_CALLS);
+    }
+
+    private static Verdict forward(
+            Rollout wanted, RolloutProgress progress, int from, Assessment assessment) {
+        String reason = "no badness over " + assessment.callCount() + " calls";
+        if (progress.sharePerMille() >= wanted.sharePerMille()) {
+            return new Verdict.Done(reason);
+        }
+        int next = Math.min(RolloutPace.nextStage(from), wanted.sharePerMille());
+        return new Verdict.Advance(next, reason);
+    }
+
+    /** Where the stage would not prove itself in its part of the time left, the share is larger. */
+    private static Optional<Verdict> thinStep(
+            Rollout wanted,
+            RolloutProgress progress,
+            Assessment assessment,
+            double callsPerMilli,
+            long allowedMillis) {
+        long missing =
+                RolloutPace.callsNeeded(progress.sharePerMille(), wanted.criteria())
+                        - assessment.callCount();
+        double perMilli = callsPerMilli * progress.sharePerMille() / 1_000.0;
+        boolean inTime = missing <= perMilli * allowedMillis;
+        int share = RolloutPace.thinShare(assessment.callCount(), callsPerMilli, wanted.criteria());
+        int next = Math.min(share, wanted.sharePerMille());
+        if (inTime || callsPerMilli == 0) {
+            return Optional.empty();
+        }
+        if (next > progress.sharePerMille()) {
             return Optional.of(
-                    "route %s takes %.0f us, the old version %.0f us"
-                            .formatted(fresh.route(), meanMicros(fresh), meanMicros(old.get())));
+                    new Verdict.Advance(
+                            next,
+                            "thin traffic, no badness over " + assessment.callCount() + " calls"));
+        }
+        boolean whole = progress.sharePerMille() >= wanted.sharePerMille();
+        return whole && share >= progress.sharePerMille()
+                ? Optional.of(forward(wanted, progress, share, assessment))
+                : Optional.empty();
+    }
+
+    private static Verdict atSetTime(
+            Rollout wanted,
+            RolloutProgress progress,
+            EvidenceLedger ledger,
+            Assessment assessment,
+            long nowMillis) {
+        long left = wanted.doneBy().toEpochMilli() - nowMillis;
+        ThinEvidence choice = wanted.criteria().thinEvidence();
+        boolean calm = assessment.suspicion() <= SUSPICION;
+        boolean listened = nowMillis - ledger.openedMillis() >= LISTENING_MILLIS;
+        if (choice == ThinEvidence.FINISH && left <= FINISHING_MILLIS && calm && listened) {
+            return finish(wanted, progress, nowMillis);
         }
-        return Optional.empty();
+        if (left > 0) {
+            return new Verdict.Wait();
+        }
+        if (choice == ThinEvidence.TAKE_BACK && listened) {
+            return new Verdict.TakeBack("the set time has come and evidence is too thin");
+        }
+        return progress.phase() == RolloutPhase.LATE
+                ? new Verdict.Wait()
+                : new Verdict.Late(lateReason(assessment));
+    }
+
+    private static Verdict finish(Rollout wanted, RolloutProgress progress, long nowMillis) {
+        if (progress.sharePerMille() < wanted.sharePerMille()) {
+            return new Verdict.Advance(
+                    wanted.sharePerMille(), "the set time is near and no badness has shown");
+        }
+        boolean inForce = nowMillis - progress.steppedMillis() >= SHORTEST_STAGE_MILLIS;
+        return inForce
+                ? new Verdict.Done("the set time is near and no badness has shown")
+                : new Verdict.Wait();
     }
 
-    private static double failureShare(Evidence evidence) {
-        return (double) evidence.failures() / evidence.calls();
+    private static String lateReason(Assessment assessment) {
+        return assessment.suspicion() > SUSPICION
+                ? "badness is suspected, log likelihood ratio %.1f"
+                        .formatted(assessment.suspicion())
+                : "evidence is thin: " + assessment.callCount() + " calls";
     }
 
-    private static double meanMicros(Evidence evidence) {
-        return (double) evidence.totalMicros() / evidence.calls();
+    private static double callsPerMilli(List<EvidenceSlot> slots, long nowMillis) {
+        if (slots.isEmpty()) {
+            return 0;
+        }
+        long calls = 0;
+        for (EvidenceSlot slot : slots) {
+            for (CallCounter counter : slot.cells().values()) {
+                calls += counter.reached();
+            }
+        }
+        return (double) calls
+                / Math.max(FIRST_LOOK_MILLIS, nowMillis - slots.getFirst().startMillis());
+    }
+
+    /** Returns the routes that carry more than a negligible part of the old version's calls. */
+    private static List<String> oldRoutes(List<EvidenceSlot> slots, String newVersion) {
+        Map<String, Long> calls = new HashMap<>();
+        for (EvidenceSlot slot : slots) {
+            slot.cells()
+                    .forEach(
+                            (key, counter) -> {
+                                if (!key.version().equals(newVersion)) {
+                                    calls.merge(key.route(), counter.reached(), Long::sum);
+                                }
+                            });
+        }
+        long total = calls.values().stream().mapToLong(Long::longValue).sum();
+        return calls.entrySet().stream()
+                .filter(route -> route.getValue() >= ROUTE_LEAST_PART * total)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutPace.java
@@ -0,0 +1,103 @@
+package org.cuminreach.decisions.rollout;
+
+import org.cuminreach.document.RolloutCriteria;
+
+/**
+ * How large a share the evidence allows. The badness that the calls so far cannot exclude, times
+ * the share, stays bounded; where calls are so few that a larger share exposes hardly any, the
+ * bound is on calls instead of shares.
+ */
+public final class RolloutPace {
+    private static final int[] STAGES_PER_MILLE = {10, 50, 200, 500, 1_000};
+    private static final double[] EXCLUDED_BADNESS = {0.5, 0.25, 0.1, 0.05};
+    private static final int[] THIN_SHARES_PER_MILLE = {250, 500, 1_000};
+    private static final double[] THIN_EXCLUDED_BADNESS = {0.9, 0.5, 0.25};
+    private static final double PER_MILLE = 1_000.0;
+    private static final int WHOLE_PER_MILLE = 1_000;
+    private static final int UNPROVEN_MOST_PER_MILLE = 250;
+    private static final double REACTION_MILLIS = 3_000;
+
+    private RolloutPace() {}
+
+    /**
+     * Returns the stage that follows a share.
+     *
+     * @param sharePerMille present share
+     * @return share of the next stage
+     */
+    public static int nextStage(int sharePerMille) {
+        for (int stage : STAGES_PER_MILLE) {
+            if (stage > sharePerMille) {
+                return stage;
+            }
+        }
+        return WHOLE_PER_MILLE;
+    }
+
+    /**
+     * Returns how many stages lie between a share and the wanted one.
+     *
+     * @param sharePerMille present share
+     * @param wantedPerMille wanted share
+     * @return number of steps, at least 1
+     */
+    public static int stepsLeft(int sharePerMille, int wantedPerMille) {
+        int steps = 1;
+        for (int stage : STAGES_PER_MILLE) {
+            if (stage > sharePerMille && stage < wantedPerMille) {
+                steps++;
+            }
+        }
+        return steps;
+    }
+
+    /**
+     * Returns how many calls without badness a stage needs before the next one.
+     *
+     * @param sharePerMille share of the stage
+     * @param criteria how sure the judge has to be
+     * @return number of calls
+     */
+    public static long callsNeeded(int sharePerMille, RolloutCriteria criteria) {
+        for (int stage = 0; stage < EXCLUDED_BADNESS.length; stage++) {
+            if (sharePerMille <= STAGES_PER_MILLE[stage]) {
+                return callsToExclude(EXCLUDED_BADNESS[stage], criteria);
+            }
+        }
+        return callsToExclude(EXCLUDED_BADNESS[EXCLUDED_BADNESS.length - 1], criteria);
+    }
+
+    /**
+     * Returns the largest share that calls allow where traffic is too thin for the stages.
+     *
+     * @param calls calls of the new version without badness
+     * @param callsPerMilli calls of the service in a millisecond
+     * @param criteria how sure the judge has to be
+     * @return the share, in a thousand
+     */
+    public static int thinShare(long calls, double callsPerMilli, RolloutCriteria criteria) {
+        int share = unprovenShare(callsPerMilli);
+        for (int index = 0; index < THIN_SHARES_PER_MILLE.length; index++) {
+            boolean excluded = calls >= callsToExclude(THIN_EXCLUDED_BADNESS[index], criteria);
+            double exposed = callsPerMilli * REACTION_MILLIS * THIN_EXCLUDED_BADNESS[index];
+            double allowed = WHOLE_PER_MILLE / Math.max(exposed, 1);
+            if (excluded) {
+                share = Math.max(share, (int) Math.min(allowed, THIN_SHARES_PER_MILLE[index]));
+            }
+        }
+        return share;
+    }
+
+    /** At most one call is expected to meet the version before anyone can react. */
+    private static int unprovenShare(double callsPerMilli) {
+        double allowed = WHOLE_PER_MILLE / Math.max(callsPerMilli * REACTION_MILLIS, 1);
+        double bounded = Math.min(UNPROVEN_MOST_PER_MILLE, allowed);
+        return (int) Math.max(STAGES_PER_MILLE[0], bounded);
+    }
+
+    /** The number of good calls in a row that a badness would let happen too rarely. */
+    private static long callsToExclude(double badness, RolloutCriteria criteria) {
+        double miss = criteria.missPerMille() / PER_MILLE;
+        return (long) Math.ceil(Math.log(miss) / Math.log(1 - badness));
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/Verdict.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/Verdict.java
@@ -26,4 +26,11 @@
      * @param reason why
      */
     record TakeBack(String reason) implements Verdict {}
+
+    /**
+     * The set time has passed and the move is not done; it goes on.
+     *
+     * @param reason why it is late
+     */
+    record Late(String reason) implements Verdict {}
 }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
@@ -0,0 +1,203 @@
+package org.cuminreach.decisions.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.cuminreach.document.RolloutCriteria;
+
+/**
+ * Compares the new version of a service with the old one: at the same time, on the same route, in
+ * the same data centre, by failures and by the middle and the tail of the answer times.
+ */
+final class VersionComparison {
+    private static final double PER_MILLE = 1_000.0;
+    private static final double PERCENT = 100.0;
+    private static final double TAIL = 0.95;
+    private static final double MIDDLE = 0.5;
+    private static final double SLOWNESS_MARGIN = 0.05;
+    private static final int STALE_EXTRA_BUCKETS = 1;
+    private static final double OVERLOAD_REFUSALS = 0.05;
+    private static final double OVERLOAD_FAILURES = 0.05;
+
+    /** What a test looks at. */
+    private enum Kind {
+        FAILURES,
+        MIDDLE_SLOWNESS,
+        TAIL_SLOWNESS
+    }
+
+    /** What one target of the new version did on one route in one slot, and what was expected. */
+    private record Trial(int slot, EvidenceKey key, long events, long bad, double expected) {}
+
+    private final List<EvidenceSlot> slots;
+    private final RolloutCriteria criteria;
+    private final Map<Kind, List<Trial>> trials = new TreeMap<>();
+    private final Map<EvidenceKey, Long> calls = new HashMap<>();
+    private final Set<String> targets = new TreeSet<>();
+    private final Set<String> routes = new TreeSet<>();
+
+    private VersionComparison(List<EvidenceSlot> slots, String version, RolloutCriteria criteria) {
+        this.slots = slots;
+        this.criteria = criteria;
+        for (Kind kind : Kind.values()) {
+            trials.put(kind, new ArrayList<>());
+        }
+        Map<String, OldVersionHistory> histories = OldVersionHistory.byRoute(slots, version);
+        for (int index = slots.size() - 1; index >= 0; index--) {
+            for (Map.Entry<EvidenceKey, CallCounter> cell : slots.get(index).cells().entrySet()) {
+                EvidenceKey key = cell.getKey();
+                if (key.version().equals(version) && cell.getValue().reached() > 0) {
+                    OldVersionHistory history =
+                            histories.computeIfAbsent(
+                                    key.route(), route -> OldVersionHistory.unknown(slots));
+                    addCell(index, key, cell.getValue(), history);
+                }
+            }
+        }
+    }
+
+    static VersionComparison of(
+            List<EvidenceSlot> slots, String version, RolloutCriteria criteria) {
+        return new VersionComparison(slots, version, criteria);
+    }
+
+    /** Returns the targets of the new version that took calls. */
+    Set<String> targets() {
+        return targets;
+    }
+
+    /** Assesses the new version, without one of its targets if one is named. */
+    Assessment assess(Optional<String> without) {
+        double falseAlarm = criteria.falseAlarmPerMille() / PER_MILLE / Kind.values().length;
+        double suspicion = Double.NEGATIVE_INFINITY;
+        Optional<String> badness = Optional.empty();
+        for (Kind kind : Kind.values()) {
+            SequentialTest whole = newTest(kind);
+            Map<String, SequentialTest> byRoute = new TreeMap<>();
+            run(kind, without, whole, byRoute);
+            suspicion = Math.max(suspicion, whole.highestLogRatio());
+            if (badness.isEmpty() && whole.isBad(falseAlarm / 2, slots.size())) {
+                badness = Optional.of(describe(kind, "all routes", whole));
+            }
+            for (Map.Entry<String, SequentialTest> route : byRoute.entrySet()) {
+                SequentialTest test = route.getValue();
+                suspicion = Math.max(suspicion, test.highestLogRatio());
+                if (badness.isEmpty() && test.isBad(falseAlarm / 2 / routes.size(), slots.size())) {
+                    badness = Optional.of(describe(kind, "route " + route.getKey(), test));
+                }
+            }
+        }
+        return new Assessment(badness, suspicion, countedCalls(without));
+    }
+
+    private static SequentialTest newTest(Kind kind) {
+        return kind == Kind.FAILURES
+                ? SequentialTest.of(Alternatives.OF_FAILURES)
+                : SequentialTest.of(Alternatives.OF_SLOWNESS);
+    }
+
+    /** Trials stand from the newest slot to the oldest. */
+    private void run(
+            Kind kind,
+            Optional<String> without,
+            SequentialTest whole,
+            Map<String, SequentialTest> byRoute) {
+        int slot = slots.size();
+        for (Trial trial : trials.get(kind)) {
+            if (without.isPresent() && without.get().equals(trial.key().target())) {
+                continue;
+            }
+            if (trial.slot() != slot) {
+                whole.endSpan();
+                byRoute.values().forEach(SequentialTest::endSpan);
+                slot = trial.slot();
+            }
+            whole.add(trial.events(), trial.bad(), trial.expected());
+            byRoute.computeIfAbsent(trial.key().route(), name -> newTest(kind))
+                    .add(trial.events(), trial.bad(), trial.expected());
+        }
+        whole.endSpan();
+        byRoute.values().forEach(SequentialTest::endSpan);
+    }
+
+    private void addCell(
+            int slot, EvidenceKey key, CallCounter counter, OldVersionHistory history) {
+        targets.add(key.target());
+        routes.add(key.route());
+        calls.merge(key, counter.reached(), Long::sum);
+        boolean overloaded = !history.isConcurrent(slot) && isOverloaded(counter);
+        addFailures(slot, key, counter, history, overloaded);
+        if (counter.timed() > 0 && history.isKnown(slot) && !overloaded) {
+            addSlowness(Kind.MIDDLE_SLOWNESS, MIDDLE, slot, key, counter, history);
+            addSlowness(Kind.TAIL_SLOWNESS, TAIL, slot, key, counter, history);
+        }
+    }
+
+    private static boolean isOverloaded(CallCounter counter) {
+        double attempts = counter.reached() + counter.refusals();
+        return counter.refusals() >= OVERLOAD_REFUSALS * attempts;
+    }
+
+    /** A target that goes down loses all its calls at once; that is one event. */
+    private void addFailures(
+            int slot,
+            EvidenceKey key,
+            CallCounter counter,
+            OldVersionHistory history,
+            boolean overloaded) {
+        long losses = Math.min(1, counter.losses());
+        long events = counter.reached() - counter.losses() + losses;
+        double margin = criteria.failureDifferencePerMille() / PER_MILLE / 2;
+        if (!history.isConcurrent(slot)) {
+            margin *= 2;
+        }
+        if (overloaded) {
+            margin += OVERLOAD_FAILURES;
+        }
+        double expected = history.expectedFailures(slot, key.dataCentre(), margin);
+        trials.get(Kind.FAILURES)
+                .add(new Trial(slot, key, events, counter.failures() + losses, expected));
+    }
+
+    private void addSlowness(
+            Kind kind,
+            double quantile,
+            int slot,
+            EvidenceKey key,
+            CallCounter counter,
+            OldVersionHistory history) {
+        int span = LatencyBuckets.spanOf(1 + criteria.slownessPercent() / PERCENT);
+        int extra = history.isConcurrent(slot) ? 0 : STALE_EXTRA_BUCKETS;
+        int bucket = history.quantileBucket(slot, quantile) + span + extra;
+        double expected = history.expectedSlower(slot, key.dataCentre(), bucket, SLOWNESS_MARGIN);
+        trials.get(kind)
+                .add(new Trial(slot, key, counter.timed(), counter.slowerThan(bucket), expected));
+    }
+
+    private Map<String, Long> countedCalls(Optional<String> without) {
+        Map<String, Long> counted = new HashMap<>();
+        calls.forEach(
+                (key, count) -> {
+                    if (without.isEmpty() || !without.get().equals(key.target())) {
+                        counted.merge(key.route(), count, Long::sum);
+                    }
+                });
+        return counted;
+    }
+
+    private static String describe(Kind kind, String where, SequentialTest test) {
+        String what =
+                switch (kind) {
+                    case FAILURES -> "fails more than";
+                    case MIDDLE_SLOWNESS -> "is slower than";
+                    case TAIL_SLOWNESS -> "has slower slowest calls than";
+                };
+        return "on %s it %s the old version, log likelihood ratio %.1f"
+                .formatted(where, what, Math.max(test.wholeLogRatio(), test.highestLogRatio()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionAvailability.java
@@ -0,0 +1,20 @@
+package org.cuminreach.decisions.routing;
+
+/** What a node knows of the versions of a service when it chooses one. */
+public interface VersionAvailability {
+    /**
+     * Tells whether a call could be sent to a version.
+     *
+     * @param version name of the version
+     * @return true when it has a ready target that the call was not sent to already
+     */
+    boolean isReady(String version);
+
+    /**
+     * Tells whether this node keeps its calls off a version on its own evidence.
+     *
+     * @param version name of the version
+     * @return true while it does
+     */
+    boolean isGuarded(String version);
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
@@ -7,9 +7,14 @@
 import org.cuminreach.decisions.configuration.RolloutProgress;
 import org.cuminreach.document.Service;
 
-/** Chooses which version of a service answers a call, by the shares in the configuration. */
+/**
+ * Chooses which version of a service answers a call, by the shares in the configuration. A share
+ * never causes a refusal: a version without ready targets gives way to the other one, the old one
+ * to the new one only once the new one has proved itself.
+ */
 public final class VersionChooser {
     private static final int WHOLE_PER_MILLE = 1_000;
+    private static final int PROVEN_SHARE_PER_MILLE = 500;
 
     private VersionChooser() {}
 
@@ -18,18 +23,46 @@
      *
      * @param configuration configuration in force
      * @param service the service
+     * @param availability what the node knows of its versions
      * @param random source of the draw
      * @return name of the version
      */
     public static String choose(
-            MeshConfiguration configuration, Service service, RandomGenerator random) {
+            MeshConfiguration configuration,
+            Service service,
+            VersionAvailability availability,
+            RandomGenerator random) {
         Optional<RolloutProgress> progress =
                 configuration
                         .rollout(service.name())
                         .filter(rollout -> rollout.phase() != RolloutPhase.TAKEN_BACK);
-        boolean drawn =
-                progress.isPresent()
-                        && random.nextInt(WHOLE_PER_MILLE) < progress.get().sharePerMille();
-        return drawn ? progress.get().version() : service.version();
+        if (progress.isEmpty()) {
+            return service.version();
+        }
+        boolean drawn = random.nextInt(WHOLE_PER_MILLE) < progress.get().sharePerMille();
+        return drawn
+                ? drawnNew(service.version(), progress.get().version(), availability)
+                : drawnOld(service.version(), progress.get(), availability);
+    }
+
+    private static String drawnNew(
+            String oldVersion, String newVersion, VersionAvailability availability) {
+        boolean ready = availability.isReady(newVersion);
+        if (ready && !availability.isGuarded(newVersion)) {
+            return newVersion;
+        }
+        return ready && !availability.isReady(oldVersion) ? newVersion : oldVersion;
+    }
+
+    private static String drawnOld(
+            String oldVersion, RolloutProgress progress, VersionAvailability availability) {
+        boolean proven =
+                progress.phase() == RolloutPhase.DONE
+                        || progress.sharePerMille() >= PROVEN_SHARE_PER_MILLE;
+        boolean instead =
+                proven
+                        && !availability.isReady(oldVersion)
+                        && availability.isReady(progress.version());
+        return instead ? progress.version() : oldVersion;
     }
 }
--- a/document/src/main/java/org/cuminreach/document/DocumentReader.java
+++ b/document/src/main/java/org/cuminreach/document/DocumentReader.java
@@ -31,31 +31,33 @@
     }
 
     private static MeshDocument document(CheckedObject object) {
-        List<Service> services = object.objects("services", DocumentReader::service);
-        List<Route> routes = object.objects("routes", DocumentReader::route);
         RolloutPriority priority = object.choice("rolloutPriority", RolloutPriority.SAFETY);
+        List<Service> services = object.objects("services", entry -> service(entry, priority));
+        List<Route> routes = object.objects("routes", DocumentReader::route);
         refuseRepeatedServices(object, services);
         refuseUnusableRoutes(object, services, routes);
         return new MeshDocument(services, routes, priority);
     }
 
-    private static Service service(CheckedObject object) {
+    private static Service service(CheckedObject object, RolloutPriority priority) {
         String name = object.name("name");
         String version = object.name("version");
-        Optional<Rollout> rollout = object.object("rollout", DocumentReader::rollout);
+        Optional<Rollout> rollout = object.object("rollout", entry -> rollout(entry, priority));
         if (rollout.isPresent() && rollout.get().version().equals(version)) {
             object.fault("rollout.version", "is the version that carries traffic already");
         }
         return new Service(name, version, rollout);
     }
 
-    private static Rollout rollout(CheckedObject object) {
+    private static Rollout rollout(CheckedObject object, RolloutPriority priority) {
         return new Rollout(
                 object.name("version"),
                 (int)
                         object.number(
                                 "sharePerMille", WHOLE_SHARE_PER_MILLE, 1, WHOLE_SHARE_PER_MILLE),
-                object.time("doneBy"));
+                object.time("doneBy"),
+                object.object("criteria", entry -> RolloutCriteria.read(entry, priority))
+                        .orElse(RolloutCriteria.of(priority)));
     }
 
     private static Route route(CheckedObject object) {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -145,7 +145,12 @@
         long nowMillis = ProcessClock.monotonicMillis();
         Service service =
                 configuration.document().service(attempts.route().service()).orElseThrow();
-        String version = VersionChooser.choose(configuration, service, ThreadLocalRandom.current());
+        String version =
+                VersionChooser.choose(
+                        configuration,
+                        service,
+                        RolloutObserver.availability(service.name(), attempts, view, evidence),
+                        ThreadLocalRandom.current());
         List<TargetView> targets = view.targets(service.name(), version);
         TargetChoice choice =
                 TargetChooser.choose(
@@ -193,7 +198,7 @@
                 .thenCompose(
                         sent -> {
                             long micros = (System.nanoTime() - begunNanos) / 1_000;
-                            note(attempts, version, target, sent, micros);
+                            note(attempts, configuration, version, target, sent, micros);
                             return decide(attempts, configuration, version, sent);
                         });
     }
@@ -208,23 +213,22 @@
 
     private void note(
             CallAttempts attempts,
+            MeshConfiguration configuration,
             String version,
             TargetView target,
             SendOutcome sent,
             long micros) {
         boolean reached = sent instanceof SendOutcome.Whole;
         view.ended(target.node(), reached, ProcessClock.monotonicMillis());
-        AttemptOutcome outcome = CallAnswers.outcome(sent);
-        boolean failed =
-                switch (outcome) {
-                    case AttemptOutcome.Answered answered -> answered.status() >= 500;
-                    case AttemptOutcome.MayHaveRun mayHaveRun -> true;
-                    case AttemptOutcome.NotRun notRun -> false;
-                };
-        if (!(outcome instanceof AttemptOutcome.NotRun)) {
-            evidence.add(
-                    attempts.route().service(), version, attempts.route().name(), failed, micros);
-        }
+        RolloutObserver.note(
+                attempts,
+                configuration,
+                version,
+                target,
+                CallAnswers.outcome(sent),
+                micros,
+                view,
+                evidence);
     }
 
     private CompletableFuture<HttpAnswer> decide(
--- a/node/src/main/java/org/cuminreach/node/caller/EvidenceLog.java
+++ b/node/src/main/java/org/cuminreach/node/caller/EvidenceLog.java
@@ -4,11 +4,31 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cuminreach.decisions.rollout.CallCounter;
+import org.cuminreach.decisions.rollout.CallResult;
 import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.decisions.rollout.EvidenceKey;
+import org.cuminreach.decisions.rollout.VersionGuard;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** What this node's calls met, until it is sent to the control. Safe for several threads. */
+/**
+ * What this node's calls met of services with a rollout, until it is sent to the control, and the
+ * node's own guards of their new versions. Bounded. Safe for several threads: each counter and each
+ * guard is used under a lock of its own.
+ */
 public final class EvidenceLog {
-    private final Map<String, Evidence> seen = new ConcurrentHashMap<>();
+    private static final Logger LOGGER = LoggerFactory.getLogger(EvidenceLog.class);
+    private static final int MOST_KEYS = 256;
+    private static final int MOST_GUARDS = 256;
+
+    /** A new version of a service. */
+    private record NewVersion(String service, String version) {}
+
+    private final Map<EvidenceKey, CallCounter> counters = new ConcurrentHashMap<>();
+    private final Map<NewVersion, VersionGuard> guards = new ConcurrentHashMap<>();
+    private final AtomicLong takenMillis = new AtomicLong();
 
     private EvidenceLog() {}
 
@@ -24,30 +44,85 @@
     /**
      * Adds one call.
      *
-     * @param service name of the service
-     * @param version version that the call was sent to
-     * @param route name of the route
-     * @param failed true when it failed at the target
+     * @param key what the call was sent to
+     * @param newVersion version that the service's rollout moves to
+     * @param result how it ended
      * @param micros time it took, in microseconds
+     * @param readyTargets how many targets of the call's version are ready
+     * @param nowMillis present time
+     */
+    public void add(
+            EvidenceKey key,
+            String newVersion,
+            CallResult result,
+            long micros,
+            int readyTargets,
+            long nowMillis) {
+        if (counters.size() < MOST_KEYS || counters.containsKey(key)) {
+            counters.compute(key, (same, counter) -> counted(counter, result, micros));
+        }
+        NewVersion guarded = new NewVersion(key.service(), newVersion);
+        if (guards.size() >= MOST_GUARDS && !guards.containsKey(guarded)) {
+            guards.clear();
+        }
+        VersionGuard guard = guards.computeIfAbsent(guarded, absent -> VersionGuard.open());
+        synchronized (guard) {
+            if (!key.version().equals(newVersion)) {
+                guard.noteOld(result, micros);
+                return;
+            }
+            if (guard.noteNew(key.target(), result, micros, readyTargets, nowMillis)) {
+                LOGGER.warn(
+                        "event=version_guarded service={} version={} route={} result={}"
+                                + " reason=own_evidence",
+                        key.service(),
+                        key.version(),
+                        key.route(),
+                        result);
+            }
+        }
+    }
+
+    /**
+     * Tells whether this node keeps its calls off a new version.
+     *
+     * @param service name of the service
+     * @param version name of the version
+     * @param nowMillis present time
+     * @return true while it does
      */
-    public void add(String service, String version, String route, boolean failed, long micros) {
-        Evidence one = new Evidence(service, version, route, 1, failed ? 1 : 0, micros);
-        seen.merge(service + "/" + version + "/" + route, one, Evidence::plus);
+    public boolean isGuarded(String service, String version, long nowMillis) {
+        VersionGuard guard = guards.get(new NewVersion(service, version));
+        if (guard == null) {
+            return false;
+        }
+        synchronized (guard) {
+            return guard.isGuarding(nowMillis);
+        }
     }
 
     /**
      * Takes everything out.
      *
+     * @param nowMillis present time
      * @return the evidence since the last call
      */
-    public List<Evidence> take() {
+    public List<Evidence> take(long nowMillis) {
+        long spanMillis = nowMillis - takenMillis.getAndSet(nowMillis);
         List<Evidence> taken = new ArrayList<>();
-        for (String key : seen.keySet()) {
-            Evidence evidence = seen.remove(key);
-            if (evidence != null) {
-                taken.add(evidence);
+        for (EvidenceKey key : counters.keySet()) {
+            CallCounter counter = counters.remove(key);
+            if (counter != null) {
+                boolean guarded = isGuarded(key.service(), key.version(), nowMillis);
+                taken.add(new Evidence(key, counter.counts(), spanMillis, guarded));
             }
         }
         return taken;
     }
+
+    private static CallCounter counted(CallCounter known, CallResult result, long micros) {
+        CallCounter counter = known == null ? CallCounter.zero() : known;
+        counter.note(result, micros);
+        return counter;
+    }
 }
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
@@ -0,0 +1,98 @@
+package org.cuminreach.node.caller;
+
+import java.util.Optional;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.decisions.retry.AttemptOutcome;
+import org.cuminreach.decisions.rollout.CallResult;
+import org.cuminreach.decisions.rollout.EvidenceKey;
+import org.cuminreach.decisions.rollout.RolloutJudge;
+import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.decisions.routing.VersionAvailability;
+import org.cuminreach.document.Service;
+import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.runtime.ProcessClock;
+
+/** Brings what calls meet to the evidence, as far as a rollout of their service is judged. */
+final class RolloutObserver {
+    private static final int LOWEST_FAILURE_STATUS = 500;
+    private static final String TIMEOUT = "timeout";
+
+    private RolloutObserver() {}
+
+    static VersionAvailability availability(
+            String service, CallAttempts attempts, MeshView view, EvidenceLog evidence) {
+        return new VersionAvailability() {
+            @Override
+            public boolean isReady(String version) {
+                return view.targets(service, version).stream()
+                        .anyMatch(target -> !attempts.tried().contains(target.node()));
+            }
+
+            @Override
+            public boolean isGuarded(String version) {
+                return evidence.isGuarded(service, version, ProcessClock.wallMillis());
+            }
+        };
+    }
+
+    static void note(
+            CallAttempts attempts,
+            MeshConfiguration configuration,
+            String version,
+            TargetView target,
+            AttemptOutcome outcome,
+            long micros,
+            MeshView view,
+            EvidenceLog evidence) {
+        String service = attempts.route().service();
+        long wallMillis = ProcessClock.wallMillis();
+        Optional<String> newVersion = judgedVersion(configuration, service, wallMillis);
+        boolean failedElsewhere =
+                attempts.mayHaveRun() && outcome instanceof AttemptOutcome.MayHaveRun;
+        if (newVersion.isEmpty() || failedElsewhere) {
+            return;
+        }
+        evidence.add(
+                new EvidenceKey(
+                        service,
+                        version,
+                        attempts.route().name(),
+                        target.node(),
+                        target.dataCentre()),
+                newVersion.get(),
+                result(outcome),
+                micros,
+                view.targets(service, version).size(),
+                wallMillis);
+    }
+
+    private static Optional<String> judgedVersion(
+            MeshConfiguration configuration, String service, long wallMillis) {
+        Optional<RolloutProgress> progress = configuration.rollout(service);
+        return configuration
+                .document()
+                .service(service)
+                .flatMap(Service::rollout)
+                .filter(
+                        wanted ->
+                                progress.filter(
+                                                known ->
+                                                        RolloutJudge.isJudged(
+                                                                wanted, known, wallMillis))
+                                        .isPresent())
+                .map(wanted -> wanted.version());
+    }
+
+    private static CallResult result(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case AttemptOutcome.Answered answered ->
+                    answered.status() >= LOWEST_FAILURE_STATUS
+                            ? CallResult.FAILED
+                            : CallResult.ANSWERED;
+            case AttemptOutcome.MayHaveRun lost ->
+                    lost.reason().equals(TIMEOUT) ? CallResult.TIMED_OUT : CallResult.LOST;
+            case AttemptOutcome.NotRun notRun -> CallResult.REFUSED;
+        };
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -17,6 +17,7 @@
 import org.cuminreach.settings.Fault;
 import org.cuminreach.settings.Reading;
 import org.cuminreach.wire.ConfigurationCodec;
+import org.cuminreach.wire.EvidenceCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameConnection;
@@ -127,9 +128,9 @@
         }
         open.send(Frame.heartbeat(new Heartbeat(wallMillis)));
         if (welcomed) {
-            List<Evidence> taken = evidence.take();
+            List<Evidence> taken = evidence.take(wallMillis);
             if (!taken.isEmpty()) {
-                open.send(MembershipCodec.toEvidenceFrame(taken));
+                open.send(EvidenceCodec.toFrame(taken));
             }
         }
     }
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/rollout/FakeAnswer.java
@@ -0,0 +1,6 @@
+package org.cuminreach.trial.rollout;
+
+import org.cuminreach.decisions.rollout.CallResult;
+
+/** What the fake answers; badness is that of the new version itself. */
+record FakeAnswer(CallResult result, long micros, boolean badness) {}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/rollout/FixedStepsPolicy.java
@@ -0,0 +1,121 @@
+package org.cuminreach.trial.rollout;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminreach.decisions.configuration.RolloutPhase;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.decisions.rollout.CallCounts;
+import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.decisions.rollout.Verdict;
+import org.cuminreach.document.Rollout;
+
+/** The plain baseline: fixed steps of share against fixed thresholds on failures and means. */
+final class FixedStepsPolicy implements RolloutPolicy {
+    private static final int[] STEPS_PER_MILLE = {10, 50, 250, 1_000};
+    private static final long SHORTEST_STEP_MILLIS = 2_000;
+    private static final long FEWEST_CALLS = 20;
+    private static final double FAILURE_MARGIN = 0.05;
+    private static final double SLOWNESS_FACTOR = 2.0;
+
+    /** Counts of one version on one route since the latest step. */
+    private static final class Sum {
+        private long calls;
+        private long failures;
+        private long micros;
+
+        private void add(CallCounts counts) {
+            calls += counts.reached();
+            failures += counts.failures() + counts.losses() + counts.timeouts();
+            micros += counts.totalMicros();
+        }
+
+        private double failureShare() {
+            return (double) failures / calls;
+        }
+
+        private double meanMicros() {
+            return (double) micros / calls;
+        }
+    }
+
+    private final Map<String, Map<String, Sum>> byVersion = new HashMap<>();
+
+    @Override
+    public void add(List<Evidence> evidence, long nowMillis) {
+        for (Evidence seen : evidence) {
+            byVersion
+                    .computeIfAbsent(seen.key().version(), version -> new HashMap<>())
+                    .computeIfAbsent(seen.key().route(), route -> new Sum())
+                    .add(seen.counts());
+        }
+    }
+
+    @Override
+    public boolean guarded() {
+        return false;
+    }
+
+    @Override
+    public Verdict judge(Rollout wanted, RolloutProgress progress, long nowMillis) {
+        if (progress.phase() != RolloutPhase.MOVING) {
+            return new Verdict.Wait();
+        }
+        Verdict verdict = verdict(wanted, progress, nowMillis);
+        if (!(verdict instanceof Verdict.Wait)) {
+            byVersion.clear();
+        }
+        return verdict;
+    }
+
+    private Verdict verdict(Rollout wanted, RolloutProgress progress, long nowMillis) {
+        Map<String, Sum> fresh = byVersion.getOrDefault(progress.version(), Map.of());
+        if (isBad(progress.version(), fresh)) {
+            return new Verdict.TakeBack("over a threshold");
+        }
+        if (progress.sharePerMille() == 0) {
+            return new Verdict.Advance(nextShare(progress), "first step");
+        }
+        long calls = fresh.values().stream().mapToLong(sum -> sum.calls).sum();
+        boolean ended = nowMillis - progress.steppedMillis() >= SHORTEST_STEP_MILLIS;
+        if (!ended || calls < FEWEST_CALLS) {
+            return new Verdict.Wait();
+        }
+        return progress.sharePerMille() >= wanted.sharePerMille()
+                ? new Verdict.Done("good")
+                : new Verdict.Advance(nextShare(progress), "good");
+    }
+
+    private static int nextShare(RolloutProgress progress) {
+        for (int step : STEPS_PER_MILLE) {
+            if (step > progress.sharePerMille()) {
+                return step;
+            }
+        }
+        return STEPS_PER_MILLE[STEPS_PER_MILLE.length - 1];
+    }
+
+    private boolean isBad(String version, Map<String, Sum> fresh) {
+        for (Map.Entry<String, Sum> route : fresh.entrySet()) {
+            Sum sum = route.getValue();
+            if (sum.calls < FEWEST_CALLS) {
+                continue;
+            }
+            Optional<Sum> old =
+                    byVersion.entrySet().stream()
+                            .filter(other -> !other.getKey().equals(version))
+                            .map(other -> other.getValue().get(route.getKey()))
+                            .filter(known -> known != null && known.calls >= FEWEST_CALLS)
+                            .findFirst();
+            double before = old.map(Sum::failureShare).orElse(0.0);
+            boolean fails = sum.failureShare() > before + FAILURE_MARGIN;
+            boolean slow =
+                    old.isPresent() && sum.meanMicros() > SLOWNESS_FACTOR * old.get().meanMicros();
+            if (fails || slow) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/trial/src/main/java/org/cuminreach/trial/rollout/Scenario.java
@@ -0,0 +1,44 @@
+package org.cuminreach.trial.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminreach.document.RolloutPriority;
+
+/** One rollout to drive. */
+record Scenario(
+        VersionKind kind, Traffic traffic, boolean tight, RolloutPriority priority, int seed) {
+    private static final long TIGHT_MILLIS = 90_000;
+    private static final long LOOSE_MILLIS = 600_000;
+    private static final long AFTER_MILLIS = 180_000;
+
+    static List<Scenario> all(int firstSeed, int seeds) {
+        List<Scenario> scenarios = new ArrayList<>();
+        for (VersionKind kind : VersionKind.values()) {
+            for (Traffic traffic : Traffic.values()) {
+                if (kind == VersionKind.FAILS_UNDER_LOAD && traffic == Traffic.LOW) {
+                    continue;
+                }
+                for (RolloutPriority priority : RolloutPriority.values()) {
+                    for (boolean tight : List.of(true, false)) {
+                        for (int seed = firstSeed; seed < firstSeed + seeds; seed++) {
+                            scenarios.add(new Scenario(kind, traffic, tight, priority, seed));
+                        }
+                    }
+                }
+            }
+        }
+        return scenarios;
+    }
+
+    long doneByMillis() {
+        return tight ? TIGHT_MILLIS : LOOSE_MILLIS;
+    }
+
+    long endMillis() {
+        return doneByMillis() + AFTER_MILLIS;
+    }
+
+    long randomSeed() {
+        return ((seed * 31L + kind.ordinal()) * 31 + traffic.ordinal()) * 31 + (tight ? 1 : 0);
+    }
+}
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -47,7 +47,11 @@
   1: required string node, 2: required i64 incarnation, 3: required i64 sequence, 4: required string serviceName,
   5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase
 }
-struct EvidenceStruct { 1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros }
+struct EvidenceStruct {
+  1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros,
+  7: optional string target, 8: optional string dataCentre, 9: optional i64 losses, 10: optional i64 timeouts, 11: optional i64 refusals,
+  12: optional i32 firstLatencyBucket, 13: optional list<i64> latencyCounts, 14: optional i64 spanMillis, 15: optional bool guarded
+}
 
 # ---- between controls ----
 struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
--- a/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
@@ -5,14 +5,11 @@
 import java.util.List;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
-import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.wire.generated.AnnouncementBatch;
 import org.cuminreach.wire.generated.AnnouncementStruct;
-import org.cuminreach.wire.generated.EvidenceBatch;
-import org.cuminreach.wire.generated.EvidenceStruct;
 import org.cuminreach.wire.generated.Frame;
 
-/** Converts announcements of targets and evidence of versions. */
+/** Converts announcements of targets. */
 public final class MembershipCodec {
     private MembershipCodec() {}
 
@@ -44,48 +41,6 @@
         return announcements;
     }
 
-    /**
-     * Converts evidence to a frame.
-     *
-     * @param evidence the evidence
-     * @return the frame
-     */
-    public static Frame toEvidenceFrame(Collection<Evidence> evidence) {
-        return Frame.evidence(
-                new EvidenceBatch(
-                        evidence.stream()
-                                .map(
-                                        seen ->
-                                                new EvidenceStruct(
-                                                        seen.service(),
-                                                        seen.version(),
-                                                        seen.route(),
-                                                        seen.calls(),
-                                                        seen.failures(),
-                                                        seen.totalMicros()))
-                                .toList()));
-    }
-
-    /**
-     * Converts a batch to its evidence.
-     *
-     * @param batch the batch
-     * @return the evidence
-     */
-    public static List<Evidence> toEvidence(EvidenceBatch batch) {
-        return batch.getEvidence().stream()
-                .map(
-                        struct ->
-                                new Evidence(
-                                        struct.getServiceName(),
-                                        struct.getVersion(),
-                                        struct.getRoute(),
-                                        struct.getCalls(),
-                                        struct.getFailures(),
-                                        struct.getTotalMicros()))
-                .toList();
-    }
-
     private static AnnouncementStruct toStruct(Announcement announcement) {
         return new AnnouncementStruct(
                 announcement.node(),
