Prove the rollout rules by properties; judge nothing where the old version is all bad

Past the set time a step could come before the report that the rollout is late, and just before it a thin step came in the way of finishing (red in thinEvidenceAtTheSetTimeFollowsThePriority). Ruled out: a higher cap, which only slows the same drift.

Change: spans in which 90% of the old version's calls are expected bad tell nothing; at the set time its rule comes first; thin steps need a leader that has listened for 10 s; sliding sums in place of repeated ones.

--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/CallCounter.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/CallCounter.java
@@ -9,6 +9,7 @@
     private long timeouts;
     private long refusals;
     private long totalMicros;
+    private long timed;
 
     private CallCounter() {}
 
@@ -54,11 +55,14 @@
         totalMicros += counts.totalMicros();
         int known = Math.min(latencies.length, counts.latencies().size());
         for (int index = 0; index < known; index++) {
-            latencies[index] += counts.latencies().get(index);
+            long count = counts.latencies().get(index);
+            latencies[index] += count;
+            timed += count;
         }
     }
 
     void add(CallCounter other) {
+        timed += other.timed;
         answered += other.answered;
         failures += other.failures;
         losses += other.losses;
@@ -70,6 +74,19 @@
         }
     }
 
+    void subtract(CallCounter other) {
+        timed -= other.timed;
+        answered -= other.answered;
+        failures -= other.failures;
+        losses -= other.losses;
+        timeouts -= other.timeouts;
+        refusals -= other.refusals;
+        totalMicros -= other.totalMicros;
+        for (int index = 0; index < latencies.length; index++) {
+            latencies[index] -= other.latencies[index];
+        }
+    }
+
     /**
      * Returns what was counted.
      *
@@ -111,12 +128,9 @@
         return slower;
     }
 
+    /** Counts calls whose time is known, timeouts among them. */
     long timed() {
-        long sum = timeouts;
-        for (long count : latencies) {
-            sum += count;
-        }
-        return sum;
+        return timed + timeouts;
     }
 
     /** Finds the bucket that holds a quantile of the answer times, timeouts counted as longest. */
@@ -136,5 +150,6 @@
         answered++;
         totalMicros += micros;
         latencies[LatencyBuckets.indexOf(micros)]++;
+        timed++;
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
@@ -15,7 +15,7 @@
  */
 public final class EvidenceLedger {
     private static final long SLOT_MILLIS = 2_000;
-    private static final int MOST_SLOTS = 64;
+    private static final int MOST_SLOTS = 40;
     private static final int MOST_SERVICES = 1_024;
     private static final long LONGEST_SPAN_MILLIS = 30_000;
     private static final long COLD_CALLS = 20;
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
@@ -50,6 +50,9 @@
         if (progress.phase() == RolloutPhase.DONE) {
             return new Verdict.Wait();
         }
+        if (isAtSetTime(wanted, progress, nowMillis)) {
+            return atSetTime(wanted, progress, ledger, assessment, nowMillis);
+        }
         boolean guarded = !slots.isEmpty() && slots.getLast().isGuarded(progress.version());
         Optional<Verdict> step =
                 assessment.suspicion() > SUSPICION || guarded
@@ -74,6 +77,13 @@
         return progress.phase().isMoving() || watched;
     }
 
+    private static boolean isAtSetTime(Rollout wanted, RolloutProgress progress, long nowMillis) {
+        long left = wanted.doneBy().toEpochMilli() - nowMillis;
+        boolean finishes = wanted.criteria().thinEvidence() == ThinEvidence.FINISH;
+        return progress.phase() == RolloutPhase.MOVING
+                && (left <= 0 || finishes && left <= FINISHING_MILLIS);
+    }
+
     /** Badness that only one of several targets shows is a fault of that target. */
     private static Assessment assess(List<EvidenceSlot> slots, String version, Rollout wanted) {
         VersionComparison comparison = VersionComparison.of(slots, version, wanted.criteria());
@@ -123,7 +133,9 @@
         if (isProven(wanted, progress, slots, assessment)) {
             return Optional.of(forward(wanted, progress, progress.sharePerMille(), assessment));
         }
-        return thinStep(wanted, progress, assessment, callsPerMilli, allowed);
+        return nowMillis - ledger.openedMillis() < LISTENING_MILLIS
+                ? Optional.empty()
+                : thinStep(wanted, progress, assessment, callsPerMilli, allowed);
     }
 
     private static long dwell(RolloutProgress progress, long allowed) {
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
@@ -20,6 +20,7 @@
     private static final double TAIL = 0.95;
     private static final double MIDDLE = 0.5;
     private static final double SLOWNESS_MARGIN = 0.05;
+    private static final double TELLING_EXPECTATION = 0.9;
     private static final int STALE_EXTRA_BUCKETS = 1;
     private static final double OVERLOAD_REFUSALS = 0.05;
     private static final double OVERLOAD_FAILURES = 0.05;
@@ -160,8 +161,8 @@
             margin += OVERLOAD_FAILURES;
         }
         double expected = history.expectedFailures(slot, key.dataCentre(), margin);
-        trials.get(Kind.FAILURES)
-                .add(new Trial(slot, key, events, counter.failures() + losses, expected));
+        addTrial(
+                Kind.FAILURES, new Trial(slot, key, events, counter.failures() + losses, expected));
     }
 
     private void addSlowness(
@@ -175,8 +176,14 @@
         int extra = history.isConcurrent(slot) ? 0 : STALE_EXTRA_BUCKETS;
         int bucket = history.quantileBucket(slot, quantile) + span + extra;
         double expected = history.expectedSlower(slot, key.dataCentre(), bucket, SLOWNESS_MARGIN);
-        trials.get(kind)
-                .add(new Trial(slot, key, counter.timed(), counter.slowerThan(bucket), expected));
+        addTrial(kind, new Trial(slot, key, counter.timed(), counter.slowerThan(bucket), expected));
+    }
+
+    /** Where nearly all calls of the old version are bad, the new one's tell nothing. */
+    private void addTrial(Kind kind, Trial trial) {
+        if (trial.expected() < TELLING_EXPECTATION) {
+            trials.get(kind).add(trial);
+        }
     }
 
     private Map<String, Long> countedCalls(Optional<String> without) {
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/rollout/RolloutJudgeTest.java
@@ -0,0 +1,203 @@
+package org.cuminreach.decisions.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.NEW;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.OLD;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.calls;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.ledger;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.progress;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.wanted;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cuminreach.decisions.configuration.RolloutPhase;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.document.Rollout;
+import org.cuminreach.document.RolloutCriteria;
+import org.cuminreach.document.RolloutPriority;
+
+class RolloutJudgeTest {
+    private static final long MICROS = 4_000;
+    private static final long FAR_MILLIS = 3_600_000;
+    private static final long TICK_MILLIS = 500;
+
+    /** Any mix of calls, failures and silence, as long as the set time is far. */
+    @Property(seed = "21", tries = 150)
+    void shareNeverExceedsWhatTheCallsAllow(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 0, max = 60) int rate,
+            @ForAll RolloutPriority priority) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Rollout wanted = wanted(priority, FAR_MILLIS);
+        EvidenceLedger ledger = ledger(0);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 0, 0);
+        long newCalls = 0;
+        for (long now = 0; now < 120_000; now += TICK_MILLIS) {
+            int answered = random.nextInt(rate + 1);
+            int fresh = random.nextInt(2 + answered * progress.sharePerMille() / 1_000);
+            int failed = random.nextInt(40) == 0 ? 1 : 0;
+            ledger.add(calls(OLD, answered, failed, MICROS), now);
+            ledger.add(calls(NEW, fresh, failed, MICROS), now);
+            newCalls += fresh + failed;
+            if (RolloutJudge.judge(wanted, progress, ledger, now)
+                    instanceof Verdict.Advance advance) {
+                int bound = bound(newCalls, rate, wanted.criteria());
+                assertThat(advance.sharePerMille()).isAtMost(bound);
+                progress = progress(RolloutPhase.MOVING, advance.sharePerMille(), now);
+            }
+        }
+    }
+
+    private static int bound(long calls, int rate, RolloutCriteria criteria) {
+        int bound = 10;
+        for (int stage : new int[] {10, 50, 200, 500}) {
+            if (calls >= RolloutPace.callsNeeded(stage, criteria)) {
+                bound = RolloutPace.nextStage(stage);
+            }
+        }
+        double callsPerMilli = rate < 4 ? 0 : 0.004;
+        return Math.max(bound, RolloutPace.thinShare(calls, callsPerMilli, criteria));
+    }
+
+    @Property(seed = "22", tries = 100)
+    void newLeaderDoesNotStepOnThinEvidence(
+            @ForAll @IntRange(min = 0, max = 200) int oldCalls,
+            @ForAll @IntRange(min = 0, max = 4) int newCalls,
+            @ForAll @IntRange(min = 50, max = 500) int share,
+            @ForAll @IntRange(min = -60, max = 60) int secondsLeft,
+            @ForAll RolloutPriority priority) {
+        long now = 1_000_000;
+        Rollout wanted = wanted(priority, now + secondsLeft * 1_000L);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, share, now - 60_000);
+        EvidenceLedger ledger = ledger(now - 5_000);
+        ledger.add(calls(OLD, oldCalls, 0, MICROS), now - 2_000);
+        ledger.add(calls(NEW, newCalls, 0, MICROS), now - 1_000);
+
+        Verdict verdict = RolloutJudge.judge(wanted, progress, ledger, now);
+
+        assertThat(verdict).isNotInstanceOf(Verdict.Advance.class);
+        assertThat(verdict).isNotInstanceOf(Verdict.Done.class);
+        assertThat(verdict).isNotInstanceOf(Verdict.TakeBack.class);
+    }
+
+    @Property(seed = "23", tries = 200)
+    void moreFailuresNeverTurnBadIntoGood(
+            @ForAll @IntRange(min = 1, max = 60) int calls,
+            @ForAll @IntRange(min = 0, max = 60) int failures) {
+        int failed = Math.min(calls, failures);
+        boolean bad = isTakenBack(calls - failed, failed);
+        boolean worse = failed < calls && isTakenBack(calls - failed - 1, failed + 1);
+
+        assertThat(bad && failed < calls && !worse).isFalse();
+    }
+
+    @Example
+    void versionThatFailsAtOnceIsTakenBackWithinFewCalls() {
+        assertThat(isTakenBack(0, 4)).isTrue();
+        assertThat(isTakenBack(20, 0)).isFalse();
+    }
+
+    private static boolean isTakenBack(int answered, int failed) {
+        EvidenceLedger ledger = ledger(0);
+        ledger.add(calls(OLD, 300, 1, MICROS), 100_000);
+        ledger.add(calls(NEW, answered, failed, MICROS), 100_500);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 10, 90_000);
+        return RolloutJudge.judge(
+                        wanted(RolloutPriority.SAFETY, FAR_MILLIS), progress, ledger, 101_000)
+                instanceof Verdict.TakeBack;
+    }
+
+    @Property(seed = "24", tries = 50)
+    void verdictsAreDeterministic(@ForAll long seed) {
+        assertThat(replay(seed)).isEqualTo(replay(seed));
+    }
+
+    private static String replay(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        EvidenceLedger ledger = ledger(0);
+        Rollout wanted = wanted(RolloutPriority.SAFETY, 60_000);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 50, 0);
+        StringBuilder verdicts = new StringBuilder();
+        for (long now = 0; now < 70_000; now += 1_000) {
+            ledger.add(calls(OLD, "old-" + random.nextInt(3), 20, 0, MICROS), now);
+            ledger.add(calls(NEW, "new-" + random.nextInt(3), 3, random.nextInt(2), MICROS), now);
+            verdicts.append(RolloutJudge.judge(wanted, progress, ledger, now)).append('\n');
+        }
+        return verdicts.toString();
+    }
+
+    @Property(seed = "25", tries = 60)
+    void overloadOfBothVersionsCondemnsNeither(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        EvidenceLedger ledger = ledger(0);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 500, 0);
+        for (long now = 0; now < 60_000; now += TICK_MILLIS) {
+            boolean overloaded = now >= 20_000;
+            long micros = (overloaded ? 8 : 1) * MICROS;
+            ledger.add(calls(OLD, 18, overloaded ? random.nextInt(3) : 0, micros), now);
+            ledger.add(calls(NEW, 18, overloaded ? random.nextInt(3) : 0, micros), now);
+            Rollout wanted = wanted(RolloutPriority.SAFETY, FAR_MILLIS);
+            assertThat(RolloutJudge.judge(wanted, progress, ledger, now))
+                    .isNotInstanceOf(Verdict.TakeBack.class);
+        }
+    }
+
+    @Example
+    void oneBadTargetDoesNotCondemnTheVersion() {
+        EvidenceLedger ledger = ledger(0);
+        for (long now = 0; now < 60_000; now += TICK_MILLIS) {
+            ledger.add(calls(OLD, 20, 0, MICROS), now);
+            ledger.add(calls(NEW, "new-0", 0, 1, MICROS), now);
+            ledger.add(calls(NEW, "new-1", 1, 0, MICROS), now);
+            ledger.add(calls(NEW, "new-2", 1, 0, MICROS), now);
+            RolloutProgress progress = progress(RolloutPhase.MOVING, 50, 0);
+            assertThat(
+                            RolloutJudge.judge(
+                                    wanted(RolloutPriority.SAFETY, FAR_MILLIS),
+                                    progress,
+                                    ledger,
+                                    now))
+                    .isNotInstanceOf(Verdict.TakeBack.class);
+        }
+    }
+
+    @Example
+    void slownessAfterDoneIsTakenBack() {
+        EvidenceLedger ledger = ledger(0);
+        ledger.add(calls(OLD, 300, 0, MICROS), 0);
+        ledger.add(calls(NEW, 30, 0, MICROS), 500);
+        ledger.add(calls(NEW, 30, 0, 8 * MICROS), 4_000);
+        RolloutProgress progress = progress(RolloutPhase.DONE, 1_000, 2_000);
+
+        Verdict verdict =
+                RolloutJudge.judge(
+                        wanted(RolloutPriority.PUNCTUALITY, 3_000), progress, ledger, 4_500);
+
+        assertThat(verdict).isInstanceOf(Verdict.TakeBack.class);
+    }
+
+    @Example
+    void thinEvidenceAtTheSetTimeFollowsThePriority() {
+        long now = 100_000;
+        EvidenceLedger ledger = ledger(0);
+        ledger.add(calls(OLD, 3, 0, MICROS), 50_000);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 10, 10_000);
+
+        assertThat(
+                        RolloutJudge.judge(
+                                wanted(RolloutPriority.SAFETY, now - 1), progress, ledger, now))
+                .isInstanceOf(Verdict.Late.class);
+        assertThat(
+                        RolloutJudge.judge(
+                                wanted(RolloutPriority.PUNCTUALITY, now + 5_000),
+                                progress,
+                                ledger,
+                                now))
+                .isEqualTo(
+                        new Verdict.Advance(
+                                1_000, "the set time is near and no badness has shown"));
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/rollout/SequentialTestTest.java
@@ -0,0 +1,53 @@
+package org.cuminreach.decisions.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+
+class SequentialTestTest {
+    private static final int RUNS = 2_000;
+    private static final int SPANS = 40;
+    private static final int EVENTS = 10;
+    private static final double EXPECTED = 0.05;
+
+    /** The stated chance of a false alarm holds although every span is looked at. */
+    @Example
+    void falseAlarmsStayUnderTheStatedChance() {
+        double stated = 0.05;
+        SplittableRandom random = new SplittableRandom(31);
+        int alarms = 0;
+        for (int run = 0; run < RUNS; run++) {
+            alarms += raisesAlarm(random, EXPECTED, stated) ? 1 : 0;
+        }
+        assertThat((double) alarms / RUNS).isAtMost(stated);
+    }
+
+    @Example
+    void badnessIsFound() {
+        SplittableRandom random = new SplittableRandom(32);
+        int found = 0;
+        for (int run = 0; run < RUNS; run++) {
+            found += raisesAlarm(random, 0.25, 0.01) ? 1 : 0;
+        }
+        assertThat((double) found / RUNS).isAtLeast(0.99);
+    }
+
+    private static boolean raisesAlarm(SplittableRandom random, double share, double stated) {
+        long[] bad = new long[SPANS];
+        for (int last = 0; last < SPANS; last++) {
+            for (int event = 0; event < EVENTS; event++) {
+                bad[last] += random.nextDouble() < share ? 1 : 0;
+            }
+            SequentialTest test = SequentialTest.of(Alternatives.OF_FAILURES);
+            for (int span = last; span >= 0; span--) {
+                test.add(EVENTS, bad[span], EXPECTED);
+                test.endSpan();
+            }
+            if (test.isBad(stated, SPANS)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
