Give the other targets time to show that one target alone is bad

Cause: with two targets, 12 calls to the bad one came before 12 to the other about as often as not, and the version was taken back. Ruled out: a lower suspicion for the rest, which hides versions that fail seldom.

Change: eight calls to the others clear the version, forty to the bad target alone condemn it.

--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
@@ -19,7 +19,8 @@
     private static final long FIRST_LOOK_MILLIS = 3_000;
     private static final long LISTENING_MILLIS = 10_000;
     private static final long FINISHING_MILLIS = 8_000;
-    private static final long TARGET_FAULT_CALLS = 12;
+    private static final long TARGET_FAULT_CALLS = 8;
+    private static final long MOST_CALLS_TO_BAD_TARGET = 40;
     private static final double TARGET_FAULT_SUSPICION = 6.0;
     private static final long ROUTE_CALLS = 4;
     private static final int ROUTE_SHARE_PER_MILLE = 200;
@@ -106,7 +107,7 @@
         if (others) {
             return rest;
         }
-        boolean waitedEnough = ofTarget >= TARGET_FAULT_CALLS;
+        boolean waitedEnough = ofTarget >= MOST_CALLS_TO_BAD_TARGET;
         return waitedEnough
                 ? whole
                 : new Assessment(Optional.empty(), whole.suspicion(), rest.calls());
