Compare at like load also where the old version takes calls no more

Cause: a rollout done during overload was judged for its watch by what the old version did under overload, which hid a version twice as slow.

Change: slots know overload by the refusals of the whole service; older evidence of overload is dropped rather than merged into calm one; windows are in time; the reference reaches back over calm slots only for a calm slot.

--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceLedger.java
@@ -89,6 +89,17 @@
         return services.getOrDefault(service, List.of());
     }
 
+    /** Calm evidence is kept apart from that of overload, of which the oldest is dropped. */
+    private static void mergeOldest(List<EvidenceSlot> slots) {
+        boolean firstOverloaded = slots.get(0).isOverloaded();
+        boolean secondOverloaded = slots.get(1).isOverloaded();
+        if (firstOverloaded == secondOverloaded) {
+            slots.get(0).absorb(slots.remove(1));
+        } else {
+            slots.remove(firstOverloaded ? 0 : 1);
+        }
+    }
+
     private Evidence withoutColdTimes(Evidence evidence) {
         EvidenceKey key = evidence.key();
         if (!key.version().equals(newVersions.get(key.service()))) {
@@ -119,8 +130,7 @@
             slots.add(new EvidenceSlot(start, start + SLOT_MILLIS));
         }
         if (slots.size() > MOST_SLOTS) {
-            EvidenceSlot second = slots.remove(1);
-            slots.getFirst().absorb(second);
+            mergeOldest(slots);
         }
         return slots.getLast();
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceSlot.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/EvidenceSlot.java
@@ -8,6 +8,7 @@
 /** Evidence of one service over one span of time. */
 final class EvidenceSlot {
     private static final int MOST_CELLS = 512;
+    private static final double OVERLOAD_REFUSALS = 0.05;
 
     private final Map<EvidenceKey, CallCounter> cells = new HashMap<>();
     private final Set<EvidenceKey> guarded = new HashSet<>();
@@ -35,6 +36,17 @@
         return guarded.stream().anyMatch(key -> key.version().equals(version));
     }
 
+    /** Tells whether the service shed load. */
+    boolean isOverloaded() {
+        long refusals = 0;
+        long attempts = 0;
+        for (CallCounter counter : cells.values()) {
+            refusals += counter.refusals();
+            attempts += counter.reached() + counter.refusals();
+        }
+        return attempts > 0 && refusals >= OVERLOAD_REFUSALS * attempts;
+    }
+
     /** Adds evidence; a slot that is full takes no new keys. */
     void add(Evidence evidence) {
         EvidenceKey key = evidence.key();
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/OldVersionHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/OldVersionHistory.java
@@ -10,7 +10,7 @@
  * takes no calls any more, its latest calls are what counts.
  */
 final class OldVersionHistory {
-    private static final int WINDOW_SLOTS = 8;
+    private static final long WINDOW_MILLIS = 16_000;
     private static final long FEWEST_CALLS = 10;
     private static final long ENOUGH_CALLS = 60;
     private static final double PRIOR_CALLS = 1.0;
@@ -22,22 +22,28 @@
     private final Map<String, CallCounter[]> counters = new HashMap<>();
     private final Map<String, CallCounter[]> windows = new HashMap<>();
     private final CallCounter[] references;
+    private final List<EvidenceSlot> span;
+    private final boolean[] overloaded;
     private final int slots;
 
-    private OldVersionHistory(int slots) {
-        this.slots = slots;
+    private OldVersionHistory(List<EvidenceSlot> span, boolean[] overloaded) {
+        this.span = span;
+        this.overloaded = overloaded;
+        slots = overloaded.length;
         references = new CallCounter[slots];
     }
 
     /** Returns the history of each route that the old version took calls on. */
     static Map<String, OldVersionHistory> byRoute(List<EvidenceSlot> slots, String newVersion) {
         Map<String, OldVersionHistory> histories = new HashMap<>();
+        boolean[] overloaded = overloaded(slots);
         for (int index = 0; index < slots.size(); index++) {
             for (Map.Entry<EvidenceKey, CallCounter> cell : slots.get(index).cells().entrySet()) {
                 EvidenceKey key = cell.getKey();
                 if (!key.version().equals(newVersion)) {
                     OldVersionHistory history =
-                            histories.computeIfAbsent(key.route(), route -> unknown(slots));
+                            histories.computeIfAbsent(
+                                    key.route(), route -> new OldVersionHistory(slots, overloaded));
                     history.counter(ALL, index).add(cell.getValue());
                     history.counter(key.dataCentre(), index).add(cell.getValue());
                 }
@@ -47,7 +53,20 @@
     }
 
     static OldVersionHistory unknown(List<EvidenceSlot> slots) {
-        return new OldVersionHistory(slots.size());
+        return new OldVersionHistory(slots, overloaded(slots));
+    }
+
+    /** A slot beside an overloaded one may hold a part of the overload. */
+    private static boolean[] overloaded(List<EvidenceSlot> slots) {
+        boolean[] overloaded = new boolean[slots.size()];
+        for (int index = 0; index < overloaded.length; index++) {
+            if (slots.get(index).isOverloaded()) {
+                overloaded[Math.max(0, index - 1)] = true;
+                overloaded[index] = true;
+                overloaded[Math.min(overloaded.length - 1, index + 1)] = true;
+            }
+        }
+        return overloaded;
     }
 
     /** Tells whether the old version took calls near a slot. */
@@ -59,6 +78,10 @@
         return reference(slot).timed() >= FEWEST_CALLS;
     }
 
+    boolean isOverloaded(int slot) {
+        return overloaded[slot];
+    }
+
     /** Returns the share of calls that are expected to fail anyway. */
     double expectedFailures(int slot, String dataCentre, double margin) {
         double expected = failureShare(reference(slot));
@@ -103,21 +126,31 @@
         return Math.sqrt(share * (1 - share) / calls);
     }
 
-    /** The calls near the slot, reaching further back while they are too few. */
+    /** The calls near the slot, reaching further back, at like load, while they are too few. */
     private CallCounter reference(int slot) {
         if (references[slot] == null) {
-            CallCounter sum = CallCounter.zero();
-            sum.add(window(ALL, slot));
-            int earlier = slot - WINDOW_SLOTS;
-            while (earlier >= 0 && sum.timed() < ENOUGH_CALLS) {
-                sum.add(counters.containsKey(ALL) ? known(ALL, earlier) : NONE);
-                earlier--;
-            }
-            references[slot] = sum;
+            CallCounter alike = earlier(slot, !overloaded[slot]);
+            references[slot] = alike.timed() >= FEWEST_CALLS ? alike : earlier(slot, false);
         }
         return references[slot];
     }
 
+    private CallCounter earlier(int slot, boolean calmOnly) {
+        CallCounter sum = CallCounter.zero();
+        sum.add(window(ALL, slot));
+        for (int earlier = slot - 1; earlier >= 0; earlier--) {
+            boolean alike = !calmOnly || !overloaded[earlier];
+            if (alike && !isNear(earlier, slot) && sum.timed() < ENOUGH_CALLS) {
+                sum.add(known(ALL, earlier));
+            }
+        }
+        return sum;
+    }
+
+    private boolean isNear(int earlier, int slot) {
+        return span.get(earlier).startMillis() > span.get(slot).startMillis() - WINDOW_MILLIS;
+    }
+
     private CallCounter at(int slot) {
         return known(ALL, slot);
     }
@@ -128,12 +161,14 @@
 
     private CallCounter[] slidingWindows(String dataCentre) {
         CallCounter[] sums = new CallCounter[slots];
+        int first = 0;
         for (int slot = 0; slot < slots; slot++) {
             sums[slot] = CallCounter.zero();
             sums[slot].add(slot == 0 ? NONE : sums[slot - 1]);
             sums[slot].add(known(dataCentre, slot));
-            if (slot >= WINDOW_SLOTS) {
-                sums[slot].subtract(known(dataCentre, slot - WINDOW_SLOTS));
+            while (!isNear(first, slot)) {
+                sums[slot].subtract(known(dataCentre, first));
+                first++;
             }
         }
         return sums;
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
@@ -22,7 +22,6 @@
     private static final double SLOWNESS_MARGIN = 0.05;
     private static final double TELLING_EXPECTATION = 0.9;
     private static final int STALE_EXTRA_BUCKETS = 1;
-    private static final double OVERLOAD_REFUSALS = 0.05;
     private static final double OVERLOAD_FAILURES = 0.05;
 
     /** What a test looks at. */
@@ -131,7 +130,7 @@
         targets.add(key.target());
         routes.add(key.route());
         calls.merge(key, counter.reached(), Long::sum);
-        boolean overloaded = !history.isConcurrent(slot) && isOverloaded(counter);
+        boolean overloaded = !history.isConcurrent(slot) && history.isOverloaded(slot);
         addFailures(slot, key, counter, history, overloaded);
         if (counter.timed() > 0 && history.isKnown(slot) && !overloaded) {
             addSlowness(Kind.MIDDLE_SLOWNESS, MIDDLE, slot, key, counter, history);
@@ -139,11 +138,6 @@
         }
     }
 
-    private static boolean isOverloaded(CallCounter counter) {
-        double attempts = counter.reached() + counter.refusals();
-        return counter.refusals() >= OVERLOAD_REFUSALS * attempts;
-    }
-
     /** A target that goes down loses all its calls at once; that is one event. */
     private void addFailures(
             int slot,
