Count calls that a target keeps waiting together as few events

Cause: in the demonstration on a busy machine the good version of verksted was taken back as slower (ratio 19.3 at 500 per mille): a stall of one process keeps all its calls waiting, and each had counted as an event of its own. Ruled out: overload (no refusals of it) and a cold start (657 calls before).

Change: of one target, route and slot at most three events tell of slowness; the trial has a kind whose targets of both versions stall.

--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/VersionComparison.java
@@ -21,6 +21,7 @@
     private static final double MIDDLE = 0.5;
     private static final double SLOWNESS_MARGIN = 0.05;
     private static final double TELLING_EXPECTATION = 0.9;
+    private static final long MOST_TIMED_EVENTS = 3;
     private static final int STALE_EXTRA_BUCKETS = 1;
     private static final double OVERLOAD_FAILURES = 0.05;
 
@@ -159,6 +160,7 @@
                 Kind.FAILURES, new Trial(slot, key, events, counter.failures() + losses, expected));
     }
 
+    /** Calls that a target keeps waiting together are few events, however many they are. */
     private void addSlowness(
             Kind kind,
             double quantile,
@@ -170,7 +172,10 @@
         int extra = history.isConcurrent(slot) ? 0 : STALE_EXTRA_BUCKETS;
         int bucket = history.quantileBucket(slot, quantile) + span + extra;
         double expected = history.expectedSlower(slot, key.dataCentre(), bucket, SLOWNESS_MARGIN);
-        addTrial(kind, new Trial(slot, key, counter.timed(), counter.slowerThan(bucket), expected));
+        long timed = counter.timed();
+        long events = Math.min(timed, MOST_TIMED_EVENTS);
+        long slower = Math.round((double) counter.slowerThan(bucket) * events / timed);
+        addTrial(kind, new Trial(slot, key, events, slower, expected));
     }
 
     /** Where nearly all calls of the old version are bad, the new one's tell nothing. */
--- a/trial/src/main/java/org/cuminreach/trial/rollout/FakeService.java
+++ b/trial/src/main/java/org/cuminreach/trial/rollout/FakeService.java
@@ -30,6 +30,10 @@
     private static final long LATEST_LATER_MILLIS = 150_000;
     private static final long DOWN_MILLIS = 3_000;
 
+    private static final long STALL_EVERY_MILLIS = 30_000;
+    private static final long STALL_MILLIS = 800;
+    private static final long STALL_SHIFT_MILLIS = 7_300;
+
     private final Scenario scenario;
     private final RandomGenerator random;
     private final int newTargets;
@@ -107,6 +111,7 @@
             micros *= OVERLOAD_SLOWNESS;
             failing += OVERLOAD_FAILED;
         }
+        micros += stall(fresh ? target + OLD_TARGETS : target, millis);
         double bad = 0;
         double slowness = 1;
         if (fresh) {
@@ -124,6 +129,13 @@
         return new FakeAnswer(result, (long) Math.min(micros, TIMEOUT_MICROS), slowness > 1);
     }
 
+    /** A target that stands still for a moment keeps all calls of that moment waiting. */
+    private double stall(int target, long millis) {
+        long phase = (millis + target * STALL_SHIFT_MILLIS) % STALL_EVERY_MILLIS;
+        boolean stalls = scenario.kind() == VersionKind.GOOD_STALLS && phase < STALL_MILLIS;
+        return stalls ? (STALL_MILLIS - phase) * 1_000.0 : 0;
+    }
+
     private double coldness(int target) {
         callsOfNew[target]++;
         boolean cold = scenario.kind() == VersionKind.GOOD_COLD && callsOfNew[target] <= COLD_CALLS;
--- a/trial/src/main/java/org/cuminreach/trial/rollout/VersionKind.java
+++ b/trial/src/main/java/org/cuminreach/trial/rollout/VersionKind.java
@@ -7,6 +7,7 @@
     GOOD_ONE_BAD_TARGET(true),
     GOOD_DATA_CENTRE_LOST(true),
     GOOD_POISONOUS_REQUEST(true),
+    GOOD_STALLS(true),
     FAILS_AT_ONCE(false),
     SLOW_AT_ONCE(false),
     FAILS_LATER(false),
