--- a/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
@@ -28,11 +28,13 @@
 
     private final PeerLinks peers;
     private final OperatorView view;
+    private final MembersHandler members;
     private final ConsoleHandler console;
 
     private OperatorHandler(PeerLinks peers, OperatorView view, ConsoleHandler console) {
         this.peers = peers;
         this.view = view;
+        this.members = new MembersHandler(view.replica());
         this.console = console;
     }
 
@@ -55,6 +57,7 @@
             case "POST /documents" -> submit(call);
             case "GET /documents/current" -> now(view.currentDocument());
             case "GET /status" -> now(view.status());
+            case "GET /members", "POST /members" -> members.handle(call);
             case "GET /convergence" -> now(convergence(call));
             case "GET /history" -> now(view.history());
             default -> console.handle(call);
