--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -5,6 +5,7 @@
 import org.cuminreach.decisions.distribution.FeedStep;
 import org.cuminreach.decisions.distribution.NodeFeed;
 import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.wire.EvidenceCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameConnection;
@@ -135,7 +136,7 @@
         }
         switch (frame.getSetField()) {
             case ANNOUNCEMENTS -> announce(frame);
-            case EVIDENCE -> sessions.evidence(MembershipCodec.toEvidence(frame.getEvidence()));
+            case EVIDENCE -> sessions.evidence(EvidenceCodec.toEvidence(frame.getEvidence()));
             case CONFIGURATION_REPORT -> report(frame.getConfigurationReport());
             case HEARTBEAT -> from.send(frame);
             default -> throw new MalformedFrameException("no node sends " + frame.getSetField());
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/OldVersionHistory.java
@@ -0,0 +1,191 @@
+package org.cuminreach.decisions.rollout;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the old version did on one route, slot by slot, as the expectation for the new one: at the
+ * same time, and in the same data centre where that was worse than elsewhere. Where the old version
+ * takes no calls any more, its latest calls are what counts.
+ */
+final class OldVersionHistory {
+    private static final long WINDOW_MILLIS = 16_000;
+    private static final long FEWEST_CALLS = 10;
+    private static final long ENOUGH_CALLS = 60;
+    private static final double PRIOR_CALLS = 1.0;
+    private static final double PRIOR_FAILURES = 0.02;
+    private static final double HIGHEST_EXPECTATION = 0.95;
+    private static final String ALL = "";
+    private static final CallCounter NONE = CallCounter.zero();
+
+    private final Map<String, CallCounter[]> counters = new HashMap<>();
+    private final Map<String, CallCounter[]> windows = new HashMap<>();
+    private final CallCounter[] references;
+    private final List<EvidenceSlot> span;
+    private final boolean[] overloaded;
+    private final int slots;
+
+    private OldVersionHistory(List<EvidenceSlot> span, boolean[] overloaded) {
+        this.span = span;
+        this.overloaded = overloaded;
+        slots = overloaded.length;
+        references = new CallCounter[slots];
+    }
+
+    /** Returns the history of each route that the old version took calls on. */
+    static Map<String, OldVersionHistory> byRoute(List<EvidenceSlot> slots, String newVersion) {
+        Map<String, OldVersionHistory> histories = new HashMap<>();
+        boolean[] overloaded = overloaded(slots);
+        for (int index = 0; index < slots.size(); index++) {
+            for (Map.Entry<EvidenceKey, CallCounter> cell : slots.get(index).cells().entrySet()) {
+                EvidenceKey key = cell.getKey();
+                if (!key.version().equals(newVersion)) {
+                    OldVersionHistory history =
+                            histories.computeIfAbsent(
+                                    key.route(), route -> new OldVersionHistory(slots, overloaded));
+                    history.counter(ALL, index).add(cell.getValue());
+                    history.counter(key.dataCentre(), index).add(cell.getValue());
+                }
+            }
+        }
+        return histories;
+    }
+
+    static OldVersionHistory unknown(List<EvidenceSlot> slots) {
+        return new OldVersionHistory(slots, overloaded(slots));
+    }
+
+    /** A slot beside an overloaded one may hold a part of the overload. */
+    private static boolean[] overloaded(List<EvidenceSlot> slots) {
+        boolean[] overloaded = new boolean[slots.size()];
+        for (int index = 0; index < overloaded.length; index++) {
+            if (slots.get(index).isOverloaded()) {
+                overloaded[Math.max(0, index - 1)] = true;
+                overloaded[index] = true;
+                overloaded[Math.min(overloaded.length - 1, index + 1)] = true;
+            }
+        }
+        return overloaded;
+    }
+
+    /** Tells whether the old version took calls near a slot. */
+    boolean isConcurrent(int slot) {
+        return window(ALL, slot).reached() >= FEWEST_CALLS;
+    }
+
+    boolean isKnown(int slot) {
+        return reference(slot).timed() >= FEWEST_CALLS;
+    }
+
+    boolean isOverloaded(int slot) {
+        return overloaded[slot];
+    }
+
+    /** Returns the share of calls that are expected to fail anyway. */
+    double expectedFailures(int slot, String dataCentre, double margin) {
+        double expected = failureShare(reference(slot));
+        expected = Math.max(expected, shareIfKnown(at(slot)));
+        expected = Math.max(expected, shareIfKnown(window(dataCentre, slot)));
+        return Math.min(HIGHEST_EXPECTATION, expected + margin);
+    }
+
+    /** Returns the bucket that a quantile of the old version's answers lies in. */
+    int quantileBucket(int slot, double quantile) {
+        return reference(slot).quantileBucket(quantile);
+    }
+
+    /** Returns the share of calls that are expected to be slower than a bucket anyway. */
+    double expectedSlower(int slot, String dataCentre, int bucket, double margin) {
+        double expected = slowerShare(reference(slot), bucket);
+        for (CallCounter counter : List.of(at(slot), window(dataCentre, slot))) {
+            if (counter.timed() >= FEWEST_CALLS) {
+                expected = Math.max(expected, slowerShare(counter, bucket));
+            }
+        }
+        return Math.min(HIGHEST_EXPECTATION, expected + margin);
+    }
+
+    private static double shareIfKnown(CallCounter counter) {
+        return counter.reached() >= FEWEST_CALLS ? failureShare(counter) : 0;
+    }
+
+    private static double failureShare(CallCounter counter) {
+        double calls = counter.reached() + PRIOR_CALLS;
+        double share = (counter.failures() + counter.losses() + PRIOR_FAILURES) / calls;
+        return Math.min(1, share + standardError(share, calls));
+    }
+
+    private static double slowerShare(CallCounter counter, int bucket) {
+        double calls = counter.timed() + PRIOR_CALLS;
+        double share = (counter.slowerThan(bucket) + PRIOR_FAILURES) / calls;
+        return Math.min(1, share + standardError(share, calls));
+    }
+
+    private static double standardError(double share, double calls) {
+        return Math.sqrt(share * (1 - share) / calls);
+    }
+
+    /** The calls near the slot, reaching further back, at like load, while they are too few. */
+    private CallCounter reference(int slot) {
+        if (references[slot] == null) {
+            CallCounter alike = earlier(slot, !overloaded[slot]);
+            references[slot] = alike.timed() >= FEWEST_CALLS ? alike : earlier(slot, false);
+        }
+        return references[slot];
+    }
+
+    private CallCounter earlier(int slot, boolean calmOnly) {
+        CallCounter sum = CallCounter.zero();
+        sum.add(window(ALL, slot));
+        for (int earlier = slot - 1; earlier >= 0; earlier--) {
+            boolean alike = !calmOnly || !overloaded[earlier];
+            if (alike && !isNear(earlier, slot) && sum.timed() < ENOUGH_CALLS) {
+                sum.add(known(ALL, earlier));
+            }
+        }
+        return sum;
+    }
+
+    private boolean isNear(int earlier, int slot) {
+        return span.get(earlier).startMillis() > span.get(slot).startMillis() - WINDOW_MILLIS;
+    }
+
+    private CallCounter at(int slot) {
+        return known(ALL, slot);
+    }
+
+    private CallCounter window(String dataCentre, int slot) {
+        return windows.computeIfAbsent(dataCentre, this::slidingWindows)[slot];
+    }
+
+    private CallCounter[] slidingWindows(String dataCentre) {
+        CallCounter[] sums = new CallCounter[slots];
+        int first = 0;
+        for (int slot = 0; slot < slots; slot++) {
+            sums[slot] = CallCounter.zero();
+            sums[slot].add(slot == 0 ? NONE : sums[slot - 1]);
+            sums[slot].add(known(dataCentre, slot));
+            while (!isNear(first, slot)) {
+                sums[slot].subtract(known(dataCentre, first));
+                first++;
+            }
+        }
+        return sums;
+    }
+
+    private CallCounter known(String dataCentre, int slot) {
+        CallCounter[] ofDataCentre = counters.get(dataCentre);
+        boolean absent = ofDataCentre == null || ofDataCentre[slot] == null;
+        return absent ? NONE : ofDataCentre[slot];
+    }
+
+    private CallCounter counter(String dataCentre, int slot) {
+        CallCounter[] ofDataCentre =
+                counters.computeIfAbsent(dataCentre, name -> new CallCounter[slots]);
+        if (ofDataCentre[slot] == null) {
+            ofDataCentre[slot] = CallCounter.zero();
+        }
+        return ofDataCentre[slot];
+    }
+}
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.Rollout;
+import org.cuminreach.document.RolloutCriteria;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
@@ -41,7 +42,14 @@
             String name = "service-" + index;
             boolean moves = random.nextInt(3) == 0;
             Optional<Rollout> rollout =
-                    moves ? Optional.of(new Rollout("next", 1_000, DONE_BY)) : Optional.empty();
+                    moves
+                            ? Optional.of(
+                                    new Rollout(
+                                            "next",
+                                            1_000,
+                                            DONE_BY,
+                                            RolloutCriteria.of(RolloutPriority.SAFETY)))
+                            : Optional.empty();
             services.add(new Service(name, "v" + random.nextInt(3), rollout));
             if (moves) {
                 rollouts.add(progress(name, random.nextInt(1_001)));
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -47,7 +47,11 @@
   1: required string node, 2: required i64 incarnation, 3: required i64 sequence, 4: required string serviceName,
   5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase
 }
-struct EvidenceStruct { 1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros }
+struct EvidenceStruct {
+  1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros,
+  7: optional string target, 8: optional string dataCentre, 9: optional i64 losses, 10: optional i64 timeouts, 11: optional i64 refusals,
+  12: optional i32 firstLatencyBucket, 13: optional list<i64> latencyCounts, 14: optional i64 spanMillis, 15: optional bool guarded
+}
 
 # ---- between controls ----
 struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
@@ -62,7 +66,8 @@
 struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion }
 struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation }
 struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis }
-struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos }
+struct CriteriaStruct { 1: required i32 falseAlarmPerMille, 2: required i32 missPerMille, 3: required i32 failureDifferencePerMille, 4: required i32 slownessPercent, 5: required i32 watchSeconds, 6: required i32 thinEvidence }
+struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos, 7: optional CriteriaStruct criteria }
 struct RouteStruct { 1: required string name, 2: required string host, 3: required string pathPrefix, 4: required string serviceName, 5: required i32 timeoutMillis, 6: required bool idempotent }
 struct ConfigurationDeltaStruct {
   1: required i64 baseVersion, 2: required i64 version, 3: required i64 documentVersion, 4: required i32 rolloutPriority,
--- a/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
@@ -76,7 +76,8 @@
                                 struct.setRolloutVersion(rollout.version())
                                         .setSharePerMille(rollout.sharePerMille())
                                         .setDoneBySeconds(rollout.doneBy().getEpochSecond())
-                                        .setDoneByNanos(rollout.doneBy().getNano()));
+                                        .setDoneByNanos(rollout.doneBy().getNano())
+                                        .setCriteria(CriteriaCodec.toStruct(rollout.criteria())));
         return struct;
     }
 
@@ -98,7 +99,11 @@
             Instant doneBy =
                     Instant.ofEpochSecond(struct.getDoneBySeconds(), struct.getDoneByNanos());
             Rollout rollout =
-                    new Rollout(struct.getRolloutVersion(), struct.getSharePerMille(), doneBy);
+                    new Rollout(
+                            struct.getRolloutVersion(),
+                            struct.getSharePerMille(),
+                            doneBy,
+                            CriteriaCodec.toCriteria(struct.getCriteria()));
             return new Service(struct.getName(), struct.getVersion(), Optional.of(rollout));
         } catch (DateTimeException outOfRange) {
             throw new MalformedFrameException("not a time: " + struct);
