--- a/trial/src/main/java/org/cuminreach/trial/load/LoadGenerator.java
+++ b/trial/src/main/java/org/cuminreach/trial/load/LoadGenerator.java
@@ -20,6 +20,7 @@
 /** Sends numbered calls at a steady rate, whatever becomes of the earlier ones. */
 public final class LoadGenerator implements AutoCloseable {
     private static final long TICK_MILLIS = 5;
+    private static final double RAMP_NANOS = 10e9;
     private static final int MILLIS_PER_SECOND = 1_000;
     private static final long HIGHEST_MICROS = TimeUnit.SECONDS.toMicros(60);
     private static final int SIGNIFICANT_DIGITS = 3;
@@ -42,6 +43,7 @@
     private final AtomicLong lastNumber = new AtomicLong();
     private final AsyncHttpClient client;
     private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+    private final long begunNanos = System.nanoTime();
     private double owed;
 
     private LoadGenerator(List<Address> nodes, List<Kind> kinds, int callsPerSecond) {
@@ -109,13 +111,18 @@
     }
 
     private void sendOwed() {
-        owed += (double) callsPerSecond * TICK_MILLIS / MILLIS_PER_SECOND;
+        owed += callsPerSecond * rampShare() * TICK_MILLIS / MILLIS_PER_SECOND;
         while (owed >= 1) {
             owed--;
             send();
         }
     }
 
+    /** The rate rises over the first seconds, since every process of a trial starts cold. */
+    private double rampShare() {
+        return Math.min(1, (System.nanoTime() - begunNanos) / RAMP_NANOS);
+    }
+
     private void send() {
         long sequence = lastNumber.incrementAndGet();
         Kind kind = kinds.get((int) (sequence % kinds.size()));
