Refuse requests that crash their targets; tell a timeout at the target from a lost one

Cause: a request that crashes each target that runs it went on to the next target with each resend, and each loss counted as evidence against the version. A timeout at a target's node reached the caller's node as a lost connection. Change: each node remembers by fingerprint which targets a request lost, and refuses it as not run after two, until a minute has passed or a target answers it; its later losses are no evidence. A guard's 504 counts as a timeout. The gauges of both processes are registered by one class. Ruled out for now: telling all nodes over the controls, which needs messages of its own. The bound is two targets for each node that the caller tries.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleSupplier;
 import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.MeshSessions;
 import org.cuminreach.control.operator.OperatorHandler;
@@ -28,6 +27,7 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
+import org.cuminreach.runtime.administration.Gauges;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.wire.frame.FrameEndpoints;
@@ -187,33 +187,34 @@
     private PrometheusRegistry metrics() {
         PrometheusRegistry registry = new PrometheusRegistry();
         rollouts.register(registry);
-        gauge(registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
-        gauge(
+        Gauges.register(
+                registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
+        Gauges.register(
                 registry,
                 "cuminreach_control_configuration_version",
                 "Agreed configuration version known here",
                 () -> replica.configuration().version());
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_control_leads",
                 "1 on the leader",
                 () -> replica.isLeader() ? 1 : 0);
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_control_node_sent_bytes",
                 "Bytes sent to nodes",
                 nodeTraffic::sentBytes);
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_control_node_received_bytes",
                 "Bytes received from nodes",
                 nodeTraffic::receivedBytes);
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_control_lagging_nodes",
                 "Nodes that lack the agreed configuration",
                 this::laggingNodes);
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_control_withheld_leases",
                 "Targets kept as last known although their leases are over",
@@ -235,15 +236,6 @@
         return convergence.nodes() - convergence.holding();
     }
 
-    private static void gauge(
-            PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(registry);
-    }
-
     /** What other controls say goes to the sessions and the judge. */
     private final class Events implements PeerEvents {
         @Override
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -1,14 +1,12 @@
 package org.cuminreach.node;
 
 import io.netty.channel.EventLoopGroup;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleSupplier;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.caller.CallerHandler;
@@ -27,6 +25,7 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
+import org.cuminreach.runtime.administration.Gauges;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
@@ -223,33 +222,27 @@
     }
 
     private PrometheusRegistry metrics() {
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_node_configuration_version",
                 "Configuration version in force",
                 () -> holder.inForce().version());
-        gauge(registry, "cuminreach_node_ready_targets", "Targets seen", view::readyCount);
-        gauge(registry, "cuminreach_node_running_calls", "Calls at the target", guard::running);
-        gauge(registry, "cuminreach_node_waiting_calls", "Calls that wait", guard::waiting);
-        gauge(
+        Gauges.register(
+                registry, "cuminreach_node_ready_targets", "Targets seen", view::readyCount);
+        Gauges.register(
+                registry, "cuminreach_node_running_calls", "Calls at the target", guard::running);
+        Gauges.register(
+                registry, "cuminreach_node_waiting_calls", "Calls that wait", guard::waiting);
+        Gauges.register(
                 registry,
                 "cuminreach_node_control_sent_bytes",
                 "Bytes sent to controls",
                 controlTraffic::sentBytes);
-        gauge(
+        Gauges.register(
                 registry,
                 "cuminreach_node_control_received_bytes",
                 "Bytes received from controls",
                 controlTraffic::receivedBytes);
         return registry;
     }
-
-    private static void gauge(
-            PrometheusRegistry registry, String name, String help, DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(registry);
-    }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
@@ -57,6 +58,7 @@
     private final KeyedCalls keyed;
     private final ScheduledExecutorService timer;
     private final RetryBudget budget = RetryBudget.full();
+    private final PoisonFilter poison = new PoisonFilter();
     private volatile Routes routes =
             new Routes(
                     MeshConfiguration.empty(), RouteTable.of(MeshConfiguration.empty().document()));
@@ -224,6 +226,10 @@
     private CompletableFuture<HttpAnswer> attempt(
             CallAttempts attempts, MeshConfiguration configuration) {
         long nowMillis = ProcessClock.monotonicMillis();
+        OptionalLong refused = poison.refusedForMillis(attempts.call(), nowMillis);
+        if (refused.isPresent()) {
+            return refuse(attempts, "poisonous", refused.getAsLong());
+        }
         Service service =
                 configuration.document().service(attempts.route().service()).orElseThrow();
         String version =
@@ -242,18 +248,23 @@
                         nowMillis,
                         ThreadLocalRandom.current());
         return switch (choice) {
-            case TargetChoice.NoTarget none -> {
-                AttemptOutcome outcome =
-                        attempts.mayHaveRun()
-                                ? new AttemptOutcome.MayHaveRun(none.reason())
-                                : new AttemptOutcome.NotRun(none.reason(), NO_TARGET_RETRY_MILLIS);
-                yield CompletableFuture.completedFuture(giveUp(attempts, outcome));
-            }
+            case TargetChoice.NoTarget none ->
+                    refuse(attempts, none.reason(), NO_TARGET_RETRY_MILLIS);
             case TargetChoice.Chosen chosen ->
                     send(attempts, configuration, version, chosen.target(), chosen.reason());
         };
     }
 
+    /** Gives up on a call that is sent no more; an earlier attempt of it may have run. */
+    private static CompletableFuture<HttpAnswer> refuse(
+            CallAttempts attempts, String reason, long retryAfterMillis) {
+        AttemptOutcome outcome =
+                attempts.mayHaveRun()
+                        ? new AttemptOutcome.MayHaveRun(reason)
+                        : new AttemptOutcome.NotRun(reason, retryAfterMillis);
+        return CompletableFuture.completedFuture(giveUp(attempts, outcome));
+    }
+
     private CompletableFuture<HttpAnswer> send(
             CallAttempts attempts,
             MeshConfiguration configuration,
@@ -306,16 +317,13 @@
             TargetView target,
             SendOutcome sent,
             long micros) {
-        TargetAnswers.note(target, sent, micros, ProcessClock.monotonicMillis());
-        RolloutObserver.note(
-                attempts,
-                configuration,
-                version,
-                target,
-                CallAnswers.outcome(sent),
-                micros,
-                view,
-                evidence);
+        long nowMillis = ProcessClock.monotonicMillis();
+        AttemptOutcome outcome = CallAnswers.outcome(sent);
+        TargetAnswers.note(target, sent, micros, nowMillis);
+        if (!poison.note(attempts.call(), target.node(), outcome, nowMillis)) {
+            RolloutObserver.note(
+                    attempts, configuration, version, target, outcome, micros, view, evidence);
+        }
     }
 
     private CompletableFuture<HttpAnswer> decide(
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -7,6 +7,9 @@
 
 /** Turns outcomes into HTTP answers and back. */
 public final class CallAnswers {
+    private static final String TIMEOUT = "timeout";
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
     private static final String JSON = "application/json";
     private static final int MILLIS_PER_SECOND = 1_000;
     private static final int LONGEST_RETRY_AFTER_SECONDS = 3_600;
@@ -68,7 +71,10 @@
      * @return the answer
      */
     public static HttpAnswer mayHaveRun(String reason) {
-        return refusal(reason.equals("timeout") ? 504 : 502, MeshHeaders.MAY_HAVE_RUN, reason);
+        return refusal(
+                reason.equals(TIMEOUT) ? GATEWAY_TIMEOUT : BAD_GATEWAY,
+                MeshHeaders.MAY_HAVE_RUN,
+                reason);
     }
 
     /**
@@ -134,7 +140,9 @@
             case MeshHeaders.NOT_RUN ->
                     new AttemptOutcome.NotRun("refused_by_target_node", retryAfterMillis(answer));
             case MeshHeaders.ANSWERED -> new AttemptOutcome.Answered(answer.status());
-            case null, default -> new AttemptOutcome.MayHaveRun("lost_at_target_node");
+            case null, default ->
+                    new AttemptOutcome.MayHaveRun(
+                            answer.status() == GATEWAY_TIMEOUT ? TIMEOUT : "lost_at_target_node");
         };
     }
 
--- a/trial/src/main/java/org/cuminreach/trial/agreement/SubmissionCostMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/agreement/SubmissionCostMain.java
@@ -15,6 +15,7 @@
 import org.cuminreach.decisions.agreement.Payload;
 import org.cuminreach.decisions.configuration.MeshCommand;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.log.LogSetup;
 
 /**
  * Prints what a synced save and a submission cost on 1, 3 and 5 replicas. All replicas share this
@@ -42,6 +43,7 @@
      */
     public static void main(String[] arguments)
             throws IOException, InterruptedException, ExecutionException {
+        LogSetup.quiet();
         Path folder = Files.createTempDirectory(Path.of(arguments[0]), "submission-cost");
         int count = Integer.parseInt(arguments[1]);
         System.out.printf("%-32s %9s %9s %9s%n", "what", "p50 ms", "p99 ms", "per s");
--- a/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.cuminreach.decisions.poison.PoisonTable;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.settings.Address;
@@ -132,6 +133,29 @@
     }
 
     /** A caller that goes to the next node when one takes no connections. */
+    @Example
+    void requestThatCrashesItsTargetsIsRefusedAndOthersRun() throws Exception {
+        AtomicInteger crashes = new AtomicInteger();
+        start(
+                (head, body, socket) -> {
+                    if (head.contains("/poison")) {
+                        crashes.incrementAndGet();
+                        throw new IOException("crashed for the test");
+                    }
+                    ScriptedTarget.answer(socket, 200, "fine");
+                });
+        HttpHeaders none = new DefaultHttpHeaders();
+        SmallMesh.await(() -> outcome(0, none, "/fine").equals(MeshHeaders.ANSWERED));
+
+        SmallMesh.await(() -> outcome(0, none, "/poison").equals(MeshHeaders.NOT_RUN));
+        int crashesBeforeRefusal = crashes.get();
+
+        assertThat(crashesBeforeRefusal).isAtLeast(PoisonTable.CRASHES_BEFORE_REFUSAL);
+        assertThat(outcome(0, none, "/poison")).isEqualTo(MeshHeaders.NOT_RUN);
+        assertThat(crashes.get()).isEqualTo(crashesBeforeRefusal);
+        assertThat(outcome(0, none, "/fine")).isEqualTo(MeshHeaders.ANSWERED);
+    }
+
     private void callUntil(
             AtomicBoolean ending, int first, AtomicInteger answered, List<String> unanswered) {
         HttpHeaders none = new DefaultHttpHeaders();
