Stop a node's own process under load by SIGTERM in a test; add the watch command

Cause: the planned stop was proved only inside a test's process, and operators had no command that follows convergence and rollouts.

--- a/control/src/main/java/org/cuminreach/control/command/ControlMain.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlMain.java
@@ -23,6 +23,7 @@
                                 new SubmitCommand(),
                                 new MembersCommand(),
                                 ReadCommand.status(),
+                                new WatchCommand(),
                                 ReadCommand.history(),
                                 ReadCommand.document()));
         System.exit(launcher.run(arguments, System.out, System.err));
--- a/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,8 +18,10 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cuminreach.decisions.poison.PoisonTable;
+import org.cuminreach.node.command.NodeMain;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.settings.Address;
 
 class AtMostOnceOnNodesTest {
@@ -111,6 +114,44 @@
                     Thread.sleep(5);
                     ScriptedTarget.answer(socket, 200, "done");
                 });
+        List<String> unanswered = callWhile(() -> mesh.stopNode(0));
+
+        assertThat(unanswered).isEmpty();
+        mesh.restartNode(0);
+    }
+
+    @Example
+    void terminatedProcessOfNodeCutsNothing() throws Exception {
+        ScriptedTarget.Script script =
+                (head, body, socket) -> {
+                    Thread.sleep(5);
+                    ScriptedTarget.answer(socket, 200, "done");
+                };
+        start(script);
+        ScriptedTarget beside = ScriptedTarget.start(script);
+        targets.add(beside);
+        Process process = startProcess(beside.address());
+        try {
+            List<String> unanswered =
+                    callWhile(
+                            () -> {
+                                SmallMesh.await(() -> beside.heads().size() > 50);
+                                process.destroy();
+                                process.waitFor();
+                            });
+
+            assertThat(unanswered).isEmpty();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private interface Action {
+        void run() throws InterruptedException;
+    }
+
+    /** Does something while callers call; returns the outcomes that were no answers. */
+    private List<String> callWhile(Action action) throws InterruptedException {
         AtomicBoolean ending = new AtomicBoolean();
         List<String> unanswered = new CopyOnWriteArrayList<>();
         AtomicInteger answered = new AtomicInteger();
@@ -121,18 +162,53 @@
                     Thread.ofVirtual().start(() -> callUntil(ending, first, answered, unanswered)));
         }
         SmallMesh.await(() -> answered.get() > 300);
-        mesh.stopNode(0);
+        action.run();
         int before = answered.get();
         SmallMesh.await(() -> answered.get() > before + 300);
         ending.set(true);
         for (Thread caller : callers) {
             caller.join();
         }
-        assertThat(unanswered).isEmpty();
-        mesh.restartNode(0);
+        return unanswered;
+    }
+
+    private Process startProcess(Address target) throws IOException {
+        NodeSettings known = mesh.settings(0);
+        String text =
+                """
+                {"name": "process", "dataCentre": "here", "callerAddress": "%s",
+                 "inboundAddress": "%s", "administrationAddress": "%s", "controls": ["%s"],
+                 "target": {"service": "%s", "version": "%s", "address": "%s", "slots": 9}}
+                """
+                        .formatted(
+                                freeAddress(),
+                                freeAddress(),
+                                freeAddress(),
+                                known.controls().getFirst(),
+                                known.target().service(),
+                                known.target().version(),
+                                target);
+        Path file = Files.writeString(Files.createTempFile("node", ".json"), text);
+        return new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx96m",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        NodeMain.class.getName(),
+                        "serve",
+                        "--settings",
+                        file.toString())
+                .redirectErrorStream(true)
+                .redirectOutput(Files.createTempFile("node", ".log").toFile())
+                .start();
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0)) {
+            return new Address("127.0.0.1", free.getLocalPort());
+        }
     }
 
-    /** A caller that goes to the next node when one takes no connections. */
     @Example
     void requestThatCrashesItsTargetsIsRefusedAndOthersRun() throws Exception {
         AtomicInteger crashes = new AtomicInteger();
@@ -156,6 +232,7 @@
         assertThat(outcome(0, none, "/fine")).isEqualTo(MeshHeaders.ANSWERED);
     }
 
+    /** A caller that goes to the next node when one takes no connections. */
     private void callUntil(
             AtomicBoolean ending, int first, AtomicInteger answered, List<String> unanswered) {
         HttpHeaders none = new DefaultHttpHeaders();
