Let any call probe a target that no other call would try again

All calls were orders, and only repeatable calls made probes, so a target once out of reach was never tried again by a service without repeatable calls. Ruled out: a lost announcement (the node was welcomed and held the configuration).

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
@@ -118,7 +118,7 @@
         }
 
         private TargetChoice choose(boolean mayProbe) {
-            if (due != null && mayProbe) {
+            if (due != null && (mayProbe || due.experience().anyCallMayProbe(nowMillis))) {
                 return new TargetChoice.Chosen(due, "probe");
             }
             int trusted = near.offered + far.offered + pushedBack.offered;
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
@@ -15,6 +15,7 @@
     private static final double FIRST_LATENCY_MILLIS = 1;
     private static final double FAILURE_WEIGHT = 8;
     private static final int SUSPECT_AFTER_LOSSES = 3;
+    private static final long LONGEST_PROBE_DELAY_MILLIS = 5_000;
     private static final long FIRST_PAUSE_MILLIS = 250;
     private static final long LONGEST_PAUSE_MILLIS = 5_000;
     private static final long FIRST_PUSHBACK_MILLIS = 10;
@@ -178,6 +179,19 @@
                 : TargetStanding.USABLE;
     }
 
+    /**
+     * Tells whether a call that may not run twice may probe this target too: one that was
+     * unreachable, since a refused connection has not run; and one whose probe no other call has
+     * made for a while, so that a service without repeatable calls gets its targets back.
+     *
+     * @param nowMillis present time
+     * @return true when any call may be its probe
+     */
+    public synchronized boolean anyCallMayProbe(long nowMillis) {
+        return trust == TargetTrust.UNREACHABLE
+                || nowMillis - probeFromMillis >= LONGEST_PROBE_DELAY_MILLIS;
+    }
+
     /**
      * Returns the calls that wait for an answer.
      *
