--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -7,14 +7,17 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.MeshSessions;
+import org.cuminreach.control.operator.OperatorGateway;
 import org.cuminreach.control.operator.OperatorHandler;
 import org.cuminreach.control.operator.OperatorView;
 import org.cuminreach.control.operator.console.ConsoleHandler;
+import org.cuminreach.control.replica.MemberKeeper;
 import org.cuminreach.control.replica.PeerEvents;
 import org.cuminreach.control.replica.PeerLinks;
 import org.cuminreach.control.replica.ReplicaDriver;
@@ -29,10 +32,13 @@
 import org.cuminreach.runtime.administration.AdministrationHandler;
 import org.cuminreach.runtime.administration.Gauges;
 import org.cuminreach.runtime.administration.Readiness;
+import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.settings.Address;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
 import org.cuminreach.wire.generated.HoldingBatch;
+import org.cuminreach.wire.generated.JoinRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,6 +51,7 @@
     private static final int NODE_PENDING_BYTES = 64 * 1024;
     private static final long REPLICA_TICK_MILLIS = 30;
     private static final long SESSION_TICK_MILLIS = 200;
+    private static final long KEEPER_TICK_MILLIS = 300;
     private static final long LINK_TICK_MILLIS = 500;
     private static final int EXIT_CODE_BROKEN = 70;
 
@@ -57,6 +64,8 @@
     private final EvidenceCollector evidence;
     private final MeshSessions sessions;
     private final OperatorView view;
+    private final MemberKeeper keeper;
+    private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
     private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
     private final ScheduledExecutorService ticker = Executors.newScheduledThreadPool(2);
 
@@ -79,7 +88,18 @@
         rollouts = RolloutReporter.create(replica.configuration());
         replica.listen(rollouts);
         evidence = EvidenceCollector.create(replica, peers, conductor);
-        sessions = MeshSessions.create(settings.name(), replica, peers, evidence::collect);
+        sessions =
+                MeshSessions.create(
+                        settings.name(), settings.nodeAddress(), replica, peers, evidence::collect);
+        keeper =
+                MemberKeeper.create(
+                        replica,
+                        peers,
+                        settings.replicaAddress(),
+                        settings.controls().stream()
+                                .map(ControlSettings.Peer::replicaAddress)
+                                .toList(),
+                        ProcessClock.monotonicMillis());
         view = OperatorView.create(settings.name(), replica, sessions);
     }
 
@@ -155,6 +175,9 @@
         every(REPLICA_TICK_MILLIS, () -> replica.tick(ProcessClock.monotonicMillis()));
         every(LINK_TICK_MILLIS, () -> peers.tick(ProcessClock.monotonicMillis()));
         every(FLUSH_MILLIS, sessions::flush);
+        if (settings.joins()) {
+            every(KEEPER_TICK_MILLIS, () -> keeper.tick(ProcessClock.monotonicMillis()));
+        }
         every(SESSION_TICK_MILLIS, () -> sessions.tick(ProcessClock.monotonicMillis()));
         every(
                 SESSION_TICK_MILLIS,
@@ -179,6 +202,34 @@
         Runtime.getRuntime().halt(EXIT_CODE_BROKEN);
     }
 
+    /**
+     * Serves one more address until the control stops.
+     *
+     * @param address the address
+     * @param handler answers the calls there
+     */
+    public void serve(Address address, HttpHandler handler) {
+        extraServers.add(HttpServer.listen(address, eventLoops, handler).join());
+    }
+
+    /**
+     * Returns what operators can do, for a protocol of their own.
+     *
+     * @return the gateway
+     */
+    public OperatorGateway operators() {
+        return OperatorGateway.create(replica, peers, sessions::announcements);
+    }
+
+    /**
+     * Takes other contacts among the controls.
+     *
+     * @param addresses where other controls may be reached
+     */
+    public void followContacts(List<Address> addresses) {
+        keeper.follow(addresses);
+    }
+
     private Readiness readiness() {
         boolean ready = replica.hasQuorum(ProcessClock.monotonicMillis());
         return new Readiness(ready, ready ? "in contact with a quorum" : "no quorum");
@@ -253,6 +304,11 @@
             conductor.add(seen);
         }
 
+        @Override
+        public void asksToJoin(JoinRequest request, String from) {
+            keeper.asked(request, from, ProcessClock.monotonicMillis());
+        }
+
         @Override
         public void hold(HoldingBatch batch) {
             sessions.mergeHoldings(batch);
--- a/control/src/main/java/org/cuminreach/control/ControlSettings.java
+++ b/control/src/main/java/org/cuminreach/control/ControlSettings.java
@@ -18,6 +18,7 @@
  * @param operatorAddress where operators reach it by HTTP
  * @param administrationAddress where its metrics and health are read by HTTP
  * @param controls the controls of the mesh, itself included
+ * @param joins whether this control asks to become a member by itself
  * @param log settings of the log
  */
 public record ControlSettings(
@@ -29,6 +30,7 @@
         Address operatorAddress,
         Address administrationAddress,
         List<Peer> controls,
+        boolean joins,
         LogSettings log) {
     /**
      * One control of the mesh.
@@ -64,6 +66,7 @@
                                 peer ->
                                         new Peer(
                                                 peer.name("name"), peer.address("replicaAddress"))),
+                        object.flag("joins", false),
                         LogSettings.read(object));
         settings.refuseEqualAddresses(object);
         settings.refuseStranger(object);
--- a/control/src/main/java/org/cuminreach/control/command/InitialiseCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/InitialiseCommand.java
@@ -8,14 +8,11 @@
 import joptsimple.OptionSet;
 import org.cuminreach.control.ControlSettings;
 import org.cuminreach.control.storage.DataFolder;
-import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.control.storage.FolderPreparation;
 import org.cuminreach.decisions.agreement.Member;
-import org.cuminreach.decisions.agreement.Membership;
-import org.cuminreach.decisions.configuration.MeshStateImage;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
 import org.cuminreach.runtime.launch.SettingsOption;
-import org.cuminreach.wire.ConfigurationCodec;
 
 /** Prepares the empty data folder of a first control of a new mesh. */
 final class InitialiseCommand implements Command {
@@ -62,10 +59,7 @@
                 settings.controls().stream()
                         .map(peer -> new Member(peer.name(), peer.replicaAddress(), true))
                         .toList();
-        byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
-        DurableState first = DurableState.first(new Membership(members), state);
-        folder.saveSnapshot(first.snapshot().orElseThrow(), false);
-        folder.saveIdentity(settings.name());
+        FolderPreparation.prepare(folder, settings.name(), members);
         out.println("initialised " + settings.dataFolder() + " for " + settings.name());
         return ExitCode.DONE;
     }
--- a/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
+++ b/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
@@ -1,5 +1,6 @@
 package org.cuminreach.control.node;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.settings.Address;
 import org.cuminreach.wire.MembershipCodec;
 import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.generated.Frame;
@@ -41,6 +43,7 @@
     private static final int ADMISSION_BURST = 100;
 
     private final String controlName;
+    private final Address nodeAddress;
     private final ReplicaDriver replica;
     private final PeerLinks peers;
     private final Consumer<List<Evidence>> evidence;
@@ -64,10 +67,12 @@
 
     private MeshSessions(
             String controlName,
+            Address nodeAddress,
             ReplicaDriver replica,
             PeerLinks peers,
             Consumer<List<Evidence>> evidence) {
         this.controlName = controlName;
+        this.nodeAddress = nodeAddress;
         this.replica = replica;
         this.peers = peers;
         this.evidence = evidence;
@@ -81,6 +86,7 @@
      * Returns the sessions of a control, none yet.
      *
      * @param controlName name of the control
+     * @param nodeAddress where nodes reach this control
      * @param replica the agreed configuration
      * @param peers the other controls
      * @param evidence receives what nodes saw
@@ -88,10 +94,11 @@
      */
     public static MeshSessions create(
             String controlName,
+            Address nodeAddress,
             ReplicaDriver replica,
             PeerLinks peers,
             Consumer<List<Evidence>> evidence) {
-        MeshSessions created = new MeshSessions(controlName, replica, peers, evidence);
+        MeshSessions created = new MeshSessions(controlName, nodeAddress, replica, peers, evidence);
         replica.listen(created::push);
         return created;
     }
@@ -144,7 +151,9 @@
     public void mergeHoldings(HoldingBatch batch) {
         long nowMillis = ProcessClock.monotonicMillis();
         if (batch.isSetControl()) {
-            loads.heard(batch.getControl(), batch.getSessions(), nowMillis);
+            Optional<Address> nodeAddress =
+                    Optional.ofNullable(batch.getNodeAddress()).flatMap(Address::parse);
+            loads.heard(batch.getControl(), batch.getSessions(), nodeAddress, nowMillis);
         }
         batch.getHoldings().forEach(holding -> leases.vouch(holding.getNode(), nowMillis));
         Set<String> here = sessions.stream().map(NodeSession::node).collect(Collectors.toSet());
@@ -207,6 +216,14 @@
         return redirects.byReason();
     }
 
+    /** Where nodes reach this control and the others that were heard lately. */
+    List<String> controlAddresses() {
+        List<String> addresses = new ArrayList<>();
+        addresses.add(nodeAddress.toString());
+        loads.nodeAddresses().forEach(address -> addresses.add(address.toString()));
+        return addresses;
+    }
+
     String controlName() {
         return controlName;
     }
@@ -310,6 +327,7 @@
         HoldingBatch batch = new HoldingBatch(told);
         batch.setControl(controlName);
         batch.setSessions(sessions.size());
+        batch.setNodeAddress(nodeAddress.toString());
         peers.broadcast(Frame.holdings(batch));
     }
 
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -67,6 +67,7 @@
         }
         NodeWelcome welcome = new NodeWelcome(sessions.controlName());
         knownIncarnation.ifPresent(welcome::setKnownIncarnation);
+        welcome.setControls(sessions.controlAddresses());
         if (!connection.send(Frame.nodeWelcome(welcome))) {
             connection.close();
             return false;
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorGateway.java
@@ -0,0 +1,74 @@
+package org.cuminreach.control.operator;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cuminreach.control.replica.PeerLinks;
+import org.cuminreach.control.replica.ReplicaDriver;
+import org.cuminreach.control.replica.SubmitResult;
+import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
+import org.cuminreach.decisions.membership.Announcement;
+
+/** What operators can do at a control, whatever protocol they speak. */
+public final class OperatorGateway {
+    private final ReplicaDriver replica;
+    private final PeerLinks peers;
+    private final Supplier<List<Announcement>> targets;
+
+    private OperatorGateway(
+            ReplicaDriver replica, PeerLinks peers, Supplier<List<Announcement>> targets) {
+        this.replica = replica;
+        this.peers = peers;
+        this.targets = targets;
+    }
+
+    /**
+     * Returns the gateway of a control.
+     *
+     * @param replica its replica
+     * @param peers its links to other controls
+     * @param targets the latest announcement of each target
+     * @return the gateway
+     */
+    public static OperatorGateway create(
+            ReplicaDriver replica, PeerLinks peers, Supplier<List<Announcement>> targets) {
+        return new OperatorGateway(replica, peers, targets);
+    }
+
+    /**
+     * Submits a document.
+     *
+     * @param submission the submission
+     * @param nowMillis present time
+     * @return what came of it
+     */
+    public CompletableFuture<SubmitResult> submit(
+            MeshCommand.SubmitDocument submission, long nowMillis) {
+        return peers.submit(submission, nowMillis);
+    }
+
+    /**
+     * Reads the configuration after a majority has confirmed that no newer one is agreed.
+     *
+     * @param nowMillis present time
+     * @param timeoutMillis longest wait for the majority, in milliseconds
+     * @return the configuration; fails when the majority does not confirm in time
+     */
+    public CompletableFuture<MeshConfiguration> confirmedConfiguration(
+            long nowMillis, long timeoutMillis) {
+        return replica.confirm(nowMillis)
+                .orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .thenApply(index -> replica.configuration());
+    }
+
+    /**
+     * Returns the targets.
+     *
+     * @return the latest announcement of each
+     */
+    public List<Announcement> targets() {
+        return targets.get();
+    }
+}
--- a/control/src/main/java/org/cuminreach/control/operator/console/DocumentDraft.java
+++ b/control/src/main/java/org/cuminreach/control/operator/console/DocumentDraft.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cuminreach.document.Idempotence;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
@@ -92,7 +93,7 @@
     private static DraftRow row(Service service) {
         Map<String, String> values = new HashMap<>();
         values.put("name", service.name());
-        values.put("version", service.version());
+        service.version().ifPresent(version -> values.put("version", version));
         service.rollout()
                 .ifPresent(
                         rollout -> {
@@ -110,9 +111,9 @@
         values.put("name", route.name());
         values.put("host", route.host());
         values.put("pathPrefix", route.pathPrefix());
-        values.put("service", route.service());
+        values.put("service", route.destinations().getFirst().service());
         values.put("timeoutMillis", Integer.toString(route.timeoutMillis()));
-        if (route.idempotent()) {
+        if (route.idempotence() == Idempotence.ALWAYS) {
             values.put("idempotent", "true");
         }
         return new DraftRow(values);
--- a/control/src/main/java/org/cuminreach/control/replica/PeerEvents.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerEvents.java
@@ -4,6 +4,7 @@
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.rollout.Evidence;
 import org.cuminreach.wire.generated.HoldingBatch;
+import org.cuminreach.wire.generated.JoinRequest;
 
 /** Hears what other controls say besides the replicated log. */
 public interface PeerEvents {
@@ -28,6 +29,14 @@
      */
     void saw(List<Evidence> evidence);
 
+    /**
+     * A control asked to become a member.
+     *
+     * @param request the request
+     * @param from identity of the control that passed it here
+     */
+    void asksToJoin(JoinRequest request, String from);
+
     /**
      * Another control told which versions its nodes hold.
      *
--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -23,6 +23,7 @@
 import org.cuminreach.wire.generated.ControlHello;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.Heartbeat;
+import org.cuminreach.wire.generated.JoinRequest;
 import org.cuminreach.wire.generated.SubmissionAnswer;
 import org.cuminreach.wire.generated.SubmissionForward;
 import org.slf4j.Logger;
@@ -35,6 +36,10 @@
  */
 public final class PeerLinks implements PeerNetwork {
     private static final Logger LOGGER = LoggerFactory.getLogger(PeerLinks.class);
+
+    /** Stands in a greeting for whichever control is met at the address. */
+    private static final String ANY_CONTROL = "";
+
     private static final long FORWARD_TIMEOUT_MILLIS = 5_000;
 
     /** A dialled connection to one control. */
@@ -178,6 +183,23 @@
         return result;
     }
 
+    /**
+     * Asks a control for admission; the leader's messages are the answer.
+     *
+     * @param contact where the control is reached
+     * @param request the request
+     */
+    void askToJoin(Address contact, JoinRequest request) {
+        endpoints
+                .connect(contact, new Asking(request))
+                .whenComplete(
+                        (channel, failure) -> {
+                            if (failure != null) {
+                                LOGGER.info("event=contact_unreachable address={}", contact);
+                            }
+                        });
+    }
+
     private void dial(String id, Link link) {
         link.dialling = true;
         endpoints
@@ -257,7 +279,8 @@
         }
 
         private void greet(FrameConnection connection, ControlHello hello) {
-            if (!hello.getTo().equals(self)) {
+            boolean joins = hello.getTo().isEmpty();
+            if (!joins && !hello.getTo().equals(self)) {
                 LOGGER.warn(
                         "event=control_refused from={} meant_for={} self={}",
                         hello.getId(),
@@ -267,7 +290,9 @@
                 return;
             }
             from = hello.getId();
-            dialledBy.put(from, connection);
+            if (!joins) {
+                dialledBy.put(from, connection);
+            }
         }
 
         private void handle(FrameConnection connection, Frame frame)
@@ -281,6 +306,7 @@
                 case EVIDENCE -> events.saw(EvidenceCodec.toEvidence(frame.getEvidence()));
                 case HOLDINGS -> events.hold(frame.getHoldings());
                 case HEARTBEAT -> connection.send(frame);
+                case JOIN_REQUEST -> events.asksToJoin(frame.getJoinRequest(), from);
                 default ->
                         throw new MalformedFrameException(
                                 "no control sends " + frame.getSetField());
@@ -310,6 +336,34 @@
         }
     }
 
+    /** A short connection that carries a request for admission. */
+    private final class Asking implements FrameListener {
+        private final JoinRequest request;
+
+        Asking(JoinRequest request) {
+            this.request = request;
+        }
+
+        @Override
+        public void opened(FrameConnection connection) {
+            connection.send(
+                    Frame.controlHello(
+                            new ControlHello(self, ANY_CONTROL, operatorAddress.toString())));
+            connection.send(Frame.joinRequest(request));
+            connection.closeAfterWrites();
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            LOGGER.trace("event=contact_spoke frame={}", frame.getSetField());
+        }
+
+        @Override
+        public void closed(FrameConnection connection) {
+            LOGGER.trace("event=contact_closed");
+        }
+    }
+
     private static Frame toFrame(long correlation, SubmitResult result) {
         SubmissionAnswer answer = new SubmissionAnswer(correlation);
         switch (result) {
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -282,6 +283,16 @@
         return replica.membership();
     }
 
+    /**
+     * Returns how long the other members have been silent.
+     *
+     * @param nowMillis present time
+     * @return time since each was last heard, in milliseconds; empty on all but the leader
+     */
+    public synchronized Map<String, Long> silentMillis(long nowMillis) {
+        return replica.silentMillis(nowMillis);
+    }
+
     /**
      * Returns the history.
      *
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/storage/FolderPreparation.java
@@ -0,0 +1,31 @@
+package org.cuminreach.control.storage;
+
+import java.io.IOException;
+import java.util.List;
+import org.cuminreach.decisions.agreement.DurableState;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.MeshStateImage;
+import org.cuminreach.wire.ConfigurationCodec;
+
+/** Prepares the data folders of the first controls of a mesh. */
+public final class FolderPreparation {
+    private FolderPreparation() {}
+
+    /**
+     * Makes a control a voter of a new mesh. All its first voters must be prepared with the same
+     * members, and never again after one of them has lost its disk.
+     *
+     * @param folder the empty data folder
+     * @param identity identity of the control, one of the members
+     * @param members the first voters
+     * @throws IOException when the folder cannot be written
+     */
+    public static void prepare(DataFolder folder, String identity, List<Member> members)
+            throws IOException {
+        byte[] state = ConfigurationCodec.encode(MeshStateImage.empty());
+        DurableState first = DurableState.first(new Membership(members), state);
+        folder.saveSnapshot(first.snapshot().orElseThrow(), false);
+        folder.saveIdentity(identity);
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -25,8 +25,8 @@
     private static final String LATE = "deadline_cannot_be_met";
     private static final String FULL = "queue_full";
 
-    private final int mostWaiting;
-    private final ConcurrencyLimit limit;
+    private int mostWaiting;
+    private ConcurrencyLimit limit;
     private final Map<String, WaitingCalls<C>> sources = new LinkedHashMap<>();
     private final List<RefusedCall<C>> refused = new ArrayList<>();
     private int waiting;
@@ -51,6 +51,16 @@
         return new FairQueue<>(slots);
     }
 
+    /**
+     * Changes the number of slots, as for another target at the same place.
+     *
+     * @param slots calls that the target runs at once
+     */
+    public void resize(int slots) {
+        mostWaiting = slots * MOST_WAITING_PER_SLOT;
+        limit = new ConcurrencyLimit(slots);
+    }
+
     /**
      * Takes a call that has arrived. Another call may be refused in its place; see {@link
      * #takeRefused}.
@@ -182,6 +192,22 @@
         return sources.size();
     }
 
+    /**
+     * Refuses all that wait, as where the target goes.
+     *
+     * @param reason why
+     * @return the calls
+     */
+    public List<RefusedCall<C>> empty(String reason) {
+        for (WaitingCalls<C> source : sources.values()) {
+            source.expire(
+                    Long.MAX_VALUE, call -> refused.add(new RefusedCall<>(call, refusal(reason))));
+        }
+        sources.values().removeIf(WaitingCalls::isIdle);
+        waiting = 0;
+        return takeRefused();
+    }
+
     private WaitingCalls<C> source(String name) {
         return sources.computeIfAbsent(name, absent -> new WaitingCalls<>());
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Leadership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Leadership.java
@@ -83,6 +83,13 @@
                 .findFirst();
     }
 
+    /** Time since each other member was last heard, in milliseconds. */
+    Map<String, Long> silentMillis(long nowMillis) {
+        Map<String, Long> silences = new HashMap<>();
+        progress.forEach((id, peer) -> silences.put(id, peer.silentMillis(nowMillis)));
+        return silences;
+    }
+
     private boolean hasCaughtUp(long nowMillis, String member) {
         Progress known = progress.get(member);
         return known != null
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Progress.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Progress.java
@@ -25,6 +25,11 @@
         return ackedRound;
     }
 
+    /** Time since the member was last heard, in milliseconds. */
+    long silentMillis(long nowMillis) {
+        return nowMillis - heardMillis;
+    }
+
     boolean heardWithin(long nowMillis, long spanMillis) {
         return nowMillis - heardMillis < spanMillis;
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -1,6 +1,7 @@
 package org.cuminreach.decisions.agreement;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
@@ -229,6 +230,16 @@
         return leadership.map(leading -> leading.matchIndex(member)).orElse(OptionalLong.empty());
     }
 
+    /**
+     * Returns how long the other members have been silent, as far as a leader knows.
+     *
+     * @param nowMillis present time
+     * @return time since each was last heard, in milliseconds; empty on all but the leader
+     */
+    public Map<String, Long> silentMillis(long nowMillis) {
+        return leadership.map(leading -> leading.silentMillis(nowMillis)).orElse(Map.of());
+    }
+
     private ProposalOutcome append(long nowMillis, Payload payload) {
         if (leadership.isEmpty()) {
             return new ProposalOutcome.NotLeader(state.leader());
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDelta.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDelta.java
@@ -1,5 +1,6 @@
 package org.cuminreach.decisions.configuration;
 
+import org.cuminreach.document.CallerLimits;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
@@ -17,6 +18,8 @@
  * @param routes routes that differ
  * @param rollouts states of rollouts that differ, named by service
  * @param digest digest of the result
+ * @param revision the operators' own number of the document
+ * @param limits what callers may send
  */
 public record ConfigurationDelta(
         long baseVersion,
@@ -26,7 +29,9 @@
         KeyedChanges<Service> services,
         KeyedChanges<Route> routes,
         KeyedChanges<RolloutProgress> rollouts,
-        long digest) {
+        long digest,
+        long revision,
+        CallerLimits limits) {
     /**
      * Tells whether the delta carries the whole configuration.
      *
@@ -45,9 +50,11 @@
     public MeshConfiguration applyTo(MeshConfiguration base) {
         MeshDocument document =
                 new MeshDocument(
+                        revision,
                         services.applyTo(base.document().services(), Service::name),
                         routes.applyTo(base.document().routes(), Route::name),
-                        rolloutPriority);
+                        rolloutPriority,
+                        limits);
         return new MeshConfiguration(
                 version,
                 documentVersion,
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
@@ -24,6 +24,7 @@
         MessageDigest digest = sha256();
         add(digest, configuration.version() + "|" + configuration.documentVersion());
         add(digest, configuration.document().rolloutPriority().name());
+        add(digest, configuration.document().revision() + "|" + configuration.document().limits());
         addSorted(
                 digest,
                 configuration.document().services().stream().map(Service::toString).toList());
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
@@ -120,6 +120,8 @@
                 KeyedChanges.of(services, current.document().services(), Service::name),
                 KeyedChanges.of(routes, current.document().routes(), Route::name),
                 KeyedChanges.of(rollouts, current.rollouts(), RolloutProgress::service),
-                digest);
+                digest,
+                current.document().revision(),
+                current.document().limits());
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHolder.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHolder.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
+import org.cuminreach.document.WeightedService;
 import org.cuminreach.settings.Fault;
 
 /**
@@ -83,12 +86,16 @@
     private static List<Fault> gaps(MeshConfiguration offered) {
         List<Fault> faults = new ArrayList<>();
         MeshDocument document = offered.document();
+        Set<String> known =
+                document.services().stream().map(Service::name).collect(Collectors.toSet());
         for (Route route : document.routes()) {
-            if (document.service(route.service()).isEmpty()) {
-                faults.add(
-                        new Fault(
-                                "routes." + route.name(),
-                                "its service " + route.service() + " is missing"));
+            for (WeightedService destination : route.destinations()) {
+                if (!known.contains(destination.service())) {
+                    faults.add(
+                            new Fault(
+                                    "routes." + route.name(),
+                                    "its service " + destination.service() + " is missing"));
+                }
             }
         }
         for (Service service : document.services()) {
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -111,6 +111,21 @@
         return Optional.ofNullable(answers.get(key));
     }
 
+    /**
+     * Finds the answer that an earlier submission with the same key got. One that was refused as
+     * stale is judged anew when it comes again on top of the present document.
+     *
+     * @param submission the submission
+     * @return its answer, or empty when it is to be judged
+     */
+    public Optional<SubmissionOutcome> answer(MeshCommand.SubmitDocument submission) {
+        return answer(submission.key())
+                .filter(
+                        known ->
+                                !(known instanceof SubmissionOutcome.RefusedAsStale)
+                                        || submission.basedOn() != configuration.documentVersion());
+    }
+
     /**
      * Applies a command.
      *
@@ -129,9 +144,9 @@
     }
 
     private SubmissionOutcome submit(long index, MeshCommand.SubmitDocument submission) {
-        SubmissionOutcome first = answers.get(submission.key());
-        if (first != null) {
-            return first;
+        Optional<SubmissionOutcome> first = answer(submission);
+        if (first.isPresent()) {
+            return first.get();
         }
         SubmissionOutcome outcome = judge(index, submission);
         remember(submission.key(), outcome);
@@ -156,6 +171,14 @@
     private SubmissionOutcome accept(
             long index, MeshCommand.SubmitDocument submission, MeshDocument document) {
         List<Fault> faults = refuseTakenBack(document);
+        if (document.revision() < configuration.document().revision()) {
+            faults.add(
+                    new Fault(
+                            "revision",
+                            "is older than "
+                                    + configuration.document().revision()
+                                    + ", which is in force"));
+        }
         if (!faults.isEmpty()) {
             return new SubmissionOutcome.RefusedAsFaulty(faults);
         }
@@ -175,9 +198,16 @@
         for (int at = 0; at < document.services().size(); at++) {
             Service service = document.services().get(at);
             String path = "services[" + at + "]";
-            if (takenBack.contains(new TakenBackVersion(service.name(), service.version()))) {
-                faults.add(new Fault(path + ".version", takenBackReason(service.version())));
-            }
+            service.version()
+                    .filter(
+                            version ->
+                                    takenBack.contains(
+                                            new TakenBackVersion(service.name(), version)))
+                    .ifPresent(
+                            version ->
+                                    faults.add(
+                                            new Fault(
+                                                    path + ".version", takenBackReason(version))));
             service.rollout()
                     .filter(rollout -> isNewlyWanted(service.name(), rollout.version()))
                     .ifPresent(
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
@@ -15,6 +15,7 @@
  * @param inbound address where the node takes calls for the target
  * @param slots calls that the target runs at once
  * @param phase where the target stands
+ * @param instance identity of this start of the target; another one stands for another target
  */
 public record Announcement(
         String node,
@@ -25,7 +26,8 @@
         String dataCentre,
         Address inbound,
         int slots,
-        TargetPhase phase) {
+        TargetPhase phase,
+        String instance) {
     /**
      * Tells whether this announcement is later than another of the same node. The end of a lease
      * carries the sequence of the announcement that it ends, and so is later than that one and
@@ -70,6 +72,7 @@
                 dataCentre,
                 inbound,
                 slots,
-                newPhase);
+                newPhase,
+                instance);
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/retry/AttemptOutcome.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/AttemptOutcome.java
@@ -14,8 +14,20 @@
      *
      * @param reason why, for the log and the caller
      * @param retryAfterMillis time after which the refuser expects to have room, in milliseconds
+     * @param reachedTarget true when the target itself refused it, false when no target saw it
      */
-    record NotRun(String reason, long retryAfterMillis) implements AttemptOutcome {}
+    record NotRun(String reason, long retryAfterMillis, boolean reachedTarget)
+            implements AttemptOutcome {
+        /**
+         * Returns a refusal by the target itself.
+         *
+         * @param reason why it did not run
+         * @param retryAfterMillis when it may be worth another try, in milliseconds
+         */
+        public NotRun(String reason, long retryAfterMillis) {
+            this(reason, retryAfterMillis, true);
+        }
+    }
 
     /**
      * A target may have run the call, in part or whole.
--- a/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
@@ -5,6 +5,13 @@
 /** Decides whether a call is tried again. Only what cannot run twice by it is. */
 public final class RetryPolicy {
     private static final int MOST_ATTEMPTS = 3;
+
+    /**
+     * Placements of a call that no target has seen. Each costs a crossing between nodes but nothing
+     * at a target; after three full queues among a handful of targets a fourth is likely full too.
+     */
+    private static final int MOST_REFUSALS = 3;
+
     private static final long LONGEST_DELAY_MILLIS = 20;
 
     private RetryPolicy() {}
@@ -36,6 +43,8 @@
             RandomGenerator random) {
         return switch (outcome) {
             case AttemptOutcome.Answered answered -> new RetryDecision.Answer();
+            case AttemptOutcome.NotRun notRun when !notRun.reachedTarget() ->
+                    placeAnew(honest(notRun, progress), progress);
             case AttemptOutcome.NotRun notRun ->
                     retryOrGiveUp(honest(notRun, progress), "not_run", progress, budget, random);
             case AttemptOutcome.MayHaveRun mayHaveRun ->
@@ -52,6 +61,13 @@
                 : notRun;
     }
 
+    /** A call that no target has seen goes to another node at once, without cost to the budget. */
+    private static RetryDecision placeAnew(AttemptOutcome outcome, CallProgress progress) {
+        return progress.refusals() < MOST_REFUSALS && progress.remainingMillis() > 0
+                ? new RetryDecision.Retry(0, "no_target_reached")
+                : new RetryDecision.GiveUp(outcome);
+    }
+
     private static RetryDecision retryOrGiveUp(
             AttemptOutcome outcome,
             String reason,
@@ -60,7 +76,8 @@
             RandomGenerator random) {
         long delay = random.nextLong(LONGEST_DELAY_MILLIS + 1);
         boolean hasTime = progress.remainingMillis() > delay;
-        if (progress.attempts() >= MOST_ATTEMPTS || !hasTime || !budget.spend()) {
+        int mostAttempts = Math.min(MOST_ATTEMPTS, progress.maxAttempts());
+        if (progress.attempts() >= mostAttempts || !hasTime || !budget.spend()) {
             return new RetryDecision.GiveUp(outcome);
         }
         return new RetryDecision.Retry(delay, reason);
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
@@ -7,9 +7,15 @@
  *
  * @param node name of the node beside the target
  * @param dataCentre where it runs
+ * @param instance identity of this start of the target
  * @param inbound address where its node takes calls
  * @param slots calls that the target runs at once, at least 1
  * @param experience what the chooser's own calls to it met
  */
 public record TargetView(
-        String node, String dataCentre, Address inbound, int slots, TargetExperience experience) {}
+        String node,
+        String instance,
+        String dataCentre,
+        Address inbound,
+        int slots,
+        TargetExperience experience) {}
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/VersionAvailability.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionAvailability.java
@@ -17,4 +17,12 @@
      * @return true while it does
      */
     boolean isGuarded(String version);
+
+    /**
+     * Names the version that a service runs where its document names none.
+     *
+     * @return the version that its targets have run for longest, or an empty text when none is
+     *     known
+     */
+    String establishedVersion();
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
@@ -36,13 +36,14 @@
                 configuration
                         .rollout(service.name())
                         .filter(rollout -> rollout.phase() != RolloutPhase.TAKEN_BACK);
+        String oldVersion = service.version().orElseGet(availability::establishedVersion);
         if (progress.isEmpty()) {
-            return service.version();
+            return oldVersion;
         }
         boolean drawn = random.nextInt(WHOLE_PER_MILLE) < progress.get().sharePerMille();
         return drawn
-                ? drawnNew(service.version(), progress.get().version(), availability)
-                : drawnOld(service.version(), progress.get(), availability);
+                ? drawnNew(oldVersion, progress.get().version(), availability)
+                : drawnOld(oldVersion, progress.get(), availability);
     }
 
     private static String drawnNew(
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
@@ -77,8 +77,8 @@
     void configurationWithDanglingRouteIsRefusedWhole() {
         ConfigurationHolder holder = ConfigurationHolder.empty();
         MeshDocument document =
-                new MeshDocument(
-                        List.of(new Service("arkiv", "1", Optional.empty())),
+                MeshDocument.of(
+                        List.of(Service.of("arkiv", "1", Optional.empty())),
                         List.of(ConfigurationSamples.route("r", "verksted", 5)),
                         RolloutPriority.SAFETY);
         ConfigurationHistory history = ConfigurationHistory.of(MeshConfiguration.empty());
@@ -126,10 +126,12 @@
                 sound.documentVersion(),
                 sound.rolloutPriority(),
                 new KeyedChanges<>(
-                        List.of(new Service("stranger", "1", Optional.empty())), List.of()),
+                        List.of(Service.of("stranger", "1", Optional.empty())), List.of()),
                 sound.routes(),
                 sound.rollouts(),
-                sound.digest());
+                sound.digest(),
+                sound.revision(),
+                sound.limits());
     }
 
     private static void assertAgreed(MeshConfiguration held, List<MeshConfiguration> agreed) {
@@ -144,9 +146,12 @@
 
     private static void assertClosed(MeshConfiguration held) {
         for (Route route : held.document().routes()) {
-            assertWithMessage("service of " + route.name())
-                    .that(held.document().service(route.service()))
-                    .isPresent();
+            route.destinations()
+                    .forEach(
+                            destination ->
+                                    assertWithMessage("service of " + route.name())
+                                            .that(held.document().service(destination.service()))
+                                            .isPresent());
         }
         for (Service service : held.document().services()) {
             assertThat(held.rollout(service.name()).isPresent())
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
@@ -50,7 +50,7 @@
                                             DONE_BY,
                                             RolloutCriteria.of(RolloutPriority.SAFETY)))
                             : Optional.empty();
-            services.add(new Service(name, "v" + random.nextInt(3), rollout));
+            services.add(Service.of(name, "v" + random.nextInt(3), rollout));
             if (moves) {
                 rollouts.add(progress(name, random.nextInt(1_001)));
             }
@@ -59,12 +59,12 @@
             }
         }
         RolloutPriority priority = RolloutPriority.values()[random.nextInt(2)];
-        MeshDocument document = new MeshDocument(services, routes, priority);
+        MeshDocument document = MeshDocument.of(services, routes, priority);
         return new MeshConfiguration(version, version, document, "text", rollouts);
     }
 
     static Route route(String name, String service, int timeoutMillis) {
-        return new Route(name, name + ".example", "/", service, timeoutMillis, false);
+        return Route.toService(name, name + ".example", "/", service, timeoutMillis, false);
     }
 
     static RolloutProgress progress(String service, int sharePerMille) {
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/LeaseTableTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/LeaseTableTest.java
@@ -104,7 +104,8 @@
                             dataCentre,
                             new Address("127.0.0.1", 7_000),
                             9,
-                            TargetPhase.READY));
+                            TargetPhase.READY,
+                            node));
         }
         registry.merge(announcements);
     }
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
@@ -127,6 +127,7 @@
                 "nidaros",
                 new Address("127.0.0.1", 7_000),
                 9,
-                TargetPhase.READY);
+                TargetPhase.READY,
+                node);
     }
 }
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -127,7 +127,8 @@
             boolean mayHaveRunBefore,
             int attempts,
             long seed) {
-        CallProgress progress = new CallProgress(idempotent, mayHaveRunBefore, attempts, 1_000);
+        CallProgress progress =
+                new CallProgress(idempotent, mayHaveRunBefore, attempts, 1_000, MOST_ATTEMPTS, 0);
         return RetryPolicy.decide(outcome, progress, RetryBudget.full(), new Random(seed));
     }
 }
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
@@ -22,7 +22,7 @@
 
     private TargetExperience add(String node, String dataCentre, TargetExperience experience) {
         Address address = new Address("127.0.0.1", 1);
-        targets.add(new TargetView(node, dataCentre, address, SLOTS, experience));
+        targets.add(new TargetView(node, node, dataCentre, address, SLOTS, experience));
         return experience;
     }
 
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
@@ -15,7 +15,7 @@
 import org.cuminreach.document.Service;
 
 class VersionChooserTest {
-    private static final Service SERVICE = new Service("arkiv", "1", Optional.empty());
+    private static final Service SERVICE = Service.of("arkiv", "1", Optional.empty());
 
     private record Availability(boolean oldReady, boolean newReady, boolean guarded)
             implements VersionAvailability {
@@ -28,6 +28,11 @@
         public boolean isGuarded(String version) {
             return version.equals("2") && guarded;
         }
+
+        @Override
+        public String establishedVersion() {
+            return "1";
+        }
     }
 
     @Property(seed = "51", tries = 500)
--- a/document/src/main/java/org/cuminreach/document/DocumentReader.java
+++ b/document/src/main/java/org/cuminreach/document/DocumentReader.java
@@ -17,6 +17,13 @@
     private static final int LONGEST_TIMEOUT_MILLIS = 600_000;
     private static final int DEFAULT_TIMEOUT_MILLIS = 5_000;
     private static final int WHOLE_SHARE_PER_MILLE = 1_000;
+    private static final int MOST_ATTEMPTS = 100;
+    private static final int LOWEST_PRIORITY = 1_000;
+    private static final int HIGHEST_WEIGHT = 1_000_000;
+    private static final int MOST_CONNECTIONS = 1_000_000;
+    private static final int MOST_HEADER_BYTES = 1024 * 1024;
+    private static final long MOST_BODY_BYTES = 1024L * 1024 * 1024;
+    private static final int LONGEST_IDLE_MILLIS = 86_400_000;
 
     private DocumentReader() {}
 
@@ -32,21 +39,27 @@
 
     private static MeshDocument document(CheckedObject object) {
         RolloutPriority priority = object.choice("rolloutPriority", RolloutPriority.SAFETY);
+        long revision = object.number("revision", 0, 0, Long.MAX_VALUE);
+        CallerLimits limits =
+                object.object("limits", DocumentReader::limits).orElse(CallerLimits.standard());
         List<Service> services = object.objects("services", entry -> service(entry, priority));
         List<Route> routes = object.objects("routes", DocumentReader::route);
         refuseRepeatedServices(object, services);
         refuseUnusableRoutes(object, services, routes);
-        return new MeshDocument(services, routes, priority);
+        return new MeshDocument(revision, services, routes, priority, limits);
     }
 
     private static Service service(CheckedObject object, RolloutPriority priority) {
         String name = object.name("name");
-        String version = object.name("version");
+        Optional<String> version =
+                object.has("version") ? Optional.of(object.name("version")) : Optional.empty();
         Optional<Rollout> rollout = object.object("rollout", entry -> rollout(entry, priority));
-        if (rollout.isPresent() && rollout.get().version().equals(version)) {
+        if (rollout.isPresent() && rollout.map(Rollout::version).equals(version)) {
             object.fault("rollout.version", "is the version that carries traffic already");
         }
-        return new Service(name, version, rollout);
+        TargetAccess access =
+                object.object("targets", DocumentReader::access).orElse(TargetAccess.standard());
+        return new Service(name, version, rollout, access);
     }
 
     private static Rollout rollout(CheckedObject object, RolloutPriority priority) {
@@ -65,18 +78,82 @@
         if (!pathPrefix.startsWith("/")) {
             object.fault("pathPrefix", "is \"" + pathPrefix + "\"; it must start with a slash");
         }
+        int timeoutMillis =
+                (int)
+                        object.number(
+                                "timeoutMillis",
+                                DEFAULT_TIMEOUT_MILLIS,
+                                SHORTEST_TIMEOUT_MILLIS,
+                                LONGEST_TIMEOUT_MILLIS);
         return new Route(
                 object.name("name"),
                 object.name("host"),
                 pathPrefix,
-                object.name("service"),
+                destinations(object),
+                timeoutMillis,
+                idempotence(object),
+                (int) object.number("maxAttempts", Route.DEFAULT_MAX_ATTEMPTS, 1, MOST_ATTEMPTS),
                 (int)
                         object.number(
-                                "timeoutMillis",
-                                DEFAULT_TIMEOUT_MILLIS,
-                                SHORTEST_TIMEOUT_MILLIS,
+                                "latencyObjectiveMillis", timeoutMillis, 0, LONGEST_TIMEOUT_MILLIS),
+                (int) object.number("priority", 0, 0, LOWEST_PRIORITY));
+    }
+
+    private static List<WeightedService> destinations(CheckedObject object) {
+        if (!object.has("split")) {
+            return Route.sole(object.name("service"));
+        }
+        if (object.has("service")) {
+            object.fault("split", "stands beside service; a route has one of them");
+        }
+        List<WeightedService> split = object.objects("split", DocumentReader::destination);
+        if (split.stream().mapToLong(WeightedService::weight).sum() == 0) {
+            object.fault("split", "has no weight above 0");
+            return Route.sole("");
+        }
+        return split;
+    }
+
+    private static WeightedService destination(CheckedObject object) {
+        return new WeightedService(
+                object.name("service"), (int) object.number("weight", 0, HIGHEST_WEIGHT));
+    }
+
+    private static Idempotence idempotence(CheckedObject object) {
+        if (!object.has("idempotent")) {
+            return Idempotence.BY_METHOD;
+        }
+        return object.flag("idempotent", false) ? Idempotence.ALWAYS : Idempotence.NEVER;
+    }
+
+    private static TargetAccess access(CheckedObject object) {
+        TargetAccess absent = TargetAccess.standard();
+        return new TargetAccess(
+                object.text("healthPath", absent.healthPath()),
+                (int) object.number("maxConnections", absent.maxConnections(), 1, MOST_CONNECTIONS),
+                object.text("protocol", absent.protocol()),
+                object.flag("tls", absent.tls()));
+    }
+
+    private static CallerLimits limits(CheckedObject object) {
+        CallerLimits absent = CallerLimits.standard();
+        return new CallerLimits(
+                (int)
+                        object.number(
+                                "maxHeaderBytes", absent.maxHeaderBytes(), 1, MOST_HEADER_BYTES),
+                object.number("maxBodyBytes", absent.maxBodyBytes(), 0, MOST_BODY_BYTES),
+                (int)
+                        object.number(
+                                "headerTimeoutMillis",
+                                absent.headerTimeoutMillis(),
+                                1,
                                 LONGEST_TIMEOUT_MILLIS),
-                object.flag("idempotent", false));
+                (int)
+                        object.number(
+                                "idleTimeoutMillis",
+                                absent.idleTimeoutMillis(),
+                                1,
+                                LONGEST_IDLE_MILLIS));
     }
 
     private static void refuseRepeatedServices(CheckedObject object, List<Service> services) {
@@ -104,10 +181,17 @@
             if (!places.add(route.host() + route.pathPrefix())) {
                 object.fault(path, "repeats host and pathPrefix of an earlier route");
             }
-            if (!known.contains(route.service())) {
+            refuseUnknownDestinations(object, path, route, known);
+        }
+    }
+
+    private static void refuseUnknownDestinations(
+            CheckedObject object, String path, Route route, Set<String> known) {
+        for (WeightedService destination : route.destinations()) {
+            if (!known.contains(destination.service())) {
                 object.fault(
-                        path + ".service",
-                        "is \"" + route.service() + "\", which is not among the services");
+                        path + (route.isSplit() ? ".split" : ".service"),
+                        "is \"" + destination.service() + "\", which is not among the services");
             }
         }
     }
--- a/document/src/main/java/org/cuminreach/document/Route.java
+++ b/document/src/main/java/org/cuminreach/document/Route.java
@@ -1,21 +1,109 @@
 package org.cuminreach.document;
 
+import java.util.List;
+import java.util.random.RandomGenerator;
+
 /**
- * A rule that sends calls to a service. Among the routes of a host, the longest matching path
- * prefix wins.
+ * A rule that sends calls to a service, or to several by weight. Among the routes of a host, the
+ * longest matching path prefix wins.
  *
  * @param name unique name
  * @param host value of the Host header, without port
  * @param pathPrefix path prefix, starting with a slash
- * @param service name of the service that answers
+ * @param destinations the services that answer, each with its weight; one at least
  * @param timeoutMillis time a call may take in all, in milliseconds
- * @param idempotent true when every method on this route may be run more than once; otherwise only
- *     GET, HEAD, OPTIONS, PUT and DELETE may
+ * @param idempotence which calls may be run more than once
+ * @param maxAttempts most targets that one call may be sent to
+ * @param latencyObjectiveMillis time within which an answer is of full use, in milliseconds
+ * @param priority rank among the routes; 0 is the most urgent
  */
 public record Route(
         String name,
         String host,
         String pathPrefix,
-        String service,
+        List<WeightedService> destinations,
         int timeoutMillis,
-        boolean idempotent) {}
+        Idempotence idempotence,
+        int maxAttempts,
+        int latencyObjectiveMillis,
+        int priority) {
+    /** Targets that one call may be sent to where the document does not say. */
+    public static final int DEFAULT_MAX_ATTEMPTS = 3;
+
+    private static final int SOLE_WEIGHT = 1;
+
+    /** Copies the destinations. */
+    public Route {
+        destinations = List.copyOf(destinations);
+    }
+
+    /**
+     * Returns a route to one service that leaves all else as it is by default.
+     *
+     * @param name unique name
+     * @param host value of the Host header, without port
+     * @param pathPrefix path prefix, starting with a slash
+     * @param service name of the service that answers
+     * @param timeoutMillis time a call may take in all, in milliseconds
+     * @param idempotent true when every call may be run more than once
+     * @return the route
+     */
+    public static Route toService(
+            String name,
+            String host,
+            String pathPrefix,
+            String service,
+            int timeoutMillis,
+            boolean idempotent) {
+        return new Route(
+                name,
+                host,
+                pathPrefix,
+                sole(service),
+                timeoutMillis,
+                idempotent ? Idempotence.ALWAYS : Idempotence.BY_METHOD,
+                DEFAULT_MAX_ATTEMPTS,
+                timeoutMillis,
+                0);
+    }
+
+    /**
+     * Returns the destinations of a route to one service.
+     *
+     * @param service its name
+     * @return one destination
+     */
+    public static List<WeightedService> sole(String service) {
+        return List.of(new WeightedService(service, SOLE_WEIGHT));
+    }
+
+    /**
+     * Tells whether the route splits its traffic.
+     *
+     * @return whether more than one service answers
+     */
+    public boolean isSplit() {
+        return destinations.size() > 1;
+    }
+
+    /**
+     * Draws the service of one call by the weights.
+     *
+     * @param random source of the draw
+     * @return name of the service
+     */
+    public String draw(RandomGenerator random) {
+        if (!isSplit()) {
+            return destinations.getFirst().service();
+        }
+        int total = destinations.stream().mapToInt(WeightedService::weight).sum();
+        int drawn = random.nextInt(Math.max(1, total));
+        for (WeightedService destination : destinations) {
+            drawn -= destination.weight();
+            if (drawn < 0) {
+                return destination.service();
+            }
+        }
+        return destinations.getLast().service();
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -3,12 +3,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
-import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.CountingHandler;
 import org.cuminreach.node.caller.EvidenceLog;
@@ -19,7 +20,9 @@
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.target.LocalTarget;
 import org.cuminreach.node.target.TargetAnnouncer;
+import org.cuminreach.node.target.TargetClient;
 import org.cuminreach.node.target.TargetGuard;
 import org.cuminreach.node.target.TargetMetrics;
 import org.cuminreach.runtime.EventLoops;
@@ -29,6 +32,7 @@
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.settings.Address;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
 import org.slf4j.Logger;
@@ -42,8 +46,16 @@
     private static final long SESSION_TICK_MILLIS = 500;
     private static final long GUARD_TICK_MILLIS = 20;
     private static final long STOP_POLL_MILLIS = 20;
-    private static final long LEAVE_MILLIS = 500;
     private static final long QUIET_MILLIS = 300;
+
+    /** Time within which the other nodes hear that this one's target is gone, in milliseconds. */
+    private static final long ANNOUNCED_MILLIS = 500;
+
+    /**
+     * Time for which connections are ended one by one before no more are taken, in milliseconds.
+     */
+    private static final long RETIRE_MILLIS = 500;
+
     private static final long LONGEST_CLOSE_MILLIS = 3_000;
 
     private final NodeSettings settings;
@@ -55,6 +67,10 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceLog evidence = EvidenceLog.empty();
     private final HttpSender sender = HttpSender.create(eventLoops);
+    private final TargetClient targetClient = TargetClient.create(eventLoops);
+    private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
+    private final NodeDialect dialect;
+    private final LocalTarget localTarget;
     private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetGuard guard;
@@ -63,15 +79,18 @@
     private HttpServer callers;
     private HttpServer inbound;
     private HttpServer administration;
+    private volatile boolean stopping;
 
-    private NodeProcess(NodeSettings settings) {
+    private NodeProcess(NodeSettings settings, NodeDialect dialect) {
         this.settings = settings;
+        this.dialect = dialect;
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
         guard =
                 TargetGuard.create(
                         settings.name(),
-                        settings.target(),
-                        sender,
+                        announcer::target,
+                        targetClient,
+                        dialect.targets(),
                         TargetMetrics.register(registry));
         session =
                 ControlSession.create(
@@ -83,6 +102,7 @@
                         FrameEndpoints.create(eventLoops, controlTraffic, SILENCE_MILLIS),
                         timer,
                         new Random());
+        localTarget = LocalTarget.create(announcer, guard, session::announce);
         keyed = KeyedCalls.create(settings.name(), session::isWelcomed, keyHomes, sender);
         view.onNews(news -> keyHomes.take(news, ProcessClock.wallMillis()));
     }
@@ -94,7 +114,18 @@
      * @return the running node
      */
     public static NodeProcess start(NodeSettings settings) {
-        NodeProcess process = new NodeProcess(settings);
+        return start(settings, NodeDialect.ofMesh());
+    }
+
+    /**
+     * Starts a node for callers and targets that speak in their own way.
+     *
+     * @param settings its settings
+     * @param dialect how they speak
+     * @return the running node
+     */
+    public static NodeProcess start(NodeSettings settings, NodeDialect dialect) {
+        NodeProcess process = new NodeProcess(settings, dialect);
         process.listen();
         process.session.dial();
         process.startTicking();
@@ -108,15 +139,20 @@
      * @throws InterruptedException when interrupted while waiting
      */
     public void stop() throws InterruptedException {
-        announcer.enter(TargetPhase.GONE);
-        session.announce();
+        stopping = true;
+        long startedMillis = ProcessClock.monotonicMillis();
+        localTarget.stop();
         session.stop();
         LOGGER.info("event=node_stopping running={}", guard.running());
-        Thread.sleep(Math.min(LEAVE_MILLIS, settings.stopMillis()));
-        guard.drain();
+        long leaveMillis = Math.min(settings.leaveMillis(), settings.stopMillis());
+        guard.drain(startedMillis + Math.min(leaveMillis, ANNOUNCED_MILLIS));
+        Thread.sleep(Math.max(0, leaveMillis - RETIRE_MILLIS));
+        callers.retire();
+        inbound.retire();
+        Thread.sleep(Math.min(leaveMillis, RETIRE_MILLIS));
         callers.beginClosing();
         inbound.beginClosing();
-        awaitQuiet(ProcessClock.monotonicMillis() + settings.stopMillis());
+        awaitQuiet(startedMillis + settings.stopMillis());
         LOGGER.info("event=node_stopped cut={}", inProgress());
         close();
     }
@@ -142,6 +178,8 @@
         timer.shutdownNow();
         callers.close();
         inbound.close();
+        extraServers.forEach(HttpServer::close);
+        targetClient.closeIdle();
         administration.close();
         try {
             sender.close();
@@ -172,7 +210,7 @@
                         call.headers().contains(MeshHeaders.KEY_HOME)
                                 ? callerHandler.handleAsKeyHome(call)
                                 : guard.handle(call);
-        CountingHandler counting = CountingHandler.of(callerHandler, registry);
+        HttpHandler counting = dialect.callers(CountingHandler.of(callerHandler, registry));
         callers = HttpServer.listen(settings.callerAddress(), eventLoops, counting).join();
         inbound = HttpServer.listen(settings.inboundAddress(), eventLoops, inboundHandler).join();
         administration =
@@ -184,6 +222,43 @@
                         .join();
     }
 
+    /**
+     * Serves one more address until the node stops.
+     *
+     * @param address the address
+     * @param handler answers the calls there
+     */
+    public void serve(Address address, HttpHandler handler) {
+        extraServers.add(HttpServer.listen(address, eventLoops, handler).join());
+    }
+
+    /**
+     * Returns the target beside the node.
+     *
+     * @return where it describes itself
+     */
+    public LocalTarget localTarget() {
+        return localTarget;
+    }
+
+    /**
+     * Tells whether callers are served well here.
+     *
+     * @return whether the node holds a configuration and does not stop
+     */
+    public boolean isReady() {
+        return readiness().ready();
+    }
+
+    /**
+     * Takes other addresses of controls.
+     *
+     * @param controls the addresses
+     */
+    public void followControls(List<Address> controls) {
+        session.follow(controls);
+    }
+
     private void startTicking() {
         timer.scheduleWithFixedDelay(
                 () -> {
@@ -201,6 +276,9 @@
     }
 
     private Readiness readiness() {
+        if (stopping) {
+            return new Readiness(false, "stopping");
+        }
         boolean ready = holder.inForce().version() > 0;
         return new Readiness(ready, ready ? "holds a configuration" : "no configuration yet");
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -9,6 +9,7 @@
 final class CallAttempts {
     private final HttpCall call;
     private final Route route;
+    private final String service;
     private final String requestId;
     private final String caller;
     private final boolean idempotent;
@@ -16,11 +17,13 @@
     private final long configurationVersion;
     private final Set<String> tried = new HashSet<>();
     private int attempts;
+    private int refusals;
     private boolean mayHaveRun;
 
     CallAttempts(
             HttpCall call,
             Route route,
+            String service,
             String requestId,
             String caller,
             boolean idempotent,
@@ -29,6 +32,7 @@
             int attemptsBefore) {
         this.call = call;
         this.route = route;
+        this.service = service;
         this.requestId = requestId;
         this.caller = caller;
         this.idempotent = idempotent;
@@ -45,6 +49,11 @@
         return route;
     }
 
+    /** Name of the service that was drawn for the call; every attempt goes there. */
+    String service() {
+        return service;
+    }
+
     String requestId() {
         return requestId;
     }
@@ -69,6 +78,16 @@
         return attempts;
     }
 
+    int refusals() {
+        return refusals;
+    }
+
+    /** Notes that the latest attempt reached no target, so that it counts as no attempt. */
+    void noteRefusal() {
+        attempts--;
+        refusals++;
+    }
+
     boolean mayHaveRun() {
         return mayHaveRun;
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -115,6 +115,12 @@
                 call.header(
                         MeshHeaders.REQUEST_ID,
                         Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        if (current.configuration().version() == 0) {
+            LOGGER.info("event=call_refused request={} reason=no_configuration", requestId);
+            return CompletableFuture.completedFuture(
+                    CallAnswers.notRun(
+                            503, "no_configuration", Optional.of((long) NO_TARGET_RETRY_MILLIS)));
+        }
         if (route.isEmpty()) {
             LOGGER.info(
                     "event=call_refused request={} configuration={} reason=no_route host={}"
@@ -126,13 +132,21 @@
             return CompletableFuture.completedFuture(
                     CallAnswers.notRun(404, "no_route", Optional.empty()));
         }
-        boolean idempotent = route.get().idempotent() || IDEMPOTENT_METHODS.contains(call.method());
+        boolean idempotent = isIdempotent(route.get(), call);
         if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
             return handleKeyed(call, route.get(), requestId, current, false);
         }
         return start(call, route.get(), requestId, entering(call), current.configuration());
     }
 
+    private static boolean isIdempotent(Route route, HttpCall call) {
+        return switch (route.idempotence()) {
+            case ALWAYS -> true;
+            case NEVER -> false;
+            case BY_METHOD -> IDEMPOTENT_METHODS.contains(call.method());
+        };
+    }
+
     private Caller entering(HttpCall call) {
         return Caller.entering(call.header(MeshHeaders.CALLER, ""), call.remoteHost(), ownHost);
     }
@@ -172,7 +186,7 @@
         KeyedCall keyedCall =
                 new KeyedCall(
                         call,
-                        route.service(),
+                        route.draw(ThreadLocalRandom.current()),
                         KeyedCall.scoped(key.get(), call),
                         headers,
                         remaining);
@@ -198,9 +212,10 @@
                 new CallAttempts(
                         call,
                         route,
+                        route.draw(ThreadLocalRandom.current()),
                         requestId,
                         caller.text(),
-                        route.idempotent() || IDEMPOTENT_METHODS.contains(call.method()),
+                        isIdempotent(route, call),
                         ProcessClock.monotonicMillis() + timeoutMillis(call, route),
                         configuration.version(),
                         RetryPolicy.attemptsBefore(
@@ -230,8 +245,7 @@
         if (refused.isPresent()) {
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
-        Service service =
-                configuration.document().service(attempts.route().service()).orElseThrow();
+        Service service = configuration.document().service(attempts.service()).orElseThrow();
         String version =
                 VersionChooser.choose(
                         configuration,
@@ -291,7 +305,9 @@
         }
         target.experience().begun(begunMillis);
         HttpHeaders headers =
-                headers(attempts, remaining).set(MeshHeaders.TARGET_NODE, target.node());
+                headers(attempts, remaining)
+                        .set(MeshHeaders.TARGET_NODE, target.node())
+                        .set(MeshHeaders.TARGET_INSTANCE, target.instance());
         return sender.send(target.inbound(), attempts.call(), headers, remaining)
                 .thenCompose(
                         sent -> {
@@ -332,12 +348,17 @@
             String version,
             SendOutcome sent) {
         AttemptOutcome outcome = CallAnswers.outcome(sent);
+        if (outcome instanceof AttemptOutcome.NotRun notRun && !notRun.reachedTarget()) {
+            attempts.noteRefusal();
+        }
         CallProgress progress =
                 new CallProgress(
                         attempts.idempotent(),
                         attempts.mayHaveRun(),
                         attempts.attempts(),
-                        attempts.remainingMillis(ProcessClock.monotonicMillis()));
+                        attempts.remainingMillis(ProcessClock.monotonicMillis()),
+                        attempts.route().maxAttempts(),
+                        attempts.refusals());
         if (outcome instanceof AttemptOutcome.MayHaveRun) {
             attempts.noteMayHaveRun();
         }
--- a/node/src/main/java/org/cuminreach/node/caller/KeyedCalls.java
+++ b/node/src/main/java/org/cuminreach/node/caller/KeyedCalls.java
@@ -200,6 +200,7 @@
                                     whole.answer().body())
                             : CallAnswers.mayHaveRun("key_home_failed");
             case SendOutcome.NeverSent never -> CallAnswers.mayHaveRun("key_home_unreachable");
+            case SendOutcome.Refused refused -> CallAnswers.mayHaveRun(refused.reason());
             case SendOutcome.Lost lost -> CallAnswers.mayHaveRun(lost.reason());
         };
     }
--- a/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
+++ b/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
@@ -33,6 +33,11 @@
             public boolean isGuarded(String version) {
                 return evidence.isGuarded(service, version, ProcessClock.wallMillis());
             }
+
+            @Override
+            public String establishedVersion() {
+                return view.establishedVersion(service);
+            }
         };
     }
 
@@ -45,7 +50,7 @@
             long micros,
             MeshView view,
             EvidenceLog evidence) {
-        String service = attempts.route().service();
+        String service = attempts.service();
         long wallMillis = ProcessClock.wallMillis();
         Optional<String> newVersion = judgedVersion(configuration, service, wallMillis);
         boolean failedElsewhere =
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/control/ControlContacts.java
@@ -0,0 +1,68 @@
+package org.cuminreach.node.control;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.cuminreach.settings.Address;
+
+/**
+ * Where the controls are reached: the addresses of the settings, and those that a control has told.
+ * Safe for use by several threads.
+ */
+public final class ControlContacts {
+    private List<Address> configured;
+    private List<Address> told = List.of();
+    private int next;
+
+    private ControlContacts(List<Address> configured) {
+        this.configured = List.copyOf(configured);
+    }
+
+    /**
+     * Returns contacts.
+     *
+     * @param configured the addresses of the settings, one at least
+     * @param first number of the one that is dialled first
+     * @return the contacts
+     */
+    public static ControlContacts of(List<Address> configured, int first) {
+        ControlContacts contacts = new ControlContacts(configured);
+        contacts.next = first;
+        return contacts;
+    }
+
+    /**
+     * Takes other settings.
+     *
+     * @param addresses the addresses that they name; none leaves the contacts as they are
+     */
+    public synchronized void configure(List<Address> addresses) {
+        if (!addresses.isEmpty()) {
+            configured = List.copyOf(addresses);
+        }
+    }
+
+    /**
+     * Takes what a control says of the others.
+     *
+     * @param addresses addresses of the controls that it knows
+     */
+    public synchronized void told(List<Address> addresses) {
+        told = List.copyOf(addresses);
+    }
+
+    /**
+     * Chooses the control to dial next; each gets its turn.
+     *
+     * @return its address
+     */
+    public synchronized Address next() {
+        Set<Address> known = new LinkedHashSet<>(configured);
+        known.addAll(told);
+        List<Address> addresses = new ArrayList<>(known);
+        Address chosen = addresses.get(Math.floorMod(next, addresses.size()));
+        next++;
+        return chosen;
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -51,6 +51,7 @@
     private final FrameEndpoints endpoints;
     private final ScheduledExecutorService timer;
     private final RandomGenerator random;
+    private final ControlContacts contacts;
     private volatile FrameConnection connection;
     private volatile boolean welcomed;
     private volatile boolean stopping;
@@ -59,7 +60,6 @@
     private volatile long openedMillis;
     private boolean everWelcomed;
     private Optional<Long> askedWaitMillis = Optional.empty();
-    private int nextControl;
 
     private ControlSession(
             NodeSettings settings,
@@ -78,7 +78,8 @@
         this.endpoints = endpoints;
         this.timer = timer;
         this.random = random;
-        this.nextControl = random.nextInt(settings.controls().size());
+        this.contacts =
+                ControlContacts.of(settings.controls(), random.nextInt(settings.controls().size()));
     }
 
     /**
@@ -107,14 +108,21 @@
                 settings, holder, view, evidence, announcer, endpoints, timer, random);
     }
 
+    /**
+     * Takes other addresses of controls, as from changed settings. An open session stays.
+     *
+     * @param controls the addresses
+     */
+    public void follow(List<Address> controls) {
+        contacts.configure(controls);
+    }
+
     /** Dials the next control. */
     public void dial() {
         if (stopping) {
             return;
         }
-        List<Address> controls = settings.controls();
-        Address control = controls.get(nextControl % controls.size());
-        nextControl++;
+        Address control = contacts.next();
         endpoints
                 .connect(control, this)
                 .whenComplete(
@@ -154,7 +162,7 @@
     public void announce() {
         FrameConnection open = connection;
         if (open != null) {
-            open.send(MembershipCodec.toFrame(List.of(announcer.next())));
+            announcer.next().ifPresent(next -> open.send(MembershipCodec.toFrame(List.of(next))));
         }
     }
 
@@ -223,6 +231,13 @@
         if (welcome.isSetKnownIncarnation()) {
             meetLaterIncarnation(welcome.getKnownIncarnation());
         }
+        if (welcome.isSetControls()) {
+            contacts.told(
+                    welcome.getControls().stream()
+                            .map(Address::parse)
+                            .flatMap(Optional::stream)
+                            .toList());
+        }
         everWelcomed = true;
     }
 
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -12,7 +12,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final String JSON = "application/json";
     private static final int MILLIS_PER_SECOND = 1_000;
-    private static final int LONGEST_RETRY_AFTER_SECONDS = 3_600;
+    private static final long LONGEST_RETRY_AFTER_MILLIS = 3_600_000;
 
     private CallAnswers() {}
 
@@ -25,7 +25,9 @@
      */
     public static AttemptOutcome outcome(SendOutcome sent) {
         return switch (sent) {
-            case SendOutcome.NeverSent never -> new AttemptOutcome.NotRun(never.reason(), 0);
+            case SendOutcome.NeverSent never -> new AttemptOutcome.NotRun(never.reason(), 0, false);
+            case SendOutcome.Refused refused ->
+                    new AttemptOutcome.NotRun(refused.reason(), refused.retryAfterMillis());
             case SendOutcome.Lost lost -> new AttemptOutcome.MayHaveRun(lost.reason());
             case SendOutcome.Whole whole -> outcome(whole.answer());
         };
@@ -41,7 +43,10 @@
      */
     public static HttpAnswer notRun(int status, String reason, Optional<Long> retryAfterMillis) {
         HttpAnswer answer = refusal(status, MeshHeaders.NOT_RUN, reason);
-        retryAfterMillis.ifPresent(millis -> answer.with("Retry-After", seconds(millis)));
+        retryAfterMillis.ifPresent(
+                millis ->
+                        answer.with("Retry-After", seconds(millis))
+                                .with(MeshHeaders.RETRY_AFTER_MILLIS, millis));
         return answer;
     }
 
@@ -60,6 +65,9 @@
                                     whole.answer().body())
                             .with(MeshHeaders.OUTCOME, MeshHeaders.ANSWERED);
             case SendOutcome.NeverSent never -> notRun(503, never.reason(), Optional.of(1L));
+            case SendOutcome.Refused refused ->
+                    notRun(503, refused.reason(), Optional.of(refused.retryAfterMillis()))
+                            .with(MeshHeaders.REACHED_TARGET, "true");
             case SendOutcome.Lost lost -> mayHaveRun(lost.reason());
         };
     }
@@ -138,7 +146,10 @@
         String told = answer.headers().get(MeshHeaders.OUTCOME);
         return switch (told) {
             case MeshHeaders.NOT_RUN ->
-                    new AttemptOutcome.NotRun("refused_by_target_node", retryAfterMillis(answer));
+                    new AttemptOutcome.NotRun(
+                            "refused_by_target_node",
+                            retryAfterMillis(answer),
+                            answer.headers().contains(MeshHeaders.REACHED_TARGET));
             case MeshHeaders.ANSWERED -> new AttemptOutcome.Answered(answer.status());
             case null, default ->
                     new AttemptOutcome.MayHaveRun(
@@ -153,8 +164,8 @@
 
     private static long retryAfterMillis(HttpAnswer answer) {
         try {
-            long seconds = Long.parseLong(answer.headers().get("Retry-After", ""));
-            return Math.clamp(seconds, 0, LONGEST_RETRY_AFTER_SECONDS) * MILLIS_PER_SECOND;
+            long millis = Long.parseLong(answer.headers().get(MeshHeaders.RETRY_AFTER_MILLIS, ""));
+            return Math.clamp(millis, 0, LONGEST_RETRY_AFTER_MILLIS);
         } catch (NumberFormatException malformed) {
             return 0;
         }
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -26,6 +26,15 @@
     /** Name of the node whose target a call is meant for; another node refuses it. */
     public static final String TARGET_NODE = "X-Cuminreach-Target-Node";
 
+    /** Identity of the start of the target that a call is meant for; another start refuses it. */
+    public static final String TARGET_INSTANCE = "X-Cuminreach-Target-Instance";
+
+    /** Says of a refusal that the target itself refused, not the node beside it. */
+    public static final String REACHED_TARGET = "X-Cuminreach-Reached-Target";
+
+    /** When a refused call may come again, in milliseconds. */
+    public static final String RETRY_AFTER_MILLIS = "X-Cuminreach-Retry-After-Millis";
+
     /** Name of the node that a call is sent to as the home of its idempotency key. */
     public static final String KEY_HOME = "X-Cuminreach-Key-Home";
 
@@ -55,7 +64,14 @@
 
     /** What only nodes may say in an answer. */
     private static final List<String> OF_NODES =
-            List.of(OUTCOME, REQUEST_ID, CONFIGURATION, TARGET_VERSION, REPEATED);
+            List.of(
+                    OUTCOME,
+                    REQUEST_ID,
+                    CONFIGURATION,
+                    TARGET_VERSION,
+                    REPEATED,
+                    REACHED_TARGET,
+                    RETRY_AFTER_MILLIS);
 
     private static final List<String> HOP_BY_HOP =
             List.of(
--- a/node/src/main/java/org/cuminreach/node/http/SendOutcome.java
+++ b/node/src/main/java/org/cuminreach/node/http/SendOutcome.java
@@ -18,6 +18,14 @@
      */
     record NeverSent(String reason) implements SendOutcome {}
 
+    /**
+     * The target received the call and said that it did not run it.
+     *
+     * @param reason why, in its words or ours
+     * @param retryAfterMillis when it may be worth another try, in milliseconds
+     */
+    record Refused(String reason, long retryAfterMillis) implements SendOutcome {}
+
     /**
      * The call was sent, or may have been, and no whole answer arrived.
      *
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.membership.EstablishedVersions;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.decisions.routing.TargetExperience;
@@ -22,9 +23,10 @@
     private static final long REMEMBER_GONE_MILLIS = 3_600_000;
 
     /** One process of a node; a later process of the same name starts without experience. */
-    private record Process(String node, long incarnation) {}
+    private record Process(String node, String instance) {}
 
     private final TargetRegistry registry = TargetRegistry.empty();
+    private final EstablishedVersions established = EstablishedVersions.none();
     private final Map<Process, TargetExperience> experiences = new HashMap<>();
     private Consumer<List<Announcement>> newsListener = news -> {};
     private volatile Map<String, Map<String, List<TargetView>>> ready = Map.of();
@@ -92,6 +94,7 @@
                 present.add(process(announcement));
             }
         }
+        established.update(registry.all());
         experiences.keySet().retainAll(present);
         ready = next;
     }
@@ -107,6 +110,16 @@
         return ready.getOrDefault(service, Map.of()).getOrDefault(version, List.of());
     }
 
+    /**
+     * Returns the version that a service runs where its document names none.
+     *
+     * @param service name of the service
+     * @return the version, or an empty text when no target of it was ever ready
+     */
+    public synchronized String establishedVersion(String service) {
+        return established.version(service).orElse("");
+    }
+
     /**
      * Returns how many targets are ready.
      *
@@ -126,6 +139,7 @@
                         process -> TargetExperience.cold(announcement.slots(), nowMillis));
         return new TargetView(
                 announcement.node(),
+                announcement.instance(),
                 announcement.dataCentre(),
                 announcement.inbound(),
                 announcement.slots(),
@@ -133,6 +147,6 @@
     }
 
     private static Process process(Announcement announcement) {
-        return new Process(announcement.node(), announcement.incarnation());
+        return new Process(announcement.node(), announcement.instance());
     }
 }
--- a/node/src/main/java/org/cuminreach/node/peer/TargetAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetAnswers.java
@@ -36,6 +36,7 @@
     private static TargetAnswer answer(SendOutcome sent) {
         return switch (sent) {
             case SendOutcome.NeverSent never -> TargetAnswer.UNREACHABLE;
+            case SendOutcome.Refused refused -> TargetAnswer.SHED;
             case SendOutcome.Lost lost -> TargetAnswer.LOST;
             case SendOutcome.Whole whole -> answer(whole.answer());
         };
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -1,6 +1,8 @@
 package org.cuminreach.node.settings;
 
 import java.util.List;
+import java.util.Optional;
+import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
@@ -15,7 +17,8 @@
  * @param inboundAddress where other nodes bring calls for its target
  * @param administrationAddress where its metrics and health are read by HTTP
  * @param controls addresses of the controls
- * @param target the target beside it
+ * @param target the target beside it; without one, the target describes itself to the node
+ * @param leaveMillis time for which a node that stops still takes new calls, in milliseconds
  * @param stopMillis longest time a planned stop waits for running calls, in milliseconds
  * @param log settings of the log
  */
@@ -26,10 +29,12 @@
         Address inboundAddress,
         Address administrationAddress,
         List<Address> controls,
-        Target target,
+        Optional<Target> target,
+        long leaveMillis,
         long stopMillis,
         LogSettings log) {
     private static final int MOST_SLOTS = 10_000;
+    private static final long DEFAULT_LEAVE_MILLIS = 500;
     private static final long DEFAULT_STOP_MILLIS = 30_000;
     private static final long LONGEST_STOP_MILLIS = 600_000;
 
@@ -43,6 +48,23 @@
      */
     public record Target(String service, String version, Address address, int slots) {}
 
+    /**
+     * Returns the target that the settings name.
+     *
+     * @return the target, ready; or empty when it describes itself to the node
+     */
+    public Optional<TargetDescription> describedTarget() {
+        return target.map(
+                known ->
+                        new TargetDescription(
+                                name,
+                                known.service(),
+                                known.version(),
+                                known.address(),
+                                known.slots(),
+                                TargetPhase.READY));
+    }
+
     /** Copies the list. */
     public NodeSettings {
         controls = List.copyOf(controls);
@@ -58,7 +80,6 @@
         if (!object.has("target")) {
             object.fault("target", "is missing; an object is needed");
         }
-        Address none = new Address("127.0.0.1", 1);
         NodeSettings settings =
                 new NodeSettings(
                         object.name("name"),
@@ -67,8 +88,8 @@
                         object.address("inboundAddress"),
                         object.address("administrationAddress"),
                         object.addresses("controls"),
-                        object.object("target", NodeSettings::readTarget)
-                                .orElse(new Target("", "", none, 1)),
+                        object.object("target", NodeSettings::readTarget),
+                        object.number("leaveMillis", DEFAULT_LEAVE_MILLIS, 0, LONGEST_STOP_MILLIS),
                         object.number("stopMillis", DEFAULT_STOP_MILLIS, 0, LONGEST_STOP_MILLIS),
                         LogSettings.read(object));
         settings.refuseEqualAddresses(object);
@@ -84,10 +105,10 @@
     }
 
     private void refuseEqualAddresses(CheckedObject object) {
-        DistinctAddresses.of(object)
-                .with("callerAddress", callerAddress)
+        DistinctAddresses distinct = DistinctAddresses.of(object);
+        distinct.with("callerAddress", callerAddress)
                 .with("inboundAddress", inboundAddress)
-                .with("administrationAddress", administrationAddress)
-                .with("target.address", target.address());
+                .with("administrationAddress", administrationAddress);
+        target.ifPresent(known -> distinct.with("target.address", known.address()));
     }
 }
--- a/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
@@ -1,77 +1,107 @@
 package org.cuminreach.node.target;
 
+import java.util.Optional;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.settings.TargetDescription;
 
-/** What this node says of its target; each announcement has a higher sequence than the last. */
+/** Makes the announcements of this node's target. Each one is later than the one before it. */
 public final class TargetAnnouncer {
     private final NodeSettings settings;
+    private Optional<TargetDescription> target;
     private long incarnation;
     private long sequence;
-    private TargetPhase phase = TargetPhase.READY;
 
-    private TargetAnnouncer(NodeSettings settings, long incarnation) {
+    private TargetAnnouncer(
+            NodeSettings settings, Optional<TargetDescription> target, long incarnation) {
         this.settings = settings;
+        this.target = target;
         this.incarnation = incarnation;
     }
 
     /**
-     * Returns the announcer of a node.
+     * Returns the announcer of a process. A target that the settings name is ready at once; any
+     * other is described later.
      *
      * @param settings settings of the node
-     * @param incarnation start time of the process, in milliseconds since the epoch
+     * @param incarnation a number above that of every earlier process of this node
      * @return the announcer
      */
     public static TargetAnnouncer create(NodeSettings settings, long incarnation) {
-        return new TargetAnnouncer(settings, incarnation);
+        return new TargetAnnouncer(settings, settings.describedTarget(), incarnation);
     }
 
     /**
-     * Returns the start time of the process.
+     * Returns the incarnation of this process.
      *
-     * @return milliseconds since the epoch
+     * @return the number
      */
     public synchronized long incarnation() {
         return incarnation;
     }
 
     /**
-     * Takes an incarnation above one that the controls know from an earlier process of this name,
-     * whose wall clock was ahead.
+     * Moves to a later incarnation than one that others know for this node.
      *
-     * @param known the incarnation that the controls know
+     * @param known the incarnation that is known
      */
     public synchronized void surpass(long known) {
         incarnation = Math.max(incarnation, known + 1);
     }
 
     /**
-     * Moves the target to another phase.
+     * Takes a description of the target.
+     *
+     * @param description the target as it is now
+     * @return whether it differs from the one before
+     */
+    public synchronized boolean describe(TargetDescription description) {
+        Optional<TargetDescription> next = Optional.of(description);
+        boolean differs = !next.equals(target);
+        target = next;
+        return differs;
+    }
+
+    /**
+     * Enters a phase; the next announcement tells it.
      *
      * @param next the phase
      */
     public synchronized void enter(TargetPhase next) {
-        phase = next;
+        target = target.map(described -> described.in(next));
+    }
+
+    /**
+     * Returns the target as last described.
+     *
+     * @return the target, or empty when it has not been described yet
+     */
+    public synchronized Optional<TargetDescription> target() {
+        return target;
     }
 
     /**
      * Makes the next announcement.
      *
-     * @return the announcement
+     * @return the announcement, or empty when there is no target to announce
      */
-    public synchronized Announcement next() {
+    public synchronized Optional<Announcement> next() {
+        return target.map(this::announcement);
+    }
+
+    private Announcement announcement(TargetDescription described) {
         sequence++;
-        NodeSettings.Target target = settings.target();
         return new Announcement(
                 settings.name(),
                 incarnation,
                 sequence,
-                target.service(),
-                target.version(),
+                described.service(),
+                described.version(),
                 settings.dataCentre(),
                 settings.inboundAddress(),
-                target.slots(),
-                phase);
+                described.slots(),
+                described.phase(),
+                described.instance());
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -0,0 +1,162 @@
+package org.cuminreach.node.target;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.settings.Address;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends calls to the target beside the node, one at a time on each connection. Connections are kept
+ * for later calls as long as the target surely keeps them.
+ */
+public final class TargetClient {
+    private static final Logger LOGGER = LoggerFactory.getLogger(TargetClient.class);
+
+    /**
+     * The target is on the same VM: a connection that takes longer has no listener to accept it.
+     */
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    /** Longest header block of an answer that is read, in bytes; twice what callers may send. */
+    private static final int LARGEST_HEADER_BYTES = 32 * 1024;
+
+    private static final int LONGEST_LINE_BYTES = 4 * 1024;
+    private static final int LARGEST_CHUNK_BYTES = 16 * 1024;
+
+    private final EventLoopGroup eventLoops;
+    private final Map<Address, Deque<TargetConnection>> idle = new HashMap<>();
+
+    private TargetClient(EventLoopGroup eventLoops) {
+        this.eventLoops = eventLoops;
+    }
+
+    /**
+     * Returns a client without connections.
+     *
+     * @param eventLoops runs them
+     * @return the client
+     */
+    public static TargetClient create(EventLoopGroup eventLoops) {
+        return new TargetClient(eventLoops);
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param to address of the target
+     * @param call the call
+     * @param headers headers to send, instead of the call's own
+     * @param belongs tells whether an answer's headers belong to this call
+     * @param timeoutMillis time after which nobody waits for the answer, in milliseconds
+     * @return what came of it; never a failure
+     */
+    public CompletableFuture<SendOutcome> send(
+            Address to,
+            HttpCall call,
+            HttpHeaders headers,
+            Predicate<HttpHeaders> belongs,
+            long timeoutMillis) {
+        if (call.abandoned().isDone()) {
+            return CompletableFuture.completedFuture(new SendOutcome.NeverSent("abandoned"));
+        }
+        TargetExchange exchange = new TargetExchange(call, headers, belongs, timeoutMillis);
+        Optional<TargetConnection> kept = takeIdle(to, ProcessClock.monotonicMillis());
+        if (kept.isPresent()) {
+            kept.get().begin(exchange);
+        } else {
+            connect(to, exchange);
+        }
+        call.abandoned().thenRun(() -> exchange.cancel("abandoned"));
+        return exchange.outcome();
+    }
+
+    /** Closes the connections that no call uses. */
+    public synchronized void closeIdle() {
+        idle.values().forEach(connections -> connections.forEach(TargetConnection::close));
+        idle.clear();
+    }
+
+    synchronized void keep(Address to, TargetConnection connection) {
+        idle.computeIfAbsent(to, address -> new ArrayDeque<>()).addFirst(connection);
+    }
+
+    synchronized void forget(Address to, TargetConnection connection) {
+        Deque<TargetConnection> connections = idle.get(to);
+        if (connections != null && connections.remove(connection) && connections.isEmpty()) {
+            idle.remove(to);
+        }
+    }
+
+    private synchronized Optional<TargetConnection> takeIdle(Address to, long nowMillis) {
+        Deque<TargetConnection> connections = idle.getOrDefault(to, new ArrayDeque<>());
+        while (!connections.isEmpty()) {
+            TargetConnection connection = connections.removeFirst();
+            if (connection.isUsable(nowMillis)) {
+                return Optional.of(connection);
+            }
+            connection.close();
+        }
+        return Optional.empty();
+    }
+
+    private void connect(Address to, TargetExchange exchange) {
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(eventLoops)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                        .handler(initializer(to))
+                        .connect(to.host(), to.port());
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        begin(connecting.channel(), exchange);
+                    } else {
+                        LOGGER.info(
+                                "event=target_unreachable address={} reason=\"{}\"",
+                                to,
+                                String.valueOf(done.cause().getMessage()));
+                        exchange.end(new SendOutcome.NeverSent("cannot_connect"));
+                    }
+                });
+    }
+
+    private static void begin(Channel channel, TargetExchange exchange) {
+        channel.pipeline().get(TargetConnection.class).begin(exchange);
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(Address to) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new HttpClientCodec(
+                                        LONGEST_LINE_BYTES,
+                                        LARGEST_HEADER_BYTES,
+                                        LARGEST_CHUNK_BYTES))
+                        .addLast(new TargetConnection(TargetClient.this, to, channel));
+            }
+        };
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
@@ -4,16 +4,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
 import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.node.http.CallAnswers;
-import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
-import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.settings.TargetDescription;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -38,33 +38,45 @@
             CompletableFuture<HttpAnswer> answer) {}
 
     private final String node;
-    private final NodeSettings.Target target;
-    private final HttpSender sender;
-    private final FairQueue<Arrival> queue;
+    private final Supplier<Optional<TargetDescription>> target;
+    private final TargetClient client;
+    private final TargetProtocol protocol;
+    private final FairQueue<Arrival> queue = FairQueue.ofSlots(1);
     private final TargetMetrics metrics;
-    private volatile boolean draining;
+    private int slots = 1;
+    private volatile String draining = "";
+    private volatile long drainFromMillis = Long.MAX_VALUE;
 
     private TargetGuard(
-            String node, NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
+            String node,
+            Supplier<Optional<TargetDescription>> target,
+            TargetClient client,
+            TargetProtocol protocol,
+            TargetMetrics metrics) {
         this.node = node;
-        this.metrics = metrics;
         this.target = target;
-        this.sender = sender;
-        this.queue = FairQueue.ofSlots(target.slots());
+        this.client = client;
+        this.protocol = protocol;
+        this.metrics = metrics;
     }
 
     /**
      * Returns the guard of a target.
      *
      * @param node name of the node beside it
-     * @param target the target
-     * @param sender sends calls to it
+     * @param target tells the target as last described
+     * @param client sends calls to it
+     * @param protocol headers that it expects and gives
      * @param metrics counts what comes of calls
      * @return the guard
      */
     public static TargetGuard create(
-            String node, NodeSettings.Target target, HttpSender sender, TargetMetrics metrics) {
-        return new TargetGuard(node, target, sender, metrics);
+            String node,
+            Supplier<Optional<TargetDescription>> target,
+            TargetClient client,
+            TargetProtocol protocol,
+            TargetMetrics metrics) {
+        return new TargetGuard(node, target, client, protocol, metrics);
     }
 
     @Override
@@ -80,13 +92,9 @@
                         System.nanoTime(),
                         nowMillis + remaining,
                         new CompletableFuture<>());
-        String meantFor = call.header(MeshHeaders.TARGET_NODE, node);
-        if (!meantFor.equals(node)) {
-            refuse(arrival, "other_node_at_this_address", 1);
-            return arrival.answer();
-        }
-        if (draining) {
-            refuse(arrival, "draining", DRAINING_RETRY_MILLIS);
+        Optional<String> refusal = refusal(call, nowMillis);
+        if (refusal.isPresent()) {
+            refuse(arrival, refusal.get(), DRAINING_RETRY_MILLIS);
             return arrival.answer();
         }
         AdmissionOutcome outcome;
@@ -109,6 +117,35 @@
         return arrival.answer();
     }
 
+    /** Tells why a call cannot go to the target as it is now. */
+    private Optional<String> refusal(HttpCall call, long nowMillis) {
+        Optional<TargetDescription> present = target.get();
+        if (!call.header(MeshHeaders.TARGET_NODE, node).equals(node)) {
+            return Optional.of("other_node_at_this_address");
+        }
+        if (present.isEmpty()) {
+            return Optional.of("no_target_here");
+        }
+        String instance = present.get().instance();
+        if (!call.header(MeshHeaders.TARGET_INSTANCE, instance).equals(instance)) {
+            return Optional.of("other_target_at_this_node");
+        }
+        if (draining.equals(instance) && nowMillis >= drainFromMillis) {
+            return Optional.of("draining");
+        }
+        follow(present.get());
+        return Optional.empty();
+    }
+
+    private void follow(TargetDescription present) {
+        synchronized (queue) {
+            if (slots != present.slots()) {
+                slots = present.slots();
+                queue.resize(slots);
+            }
+        }
+    }
+
     /**
      * Lets time pass: refuses the calls that can no longer start in time.
      *
@@ -117,14 +154,27 @@
     public void tick(long nowMillis) {
         List<RefusedCall<Arrival>> expired;
         synchronized (queue) {
-            expired = queue.expire(nowMillis);
+            expired =
+                    nowMillis >= drainFromMillis && isPresent(draining)
+                            ? queue.empty("draining")
+                            : queue.expire(nowMillis);
         }
         expired.forEach(this::refuse);
     }
 
-    /** Refuses new calls from now on. */
-    public void drain() {
-        draining = true;
+    private boolean isPresent(String instance) {
+        return target.get().map(TargetDescription::instance).equals(Optional.of(instance));
+    }
+
+    /**
+     * Refuses calls for the present target from a time on, those that wait included. A target that
+     * starts later takes calls again.
+     *
+     * @param fromMillis the time
+     */
+    public void drain(long fromMillis) {
+        drainFromMillis = fromMillis;
+        draining = target.get().map(TargetDescription::instance).orElse("");
     }
 
     /**
@@ -153,11 +203,7 @@
         long begunNanos = System.nanoTime();
         metrics.started(begunNanos - arrival.arrivedNanos());
         long remaining = arrival.deadlineMillis() - ProcessClock.monotonicMillis();
-        HttpHeaders headers =
-                MeshHeaders.endToEnd(arrival.call().headers())
-                        .remove(MeshHeaders.TARGET_NODE)
-                        .set(MeshHeaders.REMAINING_MILLIS, remaining);
-        send(arrival, headers, remaining)
+        send(arrival, remaining)
                 .whenComplete(
                         (sent, failure) -> {
                             double ranMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
@@ -166,12 +212,33 @@
                         });
     }
 
-    private CompletableFuture<SendOutcome> send(
-            Arrival arrival, HttpHeaders headers, long remainingMillis) {
-        if (remainingMillis <= 0) {
+    private CompletableFuture<SendOutcome> send(Arrival arrival, long remainingMillis) {
+        Optional<TargetDescription> present = target.get();
+        if (present.isEmpty() || remainingMillis <= 0) {
             return CompletableFuture.completedFuture(new SendOutcome.NeverSent("deadline_passed"));
         }
-        return sender.send(target.address(), arrival.call(), headers, remainingMillis);
+        HttpHeaders headers =
+                MeshHeaders.endToEnd(arrival.call().headers())
+                        .remove(MeshHeaders.TARGET_NODE)
+                        .remove(MeshHeaders.TARGET_INSTANCE);
+        TargetCall told =
+                new TargetCall(
+                        arrival.requestId(),
+                        arrival.caller(),
+                        remainingMillis,
+                        arrival.call()
+                                .header(MeshHeaders.TARGET_INSTANCE, present.get().instance()));
+        return client.send(
+                        present.get().address(),
+                        arrival.call(),
+                        protocol.toTarget(headers, told),
+                        answer -> protocol.belongsTo(answer, arrival.requestId()),
+                        remainingMillis)
+                .thenApply(this::read);
+    }
+
+    private SendOutcome read(SendOutcome sent) {
+        return sent instanceof SendOutcome.Whole whole ? protocol.read(whole.answer()) : sent;
     }
 
     private void release(Caller caller, double ranMillis) {
@@ -199,7 +266,11 @@
 
     private LoadReport load() {
         synchronized (queue) {
-            return new LoadReport(queue.running(), queue.waiting(), queue.limit(), draining);
+            return new LoadReport(
+                    queue.running(),
+                    queue.waiting(),
+                    queue.limit(),
+                    !draining.isEmpty() && isPresent(draining));
         }
     }
 
--- a/node/src/test/java/org/cuminreach/node/target/TargetGuardTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetGuardTest.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,10 +23,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
+import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.routing.LoadReport;
-import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
-import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.settings.TargetDescription;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -49,12 +50,16 @@
     void everyCallEndsOnceAndRefusalsAreTrue() throws Exception {
         Address address = freeAddress();
         HttpServer target = HttpServer.listen(address, eventLoops, this::runAtTarget).join();
-        try (HttpSender sender = HttpSender.create(eventLoops)) {
+        TargetDescription described =
+                new TargetDescription("node", "service", "1", address, SLOTS, TargetPhase.READY);
+        TargetClient client = TargetClient.create(eventLoops);
+        try {
             TargetGuard guard =
                     TargetGuard.create(
                             "node",
-                            new NodeSettings.Target("service", "1", address, SLOTS),
-                            sender,
+                            () -> Optional.of(described),
+                            client,
+                            TargetProtocol.ofMesh(),
                             TargetMetrics.register(new PrometheusRegistry()));
             timer.scheduleWithFixedDelay(
                     () -> guard.tick(ProcessClock.monotonicMillis()),
@@ -90,6 +95,7 @@
             assertThat(guard.running()).isEqualTo(0);
             assertThat(guard.waiting()).isEqualTo(0);
         } finally {
+            client.closeIdle();
             target.close();
             timer.shutdownNow();
             EventLoops.stop(eventLoops);
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -19,20 +19,35 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Serves one connection: one request at a time, answers in the order of the requests. */
+/** Serves one connection: its requests run side by side and are answered in their order. */
 final class HttpConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final Logger LOGGER = LoggerFactory.getLogger(HttpConnectionHandler.class);
 
-    /** A request that waits for its turn. */
-    private record Pending(HttpCall call, boolean keepAlive) {}
+    /** Calls of one connection that run at once; more wait unread in the connection. */
+    private static final int MOST_RUNNING = 16;
+
+    /** Time that a client has to read the last answer and to close, in milliseconds. */
+    private static final long LINGER_MILLIS = 500;
+
+    /** A call whose answer is due after those of all earlier calls on its connection. */
+    private static final class Pending {
+        private final HttpCall call;
+        private final boolean keepAlive;
+        private HttpAnswer answer;
+
+        private Pending(HttpCall call, boolean keepAlive) {
+            this.call = call;
+            this.keepAlive = keepAlive;
+        }
+    }
 
     private final HttpServer server;
     private final Deque<Pending> pending = new ArrayDeque<>();
-    private boolean answering;
-    private HttpCall answered;
+    private boolean closing;
 
     HttpConnectionHandler(HttpServer server) {
         this.server = server;
@@ -45,10 +60,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        boolean behindTheLast = server.isClosing() && !pending.isEmpty();
+        if (closing || behindTheLast) {
+            return;
+        }
         if (request.decoderResult().isFailure()) {
-            String reason = String.valueOf(request.decoderResult().cause().getMessage());
-            HttpAnswer refusal = HttpAnswer.of(400, "text/plain", "malformed: " + reason + "\n");
-            write(context, refusal, false, true);
+            refuseMalformed(context, request);
             return;
         }
         InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
@@ -59,28 +76,34 @@
                         request.headers(),
                         ByteBufUtil.getBytes(request.content()),
                         remote.getAddress().getHostAddress());
-        pending.add(new Pending(call, HttpUtil.isKeepAlive(request)));
-        context.channel().config().setAutoRead(false);
-        answerNext(context);
-    }
-
-    private void answerNext(ChannelHandlerContext context) {
-        if (answering) {
-            return;
-        }
-        Pending next = pending.poll();
-        if (next == null) {
-            context.channel().config().setAutoRead(true);
-            return;
-        }
-        answering = true;
-        answered = next.call();
+        Pending next = new Pending(call, HttpUtil.isKeepAlive(request));
+        pending.add(next);
+        context.channel().config().setAutoRead(pending.size() < MOST_RUNNING);
         server.begun();
-        handle(next.call())
+        handle(call)
                 .whenComplete(
                         (answer, failure) ->
-                                context.executor()
-                                        .execute(() -> finish(context, next, answer, failure)));
+                                onLoop(context, () -> end(context, next, answer, failure)));
+    }
+
+    /** A call that cannot be read ends the connection, after the answers to those before it. */
+    private void refuseMalformed(ChannelHandlerContext context, FullHttpRequest request) {
+        String reason = String.valueOf(request.decoderResult().cause().getMessage());
+        LOGGER.info("event=malformed_call reason=\"{}\"", reason);
+        HttpCall unread = new HttpCall("GET", "/", request.headers(), new byte[0], "");
+        Pending last = new Pending(unread, false);
+        last.answer = HttpAnswer.of(400, "text/plain", "malformed: " + reason + "\n");
+        pending.add(last);
+        server.begun();
+        writeReady(context);
+    }
+
+    private static void onLoop(ChannelHandlerContext context, Runnable task) {
+        if (context.executor().inEventLoop()) {
+            task.run();
+        } else {
+            context.executor().execute(task);
+        }
     }
 
     private CompletableFuture<HttpAnswer> handle(HttpCall call) {
@@ -91,19 +114,42 @@
         }
     }
 
-    private void finish(
+    private void end(
             ChannelHandlerContext context, Pending done, HttpAnswer answer, Throwable failure) {
-        answering = false;
-        answered = null;
-        HttpAnswer sent = answer;
         if (failure != null) {
-            LOGGER.error("event=handler_failed target={}", done.call().target(), failure);
-            sent = HttpAnswer.of(500, "text/plain", "internal error\n");
+            LOGGER.error("event=handler_failed target={}", done.call.target(), failure);
+            done.answer = HttpAnswer.of(500, "text/plain", "internal error\n");
+        } else {
+            done.answer = answer;
+        }
+        writeReady(context);
+    }
+
+    /** Writes the answers that are due, in the order of their calls. */
+    private void writeReady(ChannelHandlerContext context) {
+        boolean wrote = false;
+        while (!closing && !pending.isEmpty() && pending.peek().answer != null) {
+            Pending done = pending.poll();
+            closing = !done.keepAlive || server.isClosing() && pending.isEmpty();
+            boolean head = done.call.method().equals(HttpMethod.HEAD.name());
+            write(context, done.answer, head, closing).addListener(written -> server.ended());
+            wrote = true;
+        }
+        if (closing) {
+            abandonPending();
+        }
+        if (wrote) {
+            context.flush();
+            context.channel().config().setAutoRead(pending.size() < MOST_RUNNING);
         }
-        boolean keepAlive = done.keepAlive() && !server.isClosing();
-        boolean head = done.call().method().equals(HttpMethod.HEAD.name());
-        write(context, sent, head, !keepAlive).addListener(written -> server.ended());
-        answerNext(context);
+    }
+
+    private void abandonPending() {
+        for (Pending unanswered : pending) {
+            unanswered.call.abandoned().complete(null);
+            server.ended();
+        }
+        pending.clear();
     }
 
     private static ChannelFuture write(
@@ -119,17 +165,23 @@
         }
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            return context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            return context.write(response).addListener(written -> lingerAndClose(context));
         }
-        return context.writeAndFlush(response);
+        return context.write(response);
+    }
+
+    /**
+     * Closes after what the client still sends is read, since unread bytes would cut the answer.
+     */
+    private static void lingerAndClose(ChannelHandlerContext context) {
+        ((SocketChannel) context.channel()).shutdownOutput();
+        context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        pending.clear();
-        if (answered != null) {
-            answered.abandoned().complete(null);
-        }
+        closing = true;
+        abandonPending();
     }
 
     @Override
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -22,6 +22,9 @@
     /** Most bytes that the body of a request may have. */
     public static final int LARGEST_BODY_BYTES = 8 * 1024 * 1024;
 
+    private static final int LONGEST_LINE_BYTES = 16 * 1024;
+    private static final int LARGEST_HEADER_BYTES = 64 * 1024;
+    private static final int CHUNK_BYTES = 16 * 1024;
     private static final int BACKLOG_CONNECTIONS = 1_024;
 
     private final HttpHandler handler;
@@ -31,6 +34,7 @@
     private final AtomicInteger inProgress = new AtomicInteger();
     private volatile Channel listening;
     private volatile boolean closing;
+    private volatile boolean retiring;
 
     private HttpServer(HttpHandler handler) {
         this.handler = handler;
@@ -72,6 +76,12 @@
      * Stops taking connections, and tells those that are open to close after the answer they wait
      * for.
      */
+    /** Ends each connection with its next answer from now on; new connections are still taken. */
+    public void retire() {
+        retiring = true;
+    }
+
+    /** Takes no more connections and ends each one with its next answer. */
     public void beginClosing() {
         closing = true;
         listening.close();
@@ -115,7 +125,7 @@
     }
 
     boolean isClosing() {
-        return closing;
+        return closing || retiring;
     }
 
     void connected(Channel channel) {
@@ -136,7 +146,9 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
-                        .addLast(new HttpServerCodec())
+                        .addLast(
+                                new HttpServerCodec(
+                                        LONGEST_LINE_BYTES, LARGEST_HEADER_BYTES, CHUNK_BYTES))
                         .addLast(new HttpObjectAggregator(LARGEST_BODY_BYTES))
                         .addLast(new HttpConnectionHandler(HttpServer.this));
             }
--- a/trial/src/main/java/org/cuminreach/trial/balancing/ModelNode.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/ModelNode.java
@@ -27,7 +27,12 @@
     void announce(ModelTarget target, TargetExperience experience) {
         views.add(
                 new TargetView(
-                        target.name(), target.dataCentre(), ANYWHERE, target.slots(), experience));
+                        target.name(),
+                        target.name(),
+                        target.dataCentre(),
+                        ANYWHERE,
+                        target.slots(),
+                        experience));
     }
 
     String dataCentre() {
--- a/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
@@ -13,6 +13,7 @@
 import org.cuminreach.decisions.routing.TargetAnswer;
 import org.cuminreach.decisions.routing.TargetExperience;
 import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.document.Route;
 
 /**
  * A queueing model of one service: calls enter at nodes, which choose targets by the decisions that
@@ -195,7 +196,9 @@
                     case LOST -> new AttemptOutcome.MayHaveRun("lost");
                 };
         long remaining = call.deadlineMillis(CALL_TIMEOUT_MILLIS) - clock.nowMillis();
-        CallProgress progress = new CallProgress(true, false, call.tried().size(), remaining);
+        CallProgress progress =
+                new CallProgress(
+                        true, false, call.tried().size(), remaining, Route.DEFAULT_MAX_ATTEMPTS, 0);
         RetryDecision decision =
                 RetryPolicy.decide(outcome, progress, call.node().budget(), random);
         switch (decision) {
--- a/trial/src/main/java/org/cuminreach/trial/benchmark/DistributionBenchmark.java
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/DistributionBenchmark.java
@@ -89,11 +89,11 @@
         List<Route> routes = new ArrayList<>();
         for (int number = 0; number < services; number++) {
             String name = "service-" + number;
-            listed.add(new Service(name, "1", Optional.empty()));
+            listed.add(Service.of(name, "1", Optional.empty()));
             int timeout = number == 0 ? timeoutMillis : 5_000;
-            routes.add(new Route("r" + number, name + ".example", "/", name, timeout, false));
+            routes.add(Route.toService("r" + number, name + ".example", "/", name, timeout, false));
         }
-        MeshDocument document = new MeshDocument(listed, routes, RolloutPriority.SAFETY);
+        MeshDocument document = MeshDocument.of(listed, routes, RolloutPriority.SAFETY);
         return new MeshConfiguration(version, version, document, "", List.of());
     }
 
@@ -107,6 +107,7 @@
                 "data-centre-" + number % 10,
                 new Address("127.0.0.1", 7_000),
                 9,
-                TargetPhase.READY);
+                TargetPhase.READY,
+                "instance");
     }
 }
--- a/trial/src/main/java/org/cuminreach/trial/benchmark/RoutingBenchmark.java
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/RoutingBenchmark.java
@@ -59,9 +59,9 @@
         List<Route> routes = new ArrayList<>();
         for (int index = 0; index < ROUTES; index++) {
             String name = "service-" + index;
-            routes.add(new Route(name, name + ".example", "/", name, 1_000, false));
+            routes.add(Route.toService(name, name + ".example", "/", name, 1_000, false));
         }
-        return RouteTable.of(new MeshDocument(List.of(), routes, RolloutPriority.SAFETY));
+        return RouteTable.of(MeshDocument.of(List.of(), routes, RolloutPriority.SAFETY));
     }
 
     private static List<TargetView> targets() {
@@ -73,7 +73,14 @@
             for (int call = 0; call < index; call++) {
                 experience.begun(0);
             }
-            views.add(new TargetView("node-" + index, dataCentre, address, SLOTS, experience));
+            views.add(
+                    new TargetView(
+                            "node-" + index,
+                            "node-" + index,
+                            dataCentre,
+                            address,
+                            SLOTS,
+                            experience));
         }
         return views;
     }
--- a/trial/src/main/java/org/cuminreach/trial/distribution/FakeNode.java
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/FakeNode.java
@@ -135,7 +135,8 @@
                         dataCentre,
                         new Address("127.0.0.1", 7_000),
                         SLOTS,
-                        phase);
+                        phase,
+                        name);
         open.send(MembershipCodec.toFrame(List.of(announcement)));
     }
 
--- a/trial/src/main/java/org/cuminreach/trial/once/SmallMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/SmallMesh.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -40,6 +41,7 @@
     private static final String SERVICE = "parts";
     private static final String VERSION = "1";
     private static final int SLOTS = 16;
+    private static final long LEAVE_MILLIS = 500;
     private static final long STOP_MILLIS = 10_000;
     private static final long LONGEST_WAIT_MILLIS = 60_000;
     private static final long POLL_MILLIS = 20;
@@ -97,7 +99,8 @@
                         freeAddress(),
                         freeAddress(),
                         List.of(controlAddress),
-                        new NodeSettings.Target(SERVICE, VERSION, target, SLOTS),
+                        Optional.of(new NodeSettings.Target(SERVICE, VERSION, target, SLOTS)),
+                        LEAVE_MILLIS,
                         STOP_MILLIS,
                         QUIET);
         settings.add(next);
@@ -247,6 +250,7 @@
                 freeAddress(),
                 freeAddress(),
                 List.of(new ControlSettings.Peer("control", replica)),
+                false,
                 QUIET);
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
@@ -172,6 +172,7 @@
                 freeAddress(),
                 freeAddress(),
                 List.of(),
+                false,
                 new LogSettings(LogLevel.WARN, LogFormat.TEXT));
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/distribution/NodeRig.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeRig.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,7 +45,8 @@
                         unused,
                         unused,
                         controls,
-                        new NodeSettings.Target("service-0", "1", unused, 9),
+                        Optional.of(new NodeSettings.Target("service-0", "1", unused, 9)),
+                        500,
                         1_000,
                         new LogSettings(LogLevel.WARN, LogFormat.TEXT));
         announcer = TargetAnnouncer.create(settings, incarnation);
--- a/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
@@ -185,8 +185,8 @@
                                 freeAddress(),
                                 freeAddress(),
                                 known.controls().getFirst(),
-                                known.target().service(),
-                                known.target().version(),
+                                known.target().orElseThrow().service(),
+                                known.target().orElseThrow().version(),
                                 target);
         Path file = Files.writeString(Files.createTempFile("node", ".json"), text);
         return new ProcessBuilder(
@@ -241,6 +241,7 @@
             switch (outcome) {
                 case SendOutcome.NeverSent elsewhere -> {}
                 case SendOutcome.Lost lost -> unanswered.add(lost.toString());
+                case SendOutcome.Refused refused -> unanswered.add(refused.toString());
                 case SendOutcome.Whole whole -> {
                     String told = whole.answer().headers().get(MeshHeaders.OUTCOME, "none");
                     if (told.equals(MeshHeaders.ANSWERED)) {
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -45,7 +45,8 @@
 # ---- targets and evidence ----
 struct AnnouncementStruct {
   1: required string node, 2: required i64 incarnation, 3: required i64 sequence, 4: required string serviceName,
-  5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase
+  5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase,
+  10: optional string instance
 }
 struct EvidenceStruct {
   1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros,
@@ -54,26 +55,37 @@
 }
 
 # ---- between controls ----
+struct JoinRequest { 1: required string id, 2: required string address }
 struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
 struct SubmissionForward { 1: required i64 correlation, 2: required CommandStruct command }
 struct SubmissionAnswer { 1: required i64 correlation, 2: optional OutcomeStruct outcome, 3: optional bool notRun, 4: optional string reason }
 struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements, 2: optional bool complete }
 struct EvidenceBatch { 1: required list<EvidenceStruct> evidence }
 struct NodeHolding { 1: required string node, 2: required i64 version, 3: required i64 applied }
-struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions }
+struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions, 4: optional string nodeAddress }
 
 # ---- between a node and its control ----
 struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion }
-struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation }
+struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation, 3: optional list<string> controls }
 struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis }
 struct CriteriaStruct { 1: required i32 falseAlarmPerMille, 2: required i32 missPerMille, 3: required i32 failureDifferencePerMille, 4: required i32 slownessPercent, 5: required i32 watchSeconds, 6: required i32 thinEvidence }
-struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos, 7: optional CriteriaStruct criteria }
-struct RouteStruct { 1: required string name, 2: required string host, 3: required string pathPrefix, 4: required string serviceName, 5: required i32 timeoutMillis, 6: required bool idempotent }
+struct TargetAccessStruct { 1: required string healthPath, 2: required i32 maxConnections, 3: required string protocol, 4: required bool tls }
+struct WeightedServiceStruct { 1: required string serviceName, 2: required i32 weight }
+struct LimitsStruct { 1: required i32 maxHeaderBytes, 2: required i64 maxBodyBytes, 3: required i32 headerTimeoutMillis, 4: required i32 idleTimeoutMillis }
+# An empty version stands for none.
+struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos, 7: optional CriteriaStruct criteria, 8: optional TargetAccessStruct access }
+# Field 4 of a route carried its only service and field 6 a flag; they stay unused.
+struct RouteStruct {
+  1: required string name, 2: required string host, 3: required string pathPrefix, 5: required i32 timeoutMillis,
+  7: required list<WeightedServiceStruct> destinations, 8: required i32 idempotence, 9: required i32 maxAttempts,
+  10: required i32 latencyObjectiveMillis, 11: required i32 priority
+}
 struct ConfigurationDeltaStruct {
   1: required i64 baseVersion, 2: required i64 version, 3: required i64 documentVersion, 4: required i32 rolloutPriority,
   5: required list<ServiceStruct> services, 6: required list<string> removedServices,
   7: required list<RouteStruct> routes, 8: required list<string> removedRoutes,
-  9: required list<RolloutStruct> rollouts, 10: required list<string> removedRollouts, 11: required i64 digest
+  9: required list<RolloutStruct> rollouts, 10: required list<string> removedRollouts, 11: required i64 digest,
+  12: required i64 revision, 13: required LimitsStruct limits
 }
 struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults, 3: optional bool needsWhole }
 struct Heartbeat { 1: required i64 sentMillis }
@@ -84,5 +96,5 @@
   4: SubmissionAnswer submissionAnswer, 5: AnnouncementBatch announcements, 6: EvidenceBatch evidence,
   7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
   12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat,
-  14: ConfigurationDeltaStruct configurationDelta
+  14: ConfigurationDeltaStruct configurationDelta, 15: JoinRequest joinRequest
 }
--- a/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
@@ -7,16 +7,25 @@
 import java.util.Optional;
 import org.cuminreach.decisions.configuration.ConfigurationDelta;
 import org.cuminreach.decisions.configuration.KeyedChanges;
+import org.cuminreach.document.CallerLimits;
+import org.cuminreach.document.Idempotence;
 import org.cuminreach.document.Rollout;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
+import org.cuminreach.document.TargetAccess;
+import org.cuminreach.document.WeightedService;
 import org.cuminreach.wire.generated.ConfigurationDeltaStruct;
+import org.cuminreach.wire.generated.LimitsStruct;
 import org.cuminreach.wire.generated.RouteStruct;
 import org.cuminreach.wire.generated.ServiceStruct;
+import org.cuminreach.wire.generated.TargetAccessStruct;
+import org.cuminreach.wire.generated.WeightedServiceStruct;
 
 /** Converts deltas of configurations. */
 public final class DeltaCodec {
+    private static final String NO_VERSION = "";
+
     private DeltaCodec() {}
 
     /**
@@ -37,7 +46,9 @@
                 delta.routes().removed(),
                 delta.rollouts().put().stream().map(ConfigurationCodec::toStruct).toList(),
                 delta.rollouts().removed(),
-                delta.digest());
+                delta.digest(),
+                delta.revision(),
+                toStruct(delta.limits()));
     }
 
     /**
@@ -53,23 +64,29 @@
         for (ServiceStruct service : struct.getServices()) {
             services.add(toService(service));
         }
+        List<Route> routes = new ArrayList<>();
+        for (RouteStruct route : struct.getRoutes()) {
+            routes.add(toRoute(route));
+        }
         return new ConfigurationDelta(
                 struct.getBaseVersion(),
                 struct.getVersion(),
                 struct.getDocumentVersion(),
                 toPriority(struct.getRolloutPriority()),
                 new KeyedChanges<>(services, struct.getRemovedServices()),
-                new KeyedChanges<>(
-                        struct.getRoutes().stream().map(DeltaCodec::toRoute).toList(),
-                        struct.getRemovedRoutes()),
+                new KeyedChanges<>(routes, struct.getRemovedRoutes()),
                 new KeyedChanges<>(
                         ConfigurationCodec.toRollouts(struct.getRollouts()),
                         struct.getRemovedRollouts()),
-                struct.getDigest());
+                struct.getDigest(),
+                struct.getRevision(),
+                toLimits(struct.getLimits()));
     }
 
     private static ServiceStruct toStruct(Service service) {
-        ServiceStruct struct = new ServiceStruct(service.name(), service.version());
+        ServiceStruct struct =
+                new ServiceStruct(service.name(), service.version().orElse(NO_VERSION));
+        struct.setAccess(toStruct(service.access()));
         service.rollout()
                 .ifPresent(
                         rollout ->
@@ -81,19 +98,37 @@
         return struct;
     }
 
+    private static TargetAccessStruct toStruct(TargetAccess access) {
+        return new TargetAccessStruct(
+                access.healthPath(), access.maxConnections(), access.protocol(), access.tls());
+    }
+
+    private static LimitsStruct toStruct(CallerLimits limits) {
+        return new LimitsStruct(
+                limits.maxHeaderBytes(),
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
+
     private static RouteStruct toStruct(Route route) {
         return new RouteStruct(
                 route.name(),
                 route.host(),
                 route.pathPrefix(),
-                route.service(),
                 route.timeoutMillis(),
-                route.idempotent());
+                route.destinations().stream()
+                        .map(part -> new WeightedServiceStruct(part.service(), part.weight()))
+                        .toList(),
+                route.idempotence().ordinal(),
+                route.maxAttempts(),
+                route.latencyObjectiveMillis(),
+                route.priority());
     }
 
     private static Service toService(ServiceStruct struct) throws MalformedFrameException {
         if (!struct.isSetRolloutVersion()) {
-            return new Service(struct.getName(), struct.getVersion(), Optional.empty());
+            return toService(struct, Optional.empty());
         }
         try {
             Instant doneBy =
@@ -104,20 +139,58 @@
                             struct.getSharePerMille(),
                             doneBy,
                             CriteriaCodec.toCriteria(struct.getCriteria()));
-            return new Service(struct.getName(), struct.getVersion(), Optional.of(rollout));
+            return toService(struct, Optional.of(rollout));
         } catch (DateTimeException outOfRange) {
             throw new MalformedFrameException("not a time: " + struct);
         }
     }
 
-    private static Route toRoute(RouteStruct struct) {
+    private static Service toService(ServiceStruct struct, Optional<Rollout> rollout) {
+        Optional<String> version =
+                Optional.of(struct.getVersion()).filter(named -> !named.equals(NO_VERSION));
+        TargetAccessStruct access = struct.getAccess();
+        return new Service(
+                struct.getName(),
+                version,
+                rollout,
+                access == null
+                        ? TargetAccess.standard()
+                        : new TargetAccess(
+                                access.getHealthPath(),
+                                access.getMaxConnections(),
+                                access.getProtocol(),
+                                access.isTls()));
+    }
+
+    private static CallerLimits toLimits(LimitsStruct struct) {
+        return new CallerLimits(
+                struct.getMaxHeaderBytes(),
+                struct.getMaxBodyBytes(),
+                struct.getHeaderTimeoutMillis(),
+                struct.getIdleTimeoutMillis());
+    }
+
+    private static Route toRoute(RouteStruct struct) throws MalformedFrameException {
+        Idempotence[] idempotences = Idempotence.values();
+        boolean sound =
+                !struct.getDestinations().isEmpty()
+                        && struct.getIdempotence() >= 0
+                        && struct.getIdempotence() < idempotences.length;
+        if (!sound) {
+            throw new MalformedFrameException("not a route: " + struct);
+        }
         return new Route(
                 struct.getName(),
                 struct.getHost(),
                 struct.getPathPrefix(),
-                struct.getServiceName(),
+                struct.getDestinations().stream()
+                        .map(part -> new WeightedService(part.getServiceName(), part.getWeight()))
+                        .toList(),
                 struct.getTimeoutMillis(),
-                struct.isIdempotent());
+                idempotences[struct.getIdempotence()],
+                struct.getMaxAttempts(),
+                struct.getLatencyObjectiveMillis(),
+                struct.getPriority());
     }
 
     private static RolloutPriority toPriority(int ordinal) throws MalformedFrameException {
--- a/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/MembershipCodec.java
@@ -54,16 +54,18 @@
     }
 
     private static AnnouncementStruct toStruct(Announcement announcement) {
-        return new AnnouncementStruct(
-                announcement.node(),
-                announcement.incarnation(),
-                announcement.sequence(),
-                announcement.service(),
-                announcement.version(),
-                announcement.dataCentre(),
-                announcement.inbound().toString(),
-                announcement.slots(),
-                announcement.phase().ordinal());
+        AnnouncementStruct struct =
+                new AnnouncementStruct(
+                        announcement.node(),
+                        announcement.incarnation(),
+                        announcement.sequence(),
+                        announcement.service(),
+                        announcement.version(),
+                        announcement.dataCentre(),
+                        announcement.inbound().toString(),
+                        announcement.slots(),
+                        announcement.phase().ordinal());
+        return struct.setInstance(announcement.instance());
     }
 
     private static Announcement toAnnouncement(AnnouncementStruct struct)
@@ -85,6 +87,7 @@
                 struct.getDataCentre(),
                 AgreementCodec.toAddress(struct.getInbound()),
                 struct.getSlots(),
-                phases[struct.getPhase()]);
+                phases[struct.getPhase()],
+                struct.isSetInstance() ? struct.getInstance() : struct.getNode());
     }
 }
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import org.cuminreach.wire.StructCodec;
 import org.cuminreach.wire.generated.Frame;
 
@@ -40,6 +41,11 @@
         return true;
     }
 
+    /** Closes the connection once all that was sent is written. */
+    public void closeAfterWrites() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     /** Closes the connection. */
     public void close() {
         channel.close();
