--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.cuminreach.decisions.agreement.Member;
 import org.cuminreach.decisions.agreement.Membership;
+import org.cuminreach.decisions.configuration.DocumentEdit;
 import org.cuminreach.decisions.configuration.MeshCommand;
+import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.AgreementCodec;
@@ -155,6 +157,25 @@
      * @return completes with what came of it, within a bounded time
      */
     public CompletableFuture<SubmitResult> submit(MeshCommand command, long nowMillis) {
+        return submitWhole(shortened(command), nowMillis);
+    }
+
+    /** Turns a submission on top of the document known here into an edit of it. */
+    private MeshCommand shortened(MeshCommand command) {
+        MeshConfiguration known = replica.configuration();
+        if (!(command instanceof MeshCommand.SubmitDocument submission)
+                || submission.basedOn() != known.documentVersion()) {
+            return command;
+        }
+        return new MeshCommand.EditDocument(
+                submission.operator(),
+                submission.key(),
+                submission.basedOn(),
+                DocumentEdit.between(known.documentText(), submission.text()),
+                submission.atMillis());
+    }
+
+    private CompletableFuture<SubmitResult> submitWhole(MeshCommand command, long nowMillis) {
         CompletableFuture<SubmitResult> result =
                 replica.isLeader()
                         ? replica.propose(command, nowMillis)
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
@@ -53,9 +53,7 @@
 
     /** Finds the answer that a submission got; other commands have none. */
     synchronized Optional<SubmissionOutcome> answer(MeshCommand command) {
-        return command instanceof MeshCommand.SubmitDocument submission
-                ? state.answer(submission)
-                : Optional.empty();
+        return state.answer(command);
     }
 
     synchronized Optional<SubmissionOutcome> apply(LogEntry entry, Completions completions) {
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -72,7 +72,23 @@
      * @return whether it runs, waits or is refused
      */
     public AdmissionOutcome arrive(C call, Caller caller, long deadlineMillis, long nowMillis) {
-        long latestStart = deadlineMillis - Math.round(quickestMillis);
+        return arrive(call, caller, deadlineMillis, 0, nowMillis);
+    }
+
+    /**
+     * Takes a call that has arrived and whose running time can be told beforehand. A call that
+     * could begin in time but not end in time is refused: it would take a slot for nothing.
+     *
+     * @param call the call
+     * @param caller whose call it is
+     * @param deadlineMillis time at which its caller gives up
+     * @param usualMillis how long such a call usually runs, in milliseconds; 0 when not known
+     * @param nowMillis present time
+     * @return whether it runs, waits or is refused
+     */
+    public AdmissionOutcome arrive(
+            C call, Caller caller, long deadlineMillis, double usualMillis, long nowMillis) {
+        long latestStart = deadlineMillis - Math.round(Math.max(quickestMillis, usualMillis));
         if (latestStart <= nowMillis) {
             return refusal(LATE);
         }
@@ -102,13 +118,26 @@
      * @return the calls to run now
      */
     public List<C> release(Caller caller, double ranMillis, long nowMillis) {
+        return release(caller, ranMillis, ranMillis, nowMillis);
+    }
+
+    /**
+     * Takes the end of a call whose usual running time is known.
+     *
+     * @param caller whose call it was
+     * @param ranMillis how long it ran, in milliseconds
+     * @param slowness how long that is beside what is usual for such a call
+     * @param nowMillis present time
+     * @return the calls that run now
+     */
+    public List<C> release(Caller caller, double ranMillis, double slowness, long nowMillis) {
         running--;
         WaitingCalls<C> source = sources.get(caller.source());
         source.ended(ranMillis, serviceMillis);
         forgetIdle(caller.source(), source);
         serviceMillis += SMOOTHING * (ranMillis - serviceMillis);
         quickestMillis = Math.min(ranMillis, quickestMillis + QUICKEST_DRIFT * ranMillis);
-        limit.ended(ranMillis, nowMillis);
+        limit.ended(slowness, nowMillis);
         List<C> started = List.of();
         while (waiting > 0 && running < limit.calls()) {
             WaitingCalls.Waiting<C> next = takeNext(nowMillis);
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshCommand.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshCommand.java
@@ -14,6 +14,18 @@
     record SubmitDocument(String operator, String key, long basedOn, String text, long atMillis)
             implements MeshCommand {}
 
+    /**
+     * Submit a document as a change of the one that it is based on.
+     *
+     * @param operator who submits, for the history
+     * @param key idempotency key: a resend with the same key gets the first answer again
+     * @param basedOn document version that the operator started from
+     * @param edit makes the document from that version's text
+     * @param atMillis wall-clock time at the leader, in milliseconds since the epoch
+     */
+    record EditDocument(String operator, String key, long basedOn, DocumentEdit edit, long atMillis)
+            implements MeshCommand {}
+
     /**
      * Move, finish or take back a rollout.
      *
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -115,15 +115,24 @@
      * Finds the answer that an earlier submission with the same key got. One that was refused as
      * stale is judged anew when it comes again on top of the present document.
      *
-     * @param submission the submission
-     * @return its answer, or empty when it is to be judged
+     * @param command the command
+     * @return its answer, or empty when it is to be judged or is no submission
      */
-    public Optional<SubmissionOutcome> answer(MeshCommand.SubmitDocument submission) {
-        return answer(submission.key())
+    public Optional<SubmissionOutcome> answer(MeshCommand command) {
+        return switch (command) {
+            case MeshCommand.SubmitDocument submission ->
+                    answer(submission.key(), submission.basedOn());
+            case MeshCommand.EditDocument edit -> answer(edit.key(), edit.basedOn());
+            case MeshCommand.StepRollout step -> Optional.empty();
+        };
+    }
+
+    private Optional<SubmissionOutcome> answer(String key, long basedOn) {
+        return answer(key)
                 .filter(
                         known ->
                                 !(known instanceof SubmissionOutcome.RefusedAsStale)
-                                        || submission.basedOn() != configuration.documentVersion());
+                                        || basedOn != configuration.documentVersion());
     }
 
     /**
@@ -136,6 +145,7 @@
     public Optional<SubmissionOutcome> apply(long index, MeshCommand command) {
         return switch (command) {
             case MeshCommand.SubmitDocument submission -> Optional.of(submit(index, submission));
+            case MeshCommand.EditDocument edit -> Optional.of(submit(index, whole(edit)));
             case MeshCommand.StepRollout step -> {
                 stepRollout(index, step);
                 yield Optional.empty();
@@ -143,6 +153,19 @@
         };
     }
 
+    /**
+     * Makes the whole submission; one that is not based on the present document is stale anyway.
+     */
+    private MeshCommand.SubmitDocument whole(MeshCommand.EditDocument change) {
+        boolean current = change.basedOn() == configuration.documentVersion();
+        return new MeshCommand.SubmitDocument(
+                change.operator(),
+                change.key(),
+                change.basedOn(),
+                current ? change.edit().applyTo(configuration.documentText()) : "",
+                change.atMillis());
+    }
+
     private SubmissionOutcome submit(long index, MeshCommand.SubmitDocument submission) {
         Optional<SubmissionOutcome> first = answer(submission);
         if (first.isPresent()) {
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
@@ -12,7 +12,7 @@
     private static final long MISLED_MILLIS = 5_000;
     private static final double OWN_WEIGHT = 2;
     private static final double SMOOTHING = 0.1;
-    private static final double FIRST_LATENCY_MILLIS = 1;
+    private static final double FIRST_SLOWNESS = 1;
     private static final double FAILURE_WEIGHT = 8;
     private static final int SUSPECT_AFTER_LOSSES = 3;
     private static final long LONGEST_PROBE_DELAY_MILLIS = 5_000;
@@ -33,7 +33,7 @@
     private long pushbackMillis = FIRST_PUSHBACK_MILLIS;
     private long pushedBackUntilMillis = NEVER;
     private double failing;
-    private double latencyMillis = FIRST_LATENCY_MILLIS;
+    private double slownessSeen = FIRST_SLOWNESS;
     private int othersLoad;
     private int limit;
     private long reportedMillis = NEVER;
@@ -81,13 +81,13 @@
      * Notes what a call met.
      *
      * @param answer what it met
-     * @param tookMillis how long the answer took, in milliseconds
+     * @param slowness how long the answer took beside what is usual for such a call
      * @param nowMillis present time
      */
-    public synchronized void ended(TargetAnswer answer, double tookMillis, long nowMillis) {
+    public synchronized void ended(TargetAnswer answer, double slowness, long nowMillis) {
         outstanding--;
         if (answer == TargetAnswer.ANSWERED) {
-            latencyMillis += SMOOTHING * (tookMillis - latencyMillis);
+            slownessSeen += SMOOTHING * (slowness - slownessSeen);
         }
         switch (answer) {
             case ANSWERED -> answered(0, nowMillis);
@@ -153,7 +153,7 @@
      */
     public synchronized double cost(long nowMillis) {
         double own = OWN_WEIGHT * outstanding / (slots * ramp(nowMillis));
-        return (load(nowMillis) + own) * latencyMillis;
+        return (load(nowMillis) + own) * slownessSeen;
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.Caller;
+import org.cuminreach.decisions.admission.ServiceTimes;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
@@ -44,6 +45,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerHandler.class);
     private static final Set<String> IDEMPOTENT_METHODS =
             Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+    private static final double MICROS_PER_MILLI = 1_000;
     private static final int NO_TARGET_RETRY_MILLIS = 1_000;
 
     /** The routes of the configuration in force, built once for each version. */
@@ -57,6 +59,7 @@
     private final EvidenceLog evidence;
     private final KeyedCalls keyed;
     private final ScheduledExecutorService timer;
+    private final ServiceTimes times = ServiceTimes.unknown();
     private final RetryBudget budget = RetryBudget.full();
     private final PoisonFilter poison = new PoisonFilter();
     private volatile Routes routes =
@@ -323,6 +326,7 @@
                 .set(MeshHeaders.REQUEST_ID, attempts.requestId())
                 .set(MeshHeaders.CALLER, attempts.caller())
                 .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
+                .set(MeshHeaders.ROUTE, attempts.route().name())
                 .set(MeshHeaders.ATTEMPTS, attempts.attempts());
     }
 
@@ -335,13 +339,25 @@
             long micros) {
         long nowMillis = ProcessClock.monotonicMillis();
         AttemptOutcome outcome = CallAnswers.outcome(sent);
-        TargetAnswers.note(target, sent, micros, nowMillis);
+        TargetAnswers.note(target, sent, slowness(attempts, outcome, micros), nowMillis);
         if (!poison.note(attempts.call(), target.node(), outcome, nowMillis)) {
             RolloutObserver.note(
                     attempts, configuration, version, target, outcome, micros, view, evidence);
         }
     }
 
+    /** Compares the time of an answered call with what is usual on its route. */
+    private double slowness(CallAttempts attempts, AttemptOutcome outcome, long micros) {
+        double millis = micros / MICROS_PER_MILLI;
+        String route = attempts.route().name();
+        synchronized (times) {
+            if (outcome instanceof AttemptOutcome.Answered) {
+                times.note(route, millis);
+            }
+            return times.slowness(route, millis);
+        }
+    }
+
     private CompletableFuture<HttpAnswer> decide(
             CallAttempts attempts,
             MeshConfiguration configuration,
--- a/node/src/main/java/org/cuminreach/node/caller/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/caller/PoisonFilter.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.cuminreach.decisions.poison.PoisonTable;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.runtime.http.HttpCall;
@@ -14,7 +15,9 @@
  * host, path and body, whoever sends it. Safe for use by several threads.
  */
 final class PoisonFilter {
-    private static final String TIMEOUT = "timeout";
+    /** Ends of a call that a live target can cause as well, or its caller. */
+    private static final Set<String> NO_SIGN_OF_A_CRASH =
+            Set.of("timeout", "abandoned", "malformed_answer", "answer_without_identity");
 
     private final PoisonTable table = PoisonTable.empty();
 
@@ -30,7 +33,7 @@
     synchronized boolean note(HttpCall call, String node, AttemptOutcome outcome, long nowMillis) {
         boolean lost =
                 outcome instanceof AttemptOutcome.MayHaveRun unanswered
-                        && !unanswered.reason().equals(TIMEOUT);
+                        && !NO_SIGN_OF_A_CRASH.contains(unanswered.reason());
         if (table.isEmpty() && !lost) {
             return false;
         }
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -153,13 +153,18 @@
             case MeshHeaders.ANSWERED -> new AttemptOutcome.Answered(answer.status());
             case null, default ->
                     new AttemptOutcome.MayHaveRun(
-                            answer.status() == GATEWAY_TIMEOUT ? TIMEOUT : "lost_at_target_node");
+                            answer.status() == GATEWAY_TIMEOUT
+                                    ? TIMEOUT
+                                    : answer.headers()
+                                            .get(MeshHeaders.REASON, "lost_at_target_node"));
         };
     }
 
     private static HttpAnswer refusal(int status, String outcome, String reason) {
         String body = "{\"outcome\":\"%s\",\"reason\":\"%s\"}%n".formatted(outcome, reason);
-        return HttpAnswer.of(status, JSON, body).with(MeshHeaders.OUTCOME, outcome);
+        return HttpAnswer.of(status, JSON, body)
+                .with(MeshHeaders.OUTCOME, outcome)
+                .with(MeshHeaders.REASON, reason);
     }
 
     private static long retryAfterMillis(HttpAnswer answer) {
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -29,9 +29,15 @@
     /** Identity of the start of the target that a call is meant for; another start refuses it. */
     public static final String TARGET_INSTANCE = "X-Cuminreach-Target-Instance";
 
+    /** Name of the route by which a call came. */
+    public static final String ROUTE = "X-Cuminreach-Route";
+
     /** Says of a refusal that the target itself refused, not the node beside it. */
     public static final String REACHED_TARGET = "X-Cuminreach-Reached-Target";
 
+    /** Why a call was refused or lost. */
+    public static final String REASON = "X-Cuminreach-Reason";
+
     /** When a refused call may come again, in milliseconds. */
     public static final String RETRY_AFTER_MILLIS = "X-Cuminreach-Retry-After-Millis";
 
@@ -71,6 +77,7 @@
                     TARGET_VERSION,
                     REPEATED,
                     REACHED_TARGET,
+                    REASON,
                     RETRY_AFTER_MILLIS);
 
     private static final List<String> HOP_BY_HOP =
--- a/node/src/main/java/org/cuminreach/node/peer/TargetAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetAnswers.java
@@ -10,7 +10,6 @@
 
 /** Reads from what came of a call what its sender learns of the target. */
 public final class TargetAnswers {
-    private static final double MICROS_PER_MILLI = 1_000;
     private static final int LEAST_FAILURE_STATUS = 500;
 
     private TargetAnswers() {}
@@ -20,11 +19,11 @@
      *
      * @param target the target
      * @param sent what came of the call; the load report is taken out of the answer
-     * @param tookMicros how long it took, in microseconds
+     * @param slowness how long it took beside what is usual on its route
      * @param nowMillis present time
      */
-    public static void note(TargetView target, SendOutcome sent, long tookMicros, long nowMillis) {
-        target.experience().ended(answer(sent), tookMicros / MICROS_PER_MILLI, nowMillis);
+    public static void note(TargetView target, SendOutcome sent, double slowness, long nowMillis) {
+        target.experience().ended(answer(sent), slowness, nowMillis);
         if (sent instanceof SendOutcome.Whole whole) {
             String text = whole.answer().headers().get(MeshHeaders.LOAD);
             Optional<LoadReport> report = text == null ? Optional.empty() : LoadReport.parse(text);
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -212,7 +212,7 @@
         TargetExchange failed = exchange;
         reset();
         channel.close();
-        if (failed != null) {
+        if (failed != null && failed.isOpen()) {
             LOGGER.info("event=target_connection_failed address={} reason={}", address, reason);
             failed.end(new SendOutcome.Lost(reason));
         }
--- a/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetGuard.java
@@ -9,6 +9,7 @@
 import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
+import org.cuminreach.decisions.admission.ServiceTimes;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
@@ -33,6 +34,7 @@
             HttpCall call,
             String requestId,
             Caller caller,
+            String route,
             long arrivedNanos,
             long deadlineMillis,
             CompletableFuture<HttpAnswer> answer) {}
@@ -43,6 +45,7 @@
     private final TargetProtocol protocol;
     private final FairQueue<Arrival> queue = FairQueue.ofSlots(1);
     private final TargetMetrics metrics;
+    private final ServiceTimes times = ServiceTimes.unknown();
     private int slots = 1;
     private volatile String draining = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
@@ -89,6 +92,7 @@
                         call,
                         call.header(MeshHeaders.REQUEST_ID, ""),
                         Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
+                        call.header(MeshHeaders.ROUTE, ""),
                         System.nanoTime(),
                         nowMillis + remaining,
                         new CompletableFuture<>());
@@ -100,7 +104,13 @@
         AdmissionOutcome outcome;
         List<RefusedCall<Arrival>> displaced;
         synchronized (queue) {
-            outcome = queue.arrive(arrival, arrival.caller(), arrival.deadlineMillis(), nowMillis);
+            outcome =
+                    queue.arrive(
+                            arrival,
+                            arrival.caller(),
+                            arrival.deadlineMillis(),
+                            times.usualMillis(arrival.route()),
+                            nowMillis);
             displaced = queue.takeRefused();
         }
         displaced.forEach(this::refuse);
@@ -207,7 +217,7 @@
                 .whenComplete(
                         (sent, failure) -> {
                             double ranMillis = (System.nanoTime() - begunNanos) / NANOS_PER_MILLI;
-                            release(arrival.caller(), ranMillis);
+                            release(arrival, ranMillis, sent);
                             finish(arrival, sent, failure);
                         });
     }
@@ -241,11 +251,17 @@
         return sent instanceof SendOutcome.Whole whole ? protocol.read(whole.answer()) : sent;
     }
 
-    private void release(Caller caller, double ranMillis) {
+    private void release(Arrival arrival, double ranMillis, SendOutcome sent) {
         List<Arrival> next;
         List<RefusedCall<Arrival>> late;
         synchronized (queue) {
-            next = queue.release(caller, ranMillis, ProcessClock.monotonicMillis());
+            double slowness = times.slowness(arrival.route(), ranMillis);
+            if (sent instanceof SendOutcome.Whole) {
+                times.note(arrival.route(), ranMillis);
+            }
+            next =
+                    queue.release(
+                            arrival.caller(), ranMillis, slowness, ProcessClock.monotonicMillis());
             late = queue.takeRefused();
         }
         next.forEach(this::run);
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -145,11 +145,11 @@
     }
 
     private void abandonPending() {
-        for (Pending unanswered : pending) {
-            unanswered.call.abandoned().complete(null);
+        // Each is taken out first: its end may come back here at once.
+        for (Pending next = pending.poll(); next != null; next = pending.poll()) {
             server.ended();
+            next.call.abandoned().complete(null);
         }
-        pending.clear();
     }
 
     private static ChannelFuture write(
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -26,8 +26,9 @@
 
 # ---- commands and the replicated state ----
 struct SubmitDocumentStruct { 1: required string operatorName, 2: required string key, 3: required i64 basedOn, 4: required string text, 5: required i64 atMillis }
+struct EditDocumentStruct { 1: required string operatorName, 2: required string key, 3: required i64 basedOn, 4: required i32 keptFirst, 5: required i32 keptLast, 6: required string middle, 7: required i64 atMillis }
 struct StepRolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required string reason, 6: required i64 atMillis }
-union CommandStruct { 1: SubmitDocumentStruct submitDocument, 2: StepRolloutStruct stepRollout }
+union CommandStruct { 1: SubmitDocumentStruct submitDocument, 2: StepRolloutStruct stepRollout, 3: EditDocumentStruct editDocument }
 struct RolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required i64 startedMillis, 6: required i64 steppedMillis, 7: required string reason }
 union OutcomeStruct { 1: i64 accepted, 2: i64 refusedAsStale, 3: list<FaultStruct> refusedAsFaulty }
 struct AnswerStruct { 1: required string key, 2: required OutcomeStruct outcome }
--- a/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.cuminreach.decisions.configuration.DocumentEdit;
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
 import org.cuminreach.decisions.configuration.MeshStateImage;
@@ -12,6 +13,7 @@
 import org.cuminreach.settings.Fault;
 import org.cuminreach.wire.generated.AnswerStruct;
 import org.cuminreach.wire.generated.CommandStruct;
+import org.cuminreach.wire.generated.EditDocumentStruct;
 import org.cuminreach.wire.generated.FaultStruct;
 import org.cuminreach.wire.generated.HistoryStruct;
 import org.cuminreach.wire.generated.OutcomeStruct;
@@ -41,6 +43,16 @@
                                     submission.basedOn(),
                                     submission.text(),
                                     submission.atMillis()));
+            case MeshCommand.EditDocument change ->
+                    CommandStruct.editDocument(
+                            new EditDocumentStruct(
+                                    change.operator(),
+                                    change.key(),
+                                    change.basedOn(),
+                                    change.edit().keptFirst(),
+                                    change.edit().keptLast(),
+                                    change.edit().between(),
+                                    change.atMillis()));
             case MeshCommand.StepRollout step ->
                     CommandStruct.stepRollout(
                             new StepRolloutStruct(
@@ -74,6 +86,16 @@
                         submission.getText(),
                         submission.getAtMillis());
             }
+            case EDIT_DOCUMENT -> {
+                EditDocumentStruct change = struct.getEditDocument();
+                yield new MeshCommand.EditDocument(
+                        change.getOperatorName(),
+                        change.getKey(),
+                        change.getBasedOn(),
+                        new DocumentEdit(
+                                change.getKeptFirst(), change.getKeptLast(), change.getMiddle()),
+                        change.getAtMillis());
+            }
             case STEP_ROLLOUT -> {
                 StepRolloutStruct step = struct.getStepRollout();
                 yield new MeshCommand.StepRollout(
