Let a leader that joined later lead after a restart of all

Ruled out: votes, torn files, unreachable peers; all three were up and the elections passed. The test brings no leader up without the change.

Admission requests end their connection without an empty frame, which the other end took for a malformed one.

--- a/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerLinks.java
@@ -370,8 +370,7 @@
             connection.send(
                     Frame.controlHello(
                             new ControlHello(self, ANY_CONTROL, operatorAddress.toString())));
-            connection.send(Frame.joinRequest(request));
-            connection.closeAfterWrites();
+            connection.sendLast(Frame.joinRequest(request));
         }
 
         @Override
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -66,6 +66,32 @@
         assertThat(next.process.orElseThrow().membership().member(old.id)).isEmpty();
     }
 
+    /** After a restart of all, a leader first learns that its own admission was committed. */
+    @Example
+    void groupOfNewcomersElectsALeaderAfterARestartOfAll() {
+        FakeCluster cluster = new FakeCluster(11, 3);
+        commitSome(cluster);
+        for (String newcomer : List.of("r4", "r5", "r6")) {
+            cluster.startFresh(newcomer);
+            change(cluster, newcomer, false);
+            cluster.run(200);
+        }
+        for (String founder : List.of("r1", "r2", "r3")) {
+            FakeCluster.Host leader = cluster.leader();
+            Membership membership = leader.process.orElseThrow().membership();
+            cluster.changeMembership(leader, membership.without(founder));
+            cluster.run(300);
+            cluster.destroy(founder);
+        }
+        List<FakeCluster.Host> newcomers = List.copyOf(cluster.hosts.values());
+        newcomers.forEach(cluster::crash);
+        newcomers.forEach(cluster::start);
+        long before = cluster.ledger.lastCommitted();
+        commitSome(cluster);
+
+        assertThat(cluster.ledger.lastCommitted()).isGreaterThan(before);
+    }
+
     /** Why a lost disk needs a new identity: under its old one the replica forgets its promise. */
     @Example
     void anAmnesiacUnderItsOldIdentityLosesAnAcceptedEntry() {
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
@@ -41,9 +41,14 @@
         return true;
     }
 
-    /** Closes the connection once all that was sent is written. */
-    public void closeAfterWrites() {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    /**
+     * Sends a last frame and closes the connection once it is written.
+     *
+     * @param frame the frame
+     */
+    public void sendLast(Frame frame) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(StructCodec.encode(frame)))
+                .addListener(ChannelFutureListener.CLOSE);
     }
 
     /** Closes the connection. */
