Wait for a disk that takes no more bytes instead of ending the process

A refused write now stops the replica's answers until it succeeds; what the refused write left is cut before the next one. A failed sync still ends the process, since what it covered may be gone.

--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.control.storage.WriteRefusedException;
 import org.cuminreach.decisions.agreement.AgreementSettings;
 import org.cuminreach.decisions.agreement.DurableState;
 import org.cuminreach.decisions.agreement.Effect;
@@ -39,6 +40,10 @@
     private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
     private static final int MOST_QUEUED_PROPOSALS = 1_000;
 
+    /** Pause before a disk that refused a write is tried again, in milliseconds. */
+    private static final long DISK_RETRY_MILLIS = 100;
+
+
     /** One step of the replica; it may add completions. */
     private interface Step {
         List<Effect> take(Completions completions);
@@ -53,6 +58,7 @@
     private final ProposalSteps steps;
     private final PendingProposals proposals = new PendingProposals();
     private final PendingConfirmations confirmations;
+    private boolean diskRefuses;
     private final AtomicBoolean tickQueued = new AtomicBoolean();
 
     private ReplicaDriver(
@@ -334,17 +340,49 @@
         synchronized (this) {
             batch.forEach(step -> effects.addAll(step.take(completions)));
         }
+        carryOut(effects, completions);
+        compactIfDue();
+        completions.run();
+    }
+
+    /**
+     * Saves what must be on disk before anything is sent. A disk that is full or refuses writes
+     * stops this replica from answering, not the process: the others go on without it meanwhile.
+     */
+    private void save(List<Effect> effects) {
+        boolean saved = trySave(effects);
+        while (!saved) {
+            try {
+                Thread.sleep(DISK_RETRY_MILLIS);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException("stopped before its data was saved", interrupted);
+            }
+            saved = trySave(effects);
+        }
+        if (diskRefuses) {
+            diskRefuses = false;
+            LOGGER.info("event=disk_writes_again");
+        }
+    }
+
+    private boolean trySave(List<Effect> effects) {
         try {
-            carryOut(effects, completions);
-            compactIfDue();
+            storage.save(effects);
+            return true;
+        } catch (WriteRefusedException refused) {
+            if (!diskRefuses) {
+                diskRefuses = true;
+                LOGGER.error("event=disk_refuses_writes action=wait", refused);
+            }
+            return false;
         } catch (IOException unsynced) {
             throw new UncheckedIOException("the data folder could not be synced", unsynced);
         }
-        completions.run();
     }
 
-    private void carryOut(List<Effect> effects, Completions completions) throws IOException {
-        storage.save(effects);
+    private void carryOut(List<Effect> effects, Completions completions) {
+        save(effects);
         effects.forEach(effect -> carryOut(effect, completions));
     }
 
@@ -378,7 +416,7 @@
         }
     }
 
-    private void compactIfDue() throws IOException {
+    private void compactIfDue() {
         long appliedIndex = state.appliedIndex();
         if (!storage.snapshotDue(appliedIndex)) {
             return;
@@ -387,6 +425,6 @@
         synchronized (this) {
             effects = replica.compact(appliedIndex, state.encoded());
         }
-        storage.save(effects);
+        save(effects);
     }
 }
--- a/control/src/main/java/org/cuminreach/control/storage/EntryFile.java
+++ b/control/src/main/java/org/cuminreach/control/storage/EntryFile.java
@@ -17,6 +17,7 @@
     private final FolderAccess folder;
     private final String name;
     private long sizeBytes;
+    private boolean mayEndTorn;
 
     private EntryFile(FolderAccess folder, String name) {
         this.folder = folder;
@@ -58,8 +59,13 @@
     /** Appends entries in place of those from the first one's index on and syncs. */
     void append(List<LogEntry> entries) throws IOException {
         byte[] record = EntryRecord.encode(entries);
+        if (mayEndTorn) {
+            folder.truncate(name, sizeBytes);
+        }
+        mayEndTorn = true;
         folder.append(name, record);
         folder.sync(name);
+        mayEndTorn = false;
         sizeBytes += record.length;
     }
 
--- a/control/src/main/java/org/cuminreach/control/storage/LocalFolder.java
+++ b/control/src/main/java/org/cuminreach/control/storage/LocalFolder.java
@@ -35,13 +35,13 @@
     public void write(String name, byte[] bytes) throws IOException {
         FileChannel channel = channel(name);
         channel.truncate(0);
-        writeAt(channel, 0, bytes);
+        writeAt(name, channel, 0, bytes);
     }
 
     @Override
     public void append(String name, byte[] bytes) throws IOException {
         FileChannel channel = channel(name);
-        writeAt(channel, channel.size(), bytes);
+        writeAt(name, channel, channel.size(), bytes);
     }
 
     @Override
@@ -106,11 +106,16 @@
         }
     }
 
-    private static void writeAt(FileChannel channel, long start, byte[] bytes) throws IOException {
+    private static void writeAt(String name, FileChannel channel, long start, byte[] bytes)
+            throws WriteRefusedException {
         ByteBuffer buffer = ByteBuffer.wrap(bytes);
         long position = start;
-        while (buffer.hasRemaining()) {
-            position += channel.write(buffer, position);
+        try {
+            while (buffer.hasRemaining()) {
+                position += channel.write(buffer, position);
+            }
+        } catch (IOException refused) {
+            throw new WriteRefusedException(name, refused);
         }
     }
 }
--- a/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -23,6 +23,7 @@
 class ReplicaDriverTest {
     private static final long ELECTED_MILLIS = 10_000;
     private static final long PATIENCE_SECONDS = 30;
+    private static final long FULL_MILLIS = 300;
 
     private final FakeFolder files = new FakeFolder(1);
     private final CompletableFuture<Exception> failure = new CompletableFuture<>();
@@ -41,6 +42,21 @@
         leader.close();
     }
 
+    @Example
+    void waitsWhileTheDiskTakesNoMoreBytesAndGoesOnAfterwards() throws Exception {
+        ReplicaDriver leader = lone();
+        files.refuseWrites(true);
+        CompletableFuture<SubmitResult> answer = propose(leader, "a", 0);
+        Thread.sleep(FULL_MILLIS);
+        assertThat(answer.isDone()).isFalse();
+        assertThat(failure.isDone()).isFalse();
+
+        files.refuseWrites(false);
+        assertThat(answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS))
+                .isInstanceOf(SubmitResult.Decided.class);
+        leader.close();
+    }
+
     @Example
     void stopsOnFailedSyncAndAcceptsNothingMore() throws Exception {
         ReplicaDriver leader = lone();
--- a/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
+++ b/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
@@ -53,6 +53,33 @@
         }
     }
 
+    @Example
+    void aSaveThatAFullDiskCutIsWholeOnceThereIsRoom() throws IOException {
+        FakeFolder files = new FakeFolder(5);
+        DataFolder folder = DataFolder.open(files);
+        folder.load();
+        folder.saveEntries(List.of(new LogEntry(1, 1, new Payload.Opening())));
+        List<LogEntry> next = List.of(new LogEntry(2, 1, new Payload.Opening()));
+        files.refuseWrites(true);
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertThat(isRefused(folder, next)).isTrue();
+        }
+        files.refuseWrites(false);
+        folder.saveEntries(next);
+
+        assertThat(DataFolder.open(files).load().entries()).hasSize(2);
+    }
+
+    private static boolean isRefused(DataFolder folder, List<LogEntry> entries)
+            throws IOException {
+        try {
+            folder.saveEntries(entries);
+            return false;
+        } catch (WriteRefusedException refused) {
+            return true;
+        }
+    }
+
     @Property(tries = 1_000, seed = "51", shrinking = ShrinkingMode.OFF)
     void aCrashLosesNothingSynced(@ForAll long seed) throws IOException {
         Random random = new Random(seed);
--- a/control/src/test/java/org/cuminreach/control/storage/FakeFolder.java
+++ b/control/src/test/java/org/cuminreach/control/storage/FakeFolder.java
@@ -25,6 +25,7 @@
     private Map<String, Content> syncedNames = new HashMap<>();
     private volatile int operationsUntilCrash = Integer.MAX_VALUE;
     private volatile boolean syncFails;
+    private volatile boolean writesRefused;
     private volatile long usableBytes = Long.MAX_VALUE;
 
     public FakeFolder(long seed) {
@@ -40,6 +41,11 @@
         syncFails = true;
     }
 
+    /** Each write leaves half of its bytes and is refused, as on a full disk. */
+    public void refuseWrites(boolean refuses) {
+        writesRefused = refuses;
+    }
+
     public void leaveRoom(long bytes) {
         usableBytes = bytes;
     }
@@ -74,17 +80,20 @@
     public void write(String name, byte[] bytes) throws IOException {
         step();
         Content content = new Content();
-        content.written = bytes.clone();
+        content.written = Arrays.copyOf(bytes, writesRefused ? bytes.length / 2 : bytes.length);
         names.put(name, content);
+        refuseIfFull(name);
     }
 
     @Override
     public void append(String name, byte[] bytes) throws IOException {
         step();
         Content content = names.get(name);
-        byte[] longer = Arrays.copyOf(content.written, content.written.length + bytes.length);
-        System.arraycopy(bytes, 0, longer, content.written.length, bytes.length);
+        int taken = writesRefused ? bytes.length / 2 : bytes.length;
+        byte[] longer = Arrays.copyOf(content.written, content.written.length + taken);
+        System.arraycopy(bytes, 0, longer, content.written.length, taken);
         content.written = longer;
+        refuseIfFull(name);
     }
 
     @Override
@@ -132,6 +141,12 @@
         operationsUntilCrash = Integer.MAX_VALUE;
     }
 
+    private void refuseIfFull(String name) throws WriteRefusedException {
+        if (writesRefused) {
+            throw new WriteRefusedException(name, new IOException("no space left"));
+        }
+    }
+
     private void step() throws CrashException {
         if (operationsUntilCrash == 0) {
             throw new CrashException();
