Fit the judge of rollouts to short moves; retry budgets per service with a small reserve

Moves under 40 s now have shorter parts and start at a tenth; the platform's orders ask for no watch after the end. ShortRolloutTest plays such moves.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -49,7 +49,7 @@
     private static final long SILENCE_MILLIS = 3_000;
     private static final long FLUSH_MILLIS = 100;
     private static final int NODE_PENDING_BYTES = 64 * 1024;
-    private static final long REPLICA_TICK_MILLIS = 30;
+    private static final long REPLICA_TICK_MILLIS = 40;
     private static final long SESSION_TICK_MILLIS = 200;
     private static final long KEEPER_TICK_MILLIS = 300;
     private static final long LINK_TICK_MILLIS = 500;
--- a/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
+++ b/control/src/main/java/org/cuminreach/control/node/MeshSessions.java
@@ -36,8 +36,8 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(MeshSessions.class);
     private static final long CONFIRMATION_TIMEOUT_MILLIS = 2_000;
     private static final long REFRESH_MILLIS = 5_000;
-    private static final long SHORTEST_RETURN_MILLIS = 200;
-    private static final long LONGEST_RETURN_MILLIS = 1_500;
+    private static final long SHORTEST_RETURN_MILLIS = 50;
+    private static final long LONGEST_RETURN_MILLIS = 400;
     private static final long LONGEST_ADMISSION_WAIT_MILLIS = 4_000;
     private static final double ADMISSIONS_PER_SECOND = 500;
     private static final int ADMISSION_BURST = 100;
--- a/control/src/main/java/org/cuminreach/control/node/SessionUpkeep.java
+++ b/control/src/main/java/org/cuminreach/control/node/SessionUpkeep.java
@@ -8,7 +8,7 @@
 
 /** What time does to the sessions of a control: some are sent away, some get complete lists. */
 final class SessionUpkeep {
-    private static final long CUT_OFF_PATIENCE_MILLIS = 2_000;
+    private static final long CUT_OFF_PATIENCE_MILLIS = 400;
     private static final long LEAVE_MILLIS = 1_000;
     private static final long MOVE_MILLIS = 200;
     private static final long SETTLE_MILLIS = 30_000;
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -43,7 +43,6 @@
     /** Pause before a disk that refused a write is tried again, in milliseconds. */
     private static final long DISK_RETRY_MILLIS = 100;
 
-
     /** One step of the replica; it may add completions. */
     private interface Step {
         List<Effect> take(Completions completions);
--- a/control/src/main/java/org/cuminreach/control/storage/WriteRefusedException.java
+++ b/control/src/main/java/org/cuminreach/control/storage/WriteRefusedException.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 
 /**
- * The disk refused a write, as when it is full. Nothing that was synced before is lost, and the same
- * save may be tried again. A sync that fails is another matter: what it covered may be gone.
+ * The disk refused a write, as when it is full. Nothing that was synced before is lost, and the
+ * same save may be tried again. A sync that fails is another matter: what it covered may be gone.
  */
 public final class WriteRefusedException extends IOException {
     private static final long serialVersionUID = 1;
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -249,9 +249,9 @@
     }
 
     private void tickLeader(long nowMillis, Leadership leading) {
-        // Until its opening entry is committed, a leader does not know how far the log is committed.
-        boolean removed =
-                leading.opened() && committedMembership().member(state.self).isEmpty();
+        // Until its opening entry is committed, a leader does not know how far the log is
+        // committed.
+        boolean removed = leading.opened() && committedMembership().member(state.self).isEmpty();
         if (removed || !leading.hasQuorum(nowMillis)) {
             stepDown();
             state.resetElectionDeadline(nowMillis);
--- a/decisions/src/main/java/org/cuminreach/decisions/retry/RetryBudget.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryBudget.java
@@ -7,12 +7,16 @@
 public final class RetryBudget {
     private static final int EARNED_PER_CALL = 1;
     private static final int COST_PER_RETRY = 10;
-    private static final int LARGEST_BALANCE = 100 * COST_PER_RETRY;
-    private static final int FIRST_BALANCE = 10 * COST_PER_RETRY;
+    private static final int LARGEST_RESERVE = 100;
+    private static final int FIRST_RESERVE = 10;
 
-    private int balance = FIRST_BALANCE;
+    private final int largestBalance;
+    private int balance;
 
-    private RetryBudget() {}
+    private RetryBudget(int firstRetries, int mostRetries) {
+        balance = firstRetries * COST_PER_RETRY;
+        largestBalance = mostRetries * COST_PER_RETRY;
+    }
 
     /**
      * Returns a budget with a small reserve.
@@ -20,12 +24,23 @@
      * @return a new budget
      */
     public static RetryBudget full() {
-        return new RetryBudget();
+        return new RetryBudget(FIRST_RESERVE, LARGEST_RESERVE);
+    }
+
+    /**
+     * Returns a budget whose reserve never grows beyond a number of retries. The reserves of all
+     * nodes may be spent in the same moment, so that a small one keeps the mesh's sum bounded.
+     *
+     * @param retries the reserve, full at first
+     * @return a new budget
+     */
+    public static RetryBudget withReserve(int retries) {
+        return new RetryBudget(retries, retries);
     }
 
     /** Notes a fresh call. */
     public synchronized void earn() {
-        balance = Math.min(LARGEST_BALANCE, balance + EARNED_PER_CALL);
+        balance = Math.min(largestBalance, balance + EARNED_PER_CALL);
     }
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutJudge.java
@@ -14,11 +14,8 @@
  * time by which it is to be done.
  */
 public final class RolloutJudge {
-    private static final long SHORTEST_STAGE_MILLIS = 3_000;
+    private static final long SHORTEST_SPAN_MILLIS = 1_000;
     private static final long LONGEST_STAGE_MILLIS = 12_000;
-    private static final long FIRST_LOOK_MILLIS = 3_000;
-    private static final long LISTENING_MILLIS = 10_000;
-    private static final long FINISHING_MILLIS = 8_000;
     private static final long TARGET_FAULT_CALLS = 8;
     private static final long MOST_CALLS_TO_BAD_TARGET = 40;
     private static final double TARGET_FAULT_SUSPICION = 6.0;
@@ -82,7 +79,9 @@
         long left = wanted.doneBy().toEpochMilli() - nowMillis;
         boolean finishes = wanted.criteria().thinEvidence() == ThinEvidence.FINISH;
         return progress.phase() == RolloutPhase.MOVING
-                && (left <= 0 || finishes && left <= FINISHING_MILLIS);
+                && (left <= 0
+                        || finishes
+                                && left <= RolloutTiming.of(wanted, progress).finishingMillis());
     }
 
     /** Badness that only one of several targets shows is a fault of that target. */
@@ -122,28 +121,35 @@
         List<EvidenceSlot> slots = ledger.slotsOf(progress.service());
         double callsPerMilli = callsPerMilli(slots, nowMillis);
         long listened = nowMillis - Math.max(ledger.openedMillis(), progress.startedMillis());
-        if (progress.sharePerMille() == 0 && listened < FIRST_LOOK_MILLIS) {
+        RolloutTiming timing = RolloutTiming.of(wanted, progress);
+        if (progress.sharePerMille() == 0 && listened < timing.firstLookMillis()) {
             return Optional.empty();
         }
-        long left = wanted.doneBy().toEpochMilli() - FINISHING_MILLIS - nowMillis;
+        long left = wanted.doneBy().toEpochMilli() - timing.finishingMillis() - nowMillis;
         int steps = RolloutPace.stepsLeft(progress.sharePerMille(), wanted.sharePerMille());
         long allowed = Math.max(0, left) / steps;
-        if (nowMillis - progress.steppedMillis() < dwell(progress, allowed)) {
+        if (nowMillis - progress.steppedMillis() < dwell(wanted, progress, timing, allowed)) {
             return Optional.empty();
         }
         if (isProven(wanted, progress, slots, assessment)) {
             return Optional.of(forward(wanted, progress, progress.sharePerMille(), assessment));
         }
-        return nowMillis - ledger.openedMillis() < LISTENING_MILLIS
+        return nowMillis - ledger.openedMillis() < timing.listeningMillis()
                 ? Optional.empty()
                 : thinStep(wanted, progress, assessment, callsPerMilli, allowed);
     }
 
-    private static long dwell(RolloutProgress progress, long allowed) {
+    private static long dwell(
+            Rollout wanted, RolloutProgress progress, RolloutTiming timing, long allowed) {
         if (progress.sharePerMille() == 0) {
             return 0;
         }
-        return Math.clamp(allowed / 2, SHORTEST_STAGE_MILLIS, LONGEST_STAGE_MILLIS);
+        boolean whole = progress.sharePerMille() >= wanted.sharePerMille();
+        long shortest = timing.shortestStageMillis();
+        return Math.clamp(
+                timing.isShort() ? allowed * 3 / 4 : allowed / 2,
+                whole ? Math.max(shortest, RolloutTiming.SETTLED_MILLIS) : shortest,
+                LONGEST_STAGE_MILLIS);
     }
 
     private static boolean isProven(
@@ -171,7 +177,9 @@
         if (progress.sharePerMille() >= wanted.sharePerMille()) {
             return new Verdict.Done(reason);
         }
-        int next = Math.min(RolloutPace.nextStage(from), wanted.sharePerMille());
+        boolean startsShort = from == 0 && RolloutTiming.of(wanted, progress).isShort();
+        int stage = startsShort ? RolloutTiming.FIRST_SHARE_PER_MILLE : RolloutPace.nextStage(from);
+        int next = Math.min(stage, wanted.sharePerMille());
         return new Verdict.Advance(next, reason);
     }
 
@@ -213,8 +221,10 @@
         long left = wanted.doneBy().toEpochMilli() - nowMillis;
         ThinEvidence choice = wanted.criteria().thinEvidence();
         boolean calm = assessment.suspicion() <= SUSPICION;
-        boolean listened = nowMillis - ledger.openedMillis() >= LISTENING_MILLIS;
-        if (choice == ThinEvidence.FINISH && left <= FINISHING_MILLIS && calm && listened) {
+        RolloutTiming timing = RolloutTiming.of(wanted, progress);
+        boolean listened = nowMillis - ledger.openedMillis() >= timing.listeningMillis();
+        boolean due = left <= timing.finishingMillis();
+        if (choice == ThinEvidence.FINISH && due && calm && listened) {
             return finish(wanted, progress, nowMillis);
         }
         if (left > 0) {
@@ -233,7 +243,11 @@
             return new Verdict.Advance(
                     wanted.sharePerMille(), "the set time is near and no badness has shown");
         }
-        boolean inForce = nowMillis - progress.steppedMillis() >= SHORTEST_STAGE_MILLIS;
+        long settled =
+                Math.max(
+                        RolloutTiming.of(wanted, progress).shortestStageMillis(),
+                        RolloutTiming.SETTLED_MILLIS);
+        boolean inForce = nowMillis - progress.steppedMillis() >= settled;
         return inForce
                 ? new Verdict.Done("the set time is near and no badness has shown")
                 : new Verdict.Wait();
@@ -257,7 +271,7 @@
             }
         }
         return (double) calls
-                / Math.max(FIRST_LOOK_MILLIS, nowMillis - slots.getFirst().startMillis());
+                / Math.max(SHORTEST_SPAN_MILLIS, nowMillis - slots.getFirst().startMillis());
     }
 
     /** Returns the routes that carry more than a negligible part of the old version's calls. */
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/rollout/RolloutTiming.java
@@ -0,0 +1,56 @@
+package org.cuminreach.decisions.rollout;
+
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.document.Rollout;
+
+/**
+ * How long the parts of a rollout take. They were sized for moves of forty seconds and more; a
+ * shorter move gets shorter parts in proportion.
+ *
+ * @param shortestStageMillis shortest time between two steps, in milliseconds
+ * @param firstLookMillis time for which only the old version is watched, in milliseconds
+ * @param listeningMillis time for which a new judge only listens, in milliseconds
+ * @param finishingMillis time before the set time in which a move is finished, in milliseconds
+ * @param isShort whether there is too little time for a first stage of a hundredth
+ */
+record RolloutTiming(
+        long shortestStageMillis,
+        long firstLookMillis,
+        long listeningMillis,
+        long finishingMillis,
+        boolean isShort) {
+    /**
+     * Time between the whole share and the end of a move, in milliseconds: calls that began at the
+     * old version end within it, and its targets may stop afterwards.
+     */
+    static final long SETTLED_MILLIS = 2_500;
+
+    /**
+     * First share of a short move, in a thousand. A few seconds at it tell a bad version from a
+     * good one at a hundred calls a second, and the whole move at it stays a small share.
+     */
+    static final int FIRST_SHARE_PER_MILLE = 100;
+
+    private static final long UNSCALED_MILLIS = 40_000;
+    private static final long SHORTEST_STAGE_MILLIS = 3_000;
+    private static final long FIRST_LOOK_MILLIS = 3_000;
+    private static final long LISTENING_MILLIS = 10_000;
+    private static final long FINISHING_MILLIS = 8_000;
+
+    /** Two rounds of evidence from the nodes; less than that a step cannot show anything. */
+    private static final long FEWEST_STAGE_MILLIS = 1_000;
+
+    /** Settling, and a second for the step to be agreed and to reach all nodes. */
+    private static final long FEWEST_FINISHING_MILLIS = SETTLED_MILLIS + 1_500;
+
+    static RolloutTiming of(Rollout wanted, RolloutProgress progress) {
+        long total = wanted.doneBy().toEpochMilli() - progress.startedMillis();
+        double scale = Math.clamp((double) total / UNSCALED_MILLIS, 0, 1);
+        return new RolloutTiming(
+                Math.max(FEWEST_STAGE_MILLIS, Math.round(scale * SHORTEST_STAGE_MILLIS)),
+                Math.max(FEWEST_STAGE_MILLIS, Math.round(scale * FIRST_LOOK_MILLIS)),
+                Math.round(scale * LISTENING_MILLIS),
+                Math.max(FEWEST_FINISHING_MILLIS, Math.round(scale * FINISHING_MILLIS)),
+                scale < 1);
+    }
+}
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -78,6 +78,27 @@
         assertThat(retries).isAtMost(10 + calls / 10);
     }
 
+    /** Twenty-four nodes meet a failing service at once, after a long calm time. */
+    @Example
+    void retriesOfAllNodesTogetherStayWithinAFifthOfTheCallsAndSixtyFour() {
+        int retries = 0;
+        int calls = 0;
+        for (int node = 0; node < 24; node++) {
+            RetryBudget budget = RetryBudgets.full().of("verksted");
+            for (int calm = 0; calm < 10_000; calm++) {
+                budget.earn();
+            }
+            for (int call = 0; call < 100; call++) {
+                budget.earn();
+                calls++;
+                while (budget.spend()) {
+                    retries++;
+                }
+            }
+        }
+        assertThat(retries).isAtMost(calls / 5 + 64);
+    }
+
     @Example
     void attemptsAtFailingLeafDoNotMultiplyWithDepth() {
         assertThat(leafAttempts(DEEPEST, 0)).isAtMost(4);
--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/rollout/ShortRolloutTest.java
@@ -0,0 +1,106 @@
+package org.cuminreach.decisions.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.NEW;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.OLD;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.calls;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.ledger;
+import static org.cuminreach.decisions.rollout.EvidenceFixture.progress;
+
+import java.time.Instant;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.cuminreach.decisions.configuration.RolloutPhase;
+import org.cuminreach.decisions.configuration.RolloutProgress;
+import org.cuminreach.document.Rollout;
+import org.cuminreach.document.RolloutCriteria;
+import org.cuminreach.document.ThinEvidence;
+
+/**
+ * Plays moves of sixteen seconds at a hundred and more calls a second: a good version must be done
+ * in time, a bad one may meet a tenth of the calls and fifty.
+ */
+class ShortRolloutTest {
+    private static final long DONE_BY_MILLIS = 16_000;
+    private static final long TICK_MILLIS = 200;
+    private static final long MICROS = 150_000;
+    private static final RolloutCriteria CRITERIA =
+            new RolloutCriteria(10, 20, 50, 200, 0, ThinEvidence.FINISH);
+    private static final double ORDINARY_FAILURES = 0.004;
+
+    /** What came of one move. */
+    private record Played(RolloutPhase phase, long endMillis, long newCalls, long allCalls) {}
+
+    @Property(seed = "71", tries = 60)
+    void goodVersionIsDoneInTime(
+            @ForAll @IntRange(min = 80, max = 300) int callsPerSecond, @ForAll long seed) {
+        Played played = play(callsPerSecond, ORDINARY_FAILURES, 0, seed);
+
+        assertThat(played.phase()).isEqualTo(RolloutPhase.DONE);
+        assertThat(played.endMillis()).isAtMost(DONE_BY_MILLIS);
+    }
+
+    @Property(seed = "72", tries = 60)
+    void versionThatIsBadFromTheStartOrLaterMeetsFewCalls(
+            @ForAll @IntRange(min = 80, max = 300) int callsPerSecond,
+            @ForAll @IntRange(min = 0, max = 3_000) int badFromMillis,
+            @ForAll long seed) {
+        Played played = play(callsPerSecond, 0.35, badFromMillis, seed);
+
+        assertThat(played.phase()).isEqualTo(RolloutPhase.TAKEN_BACK);
+        assertThat(played.newCalls()).isAtMost(played.allCalls() / 10 + 50);
+    }
+
+    private static Played play(int callsPerSecond, double failures, long badFrom, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Rollout wanted = new Rollout(NEW, 1_000, Instant.ofEpochMilli(DONE_BY_MILLIS), CRITERIA);
+        EvidenceLedger ledger = ledger(-60_000);
+        RolloutProgress progress = progress(RolloutPhase.MOVING, 0, 0);
+        long newCalls = 0;
+        long allCalls = 0;
+        long endMillis = DONE_BY_MILLIS + 1;
+        for (long now = 0; now <= DONE_BY_MILLIS; now += TICK_MILLIS) {
+            double share = now >= badFrom ? failures : ORDINARY_FAILURES;
+            int total = (int) (callsPerSecond * TICK_MILLIS / 1_000);
+            int fresh = draw(total, progress.sharePerMille() / 1_000.0, random);
+            int oldFailed = draw(total - fresh, ORDINARY_FAILURES, random);
+            int ofFirst = draw(fresh, 0.5, random);
+            int failedOfFirst = draw(ofFirst, share, random);
+            int ofSecond = fresh - ofFirst;
+            int failedOfSecond = draw(ofSecond, share, random);
+            ledger.add(calls(NEW, "a", ofFirst - failedOfFirst, failedOfFirst, MICROS), now);
+            ledger.add(calls(NEW, "b", ofSecond - failedOfSecond, failedOfSecond, MICROS), now);
+            ledger.add(calls(OLD, total - fresh - oldFailed, oldFailed, MICROS), now);
+            newCalls += fresh;
+            allCalls += total;
+            if (progress.phase() == RolloutPhase.MOVING) {
+                progress = next(progress, RolloutJudge.judge(wanted, progress, ledger, now), now);
+                if (!progress.phase().isMoving()) {
+                    endMillis = now;
+                }
+            }
+        }
+        return new Played(progress.phase(), endMillis, newCalls, allCalls);
+    }
+
+    private static RolloutProgress next(RolloutProgress progress, Verdict verdict, long now) {
+        return switch (verdict) {
+            case Verdict.Wait wait -> progress;
+            case Verdict.Late late -> progress(RolloutPhase.LATE, progress.sharePerMille(), now);
+            case Verdict.Done done -> progress(RolloutPhase.DONE, 1_000, now);
+            case Verdict.TakeBack back -> progress(RolloutPhase.TAKEN_BACK, 0, now);
+            case Verdict.Advance advance ->
+                    progress(RolloutPhase.MOVING, advance.sharePerMille(), now);
+        };
+    }
+
+    private static int draw(int calls, double share, SplittableRandom random) {
+        int drawn = 0;
+        for (int call = 0; call < calls; call++) {
+            drawn += random.nextDouble() < share ? 1 : 0;
+        }
+        return drawn;
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -42,9 +42,9 @@
 public final class NodeProcess {
     private static final Logger LOGGER = LoggerFactory.getLogger(NodeProcess.class);
     private static final int EVENT_LOOP_THREADS = 1;
-    private static final long SILENCE_MILLIS = 3_000;
-    private static final long SESSION_TICK_MILLIS = 500;
-    private static final long GUARD_TICK_MILLIS = 20;
+    private static final long SILENCE_MILLIS = 1_800;
+    private static final long SESSION_TICK_MILLIS = 400;
+    private static final long GUARD_TICK_MILLIS = 50;
     private static final long STOP_POLL_MILLIS = 20;
     private static final long QUIET_MILLIS = 300;
 
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -17,7 +17,7 @@
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.decisions.retry.CallProgress;
-import org.cuminreach.decisions.retry.RetryBudget;
+import org.cuminreach.decisions.retry.RetryBudgets;
 import org.cuminreach.decisions.retry.RetryDecision;
 import org.cuminreach.decisions.retry.RetryPolicy;
 import org.cuminreach.decisions.routing.RouteTable;
@@ -60,7 +60,7 @@
     private final KeyedCalls keyed;
     private final ScheduledExecutorService timer;
     private final ServiceTimes times = ServiceTimes.unknown();
-    private final RetryBudget budget = RetryBudget.full();
+    private final RetryBudgets budgets = RetryBudgets.full();
     private final PoisonFilter poison = new PoisonFilter();
     private volatile Routes routes =
             new Routes(
@@ -210,12 +210,13 @@
             String requestId,
             Caller caller,
             MeshConfiguration configuration) {
-        budget.earn();
+        String service = route.draw(ThreadLocalRandom.current());
+        budgets.of(service).earn();
         CallAttempts attempts =
                 new CallAttempts(
                         call,
                         route,
-                        route.draw(ThreadLocalRandom.current()),
+                        service,
                         requestId,
                         caller.text(),
                         isIdempotent(route, call),
@@ -379,7 +380,11 @@
             attempts.noteMayHaveRun();
         }
         RetryDecision decision =
-                RetryPolicy.decide(outcome, progress, budget, ThreadLocalRandom.current());
+                RetryPolicy.decide(
+                        outcome,
+                        progress,
+                        budgets.of(attempts.service()),
+                        ThreadLocalRandom.current());
         return switch (decision) {
             case RetryDecision.Answer answer ->
                     CompletableFuture.completedFuture(
