Place calls by the price of crossings; end kept connections before a stop; bound the log

The log never blocks and bounds the lines of each kind; trace orders the lines of a request over the files of all processes.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -34,6 +34,7 @@
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.runtime.log.LogSetup;
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
@@ -175,6 +176,7 @@
         every(REPLICA_TICK_MILLIS, () -> replica.tick(ProcessClock.monotonicMillis()));
         every(LINK_TICK_MILLIS, () -> peers.tick(ProcessClock.monotonicMillis()));
         every(FLUSH_MILLIS, sessions::flush);
+        every(SESSION_TICK_MILLIS, LogSetup::reportLeftOut);
         if (settings.joins()) {
             every(KEEPER_TICK_MILLIS, () -> keeper.tick(ProcessClock.monotonicMillis()));
         }
--- a/control/src/main/java/org/cuminreach/control/command/ControlMain.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlMain.java
@@ -24,6 +24,7 @@
                                 new MembersCommand(),
                                 ReadCommand.status(),
                                 new WatchCommand(),
+                                new TraceCommand(),
                                 ReadCommand.history(),
                                 ReadCommand.document()));
         System.exit(launcher.run(arguments, System.out, System.err));
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/ConcurrencyLimit.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/ConcurrencyLimit.java
@@ -59,8 +59,10 @@
             return;
         }
         if (meanMillis > HELPED_BELOW * meanBeforeCutMillis) {
+            // Fewer calls at once did not make them quicker: the target is slow for another reason.
             bestMillis = meanMillis;
             meanBeforeCutMillis = Double.MAX_VALUE;
+            limit = Math.min(slots, limit / CUT);
             return;
         }
         limit = Math.max(Math.max(1, LEAST_SHARE_OF_SLOTS * slots), CUT * limit);
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -88,14 +88,14 @@
      */
     public AdmissionOutcome arrive(
             C call, Caller caller, long deadlineMillis, double usualMillis, long nowMillis) {
-        long latestStart = deadlineMillis - Math.round(Math.max(quickestMillis, usualMillis));
-        if (latestStart <= nowMillis) {
+        if (deadlineMillis - Math.round(quickestMillis) <= nowMillis) {
             return refusal(LATE);
         }
         if (waiting == 0 && running < limit.calls()) {
             start(source(caller.source()));
             return new AdmissionOutcome.Run();
         }
+        long latestStart = deadlineMillis - Math.round(Math.max(quickestMillis, usualMillis));
         if (nowMillis + expectedWait(caller) > latestStart) {
             return refusal(LATE);
         }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/Placement.java
@@ -0,0 +1,41 @@
+package org.cuminreach.decisions.routing;
+
+/**
+ * How calls are placed among targets, where meshes differ.
+ *
+ * @param spillLoad load of the own data centre's targets, as a share of their slots, above which
+ *     calls go to other data centres
+ * @param rampMillis time that a new target takes to get its full share, in milliseconds
+ * @param firstRamp share that it gets at first
+ */
+public record Placement(double spillLoad, long rampMillis, double firstRamp) {
+    private static final double CHEAP_SPILL_LOAD = 0.9;
+    private static final long RAMP_MILLIS = 10_000;
+    private static final double FIRST_RAMP = 0.1;
+
+    /** Four calls wait for every nine that run: a wait of half a usual call's time. */
+    private static final double DEAR_SPILL_LOAD = 1.4;
+
+    /** Targets on small VMs are slow for some three seconds after their start, at half speed. */
+    private static final long SHORT_RAMP_MILLIS = 4_000;
+
+    private static final double HALF_SPEED_RAMP = 0.4;
+
+    /**
+     * Returns the placement of a mesh whose data centres are connected cheaply.
+     *
+     * @return full targets of the own data centre spill before calls queue
+     */
+    public static Placement cheapCrossing() {
+        return new Placement(CHEAP_SPILL_LOAD, RAMP_MILLIS, FIRST_RAMP);
+    }
+
+    /**
+     * Returns the placement of a mesh where bytes between data centres are dear.
+     *
+     * @return a short queue in the own data centre is preferred to a crossing
+     */
+    public static Placement dearCrossing() {
+        return new Placement(DEAR_SPILL_LOAD, SHORT_RAMP_MILLIS, HALF_SPEED_RAMP);
+    }
+}
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
@@ -9,9 +9,6 @@
  * elsewhere once a call would have to wait in the own one.
  */
 public final class TargetChooser {
-    /** Share of its capacity from which a target of the own data centre is passed over. */
-    private static final double SPILL_LOAD = 0.9;
-
     /** By how much a target elsewhere must be less loaded, for the way there. */
     private static final double SPILL_MARGIN = 0.1;
 
@@ -42,10 +39,34 @@
             String dataCentre,
             long nowMillis,
             RandomGenerator random) {
+        return choose(
+                targets, tried, mayProbe, dataCentre, Placement.cheapCrossing(), nowMillis, random);
+    }
+
+    /**
+     * Chooses a target under a placement of its own.
+     *
+     * @param targets the ready targets of a version
+     * @param tried names of the nodes whose targets this call has tried
+     * @param mayProbe whether this call may go to a target that is in doubt
+     * @param dataCentre the caller's data centre
+     * @param placement how calls are placed
+     * @param nowMillis present time
+     * @param random source of the draws
+     * @return the target and why, or why there is none
+     */
+    public static TargetChoice choose(
+            List<TargetView> targets,
+            Set<String> tried,
+            boolean mayProbe,
+            String dataCentre,
+            Placement placement,
+            long nowMillis,
+            RandomGenerator random) {
         if (targets.isEmpty()) {
             return new TargetChoice.NoTarget("no_ready_target");
         }
-        Candidates candidates = new Candidates(dataCentre, nowMillis, random);
+        Candidates candidates = new Candidates(dataCentre, placement, nowMillis, random);
         for (int index = 0; index < targets.size(); index++) {
             TargetView target = targets.get(index);
             if (!tried.contains(target.node())) {
@@ -83,6 +104,7 @@
     /** The targets that a call may go to, by standing and data centre. */
     private static final class Candidates {
         private final String dataCentre;
+        private final Placement placement;
         private final long nowMillis;
         private final RandomGenerator random;
         private final Draw near = new Draw();
@@ -92,7 +114,9 @@
         private final Draw unreachable = new Draw();
         private TargetView due;
 
-        private Candidates(String dataCentre, long nowMillis, RandomGenerator random) {
+        private Candidates(
+                String dataCentre, Placement placement, long nowMillis, RandomGenerator random) {
+            this.placement = placement;
             this.dataCentre = dataCentre;
             this.nowMillis = nowMillis;
             this.random = random;
@@ -150,7 +174,7 @@
             }
             TargetView nearest = lesser(near);
             double nearLoad = nearest.experience().load(nowMillis);
-            if (nearLoad <= SPILL_LOAD || far.offered == 0) {
+            if (nearLoad <= placement.spillLoad() || far.offered == 0) {
                 return new TargetChoice.Chosen(nearest, "own_data_centre");
             }
             TargetView elsewhere = lesser(far);
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetExperience.java
@@ -5,11 +5,10 @@
  * by several threads.
  */
 public final class TargetExperience {
-    private static final long RAMP_MILLIS = 10_000;
-    private static final double FIRST_RAMP = 0.1;
-    private static final double REPORT_HALVES_MILLIS = 100;
+    private static final double REPORT_HALVES_MILLIS = 300;
     private static final long OLDEST_REPORT_MILLIS = 1_000;
     private static final long MISLED_MILLIS = 5_000;
+    private static final int MOST_REPORTED = 4;
     private static final double OWN_WEIGHT = 2;
     private static final double SMOOTHING = 0.1;
     private static final double FIRST_SLOWNESS = 1;
@@ -23,6 +22,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final int slots;
+    private final Placement placement;
     private long rampFromMillis;
     private int outstanding;
     private TargetTrust trust = TargetTrust.TRUSTED;
@@ -40,7 +40,8 @@
     private long reportsIgnoredUntilMillis = NEVER;
     private boolean draining;
 
-    private TargetExperience(int slots, long rampFromMillis) {
+    private TargetExperience(int slots, Placement placement, long rampFromMillis) {
+        this.placement = placement;
         this.slots = slots;
         this.limit = slots;
         this.rampFromMillis = rampFromMillis;
@@ -54,7 +55,19 @@
      * @return nothing met yet
      */
     public static TargetExperience cold(int slots, long nowMillis) {
-        return new TargetExperience(slots, nowMillis);
+        return cold(slots, Placement.cheapCrossing(), nowMillis);
+    }
+
+    /**
+     * Returns the experience of a target that has just appeared, under a placement of its own.
+     *
+     * @param slots calls that it runs at once
+     * @param placement how quickly it gets its share
+     * @param nowMillis present time
+     * @return the experience
+     */
+    public static TargetExperience cold(int slots, Placement placement, long nowMillis) {
+        return new TargetExperience(slots, placement, nowMillis);
     }
 
     /**
@@ -64,7 +77,7 @@
      * @return nothing met yet
      */
     public static TargetExperience warm(int slots) {
-        return new TargetExperience(slots, NEVER);
+        return new TargetExperience(slots, Placement.cheapCrossing(), NEVER);
     }
 
     /**
@@ -117,7 +130,7 @@
      * @param nowMillis time at which it arrived
      */
     public synchronized void reported(LoadReport report, long nowMillis) {
-        int all = Math.min(report.running() + report.waiting(), report.limit());
+        int all = Math.min(report.running() + report.waiting(), MOST_REPORTED * report.limit());
         othersLoad = Math.max(0, all - outstanding);
         limit = Math.min(slots, report.limit());
         reportedMillis = nowMillis;
@@ -207,8 +220,8 @@
     }
 
     private double ramp(long nowMillis) {
-        double warmed = (double) (nowMillis - rampFromMillis) / RAMP_MILLIS;
-        return Math.clamp(warmed, FIRST_RAMP, 1);
+        double warmed = (double) (nowMillis - rampFromMillis) / placement.rampMillis();
+        return Math.clamp(warmed, placement.firstRamp(), 1);
     }
 
     private void answered(int failed, long nowMillis) {
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/TargetChooserTest.java
@@ -81,6 +81,33 @@
         targets.clear();
     }
 
+    /** Two targets of six in the own data centre, nine slots each; crossings are dear. */
+    @Property(seed = "64", tries = 20)
+    void shortQueueInOwnDataCentreIsPreferredWhereCrossingsAreDear(@ForAll long seed) {
+        List<TargetExperience> experiences = addSix();
+        for (int call = 0; call < SLOTS + 2; call++) {
+            experiences.get(0).begun(0);
+            experiences.get(3).begun(0);
+        }
+        Random random = new Random(seed);
+        TargetChoice.Chosen queued = dear(random);
+        for (int call = 0; call < SLOTS; call++) {
+            experiences.get(0).begun(0);
+            experiences.get(3).begun(0);
+        }
+        TargetChoice.Chosen overfull = dear(random);
+
+        assertThat(queued.reason()).isEqualTo("own_data_centre");
+        assertThat(overfull.reason()).isEqualTo("spilled");
+        targets.clear();
+    }
+
+    private TargetChoice.Chosen dear(Random random) {
+        return (TargetChoice.Chosen)
+                TargetChooser.choose(
+                        targets, Set.of(), true, "near", Placement.dearCrossing(), 0, random);
+    }
+
     @Property(seed = "63", tries = 20)
     void suspectsNeverLeaveTheRestToFall(
             @ForAll long seed, @ForAll @IntRange(min = 4, max = 5) int suspects) {
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -32,6 +32,7 @@
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.runtime.log.LogSetup;
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
@@ -56,6 +57,9 @@
      */
     private static final long RETIRE_MILLIS = 500;
 
+    /** Time for which kept connections may still bring calls, in milliseconds. */
+    private static final long LAST_CALLS_MILLIS = 200;
+
     private static final long LONGEST_CLOSE_MILLIS = 3_000;
 
     private final NodeSettings settings;
@@ -63,7 +67,7 @@
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final TrafficCounter controlTraffic = TrafficCounter.zero();
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
-    private final MeshView view = MeshView.empty();
+    private final MeshView view;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceLog evidence = EvidenceLog.empty();
     private final HttpSender sender = HttpSender.create(eventLoops);
@@ -84,6 +88,7 @@
     private NodeProcess(NodeSettings settings, NodeDialect dialect) {
         this.settings = settings;
         this.dialect = dialect;
+        view = MeshView.empty(settings.placement());
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
         guard =
                 TargetGuard.create(
@@ -152,6 +157,8 @@
         Thread.sleep(Math.min(leaveMillis, RETIRE_MILLIS));
         callers.beginClosing();
         inbound.beginClosing();
+        Thread.sleep(Math.min(leaveMillis, LAST_CALLS_MILLIS));
+        callers.refuseCalls();
         awaitQuiet(startedMillis + settings.stopMillis());
         LOGGER.info("event=node_stopped cut={}", inProgress());
         close();
@@ -264,6 +271,7 @@
                 () -> {
                     session.tick(ProcessClock.wallMillis());
                     keyed.tick(ProcessClock.wallMillis());
+                    LogSetup.reportLeftOut();
                 },
                 SESSION_TICK_MILLIS,
                 SESSION_TICK_MILLIS,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -263,6 +263,7 @@
                         attempts.tried(),
                         attempts.idempotent(),
                         dataCentre,
+                        view.placement(),
                         nowMillis,
                         ThreadLocalRandom.current());
         return switch (choice) {
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -11,6 +11,7 @@
 import org.cuminreach.decisions.membership.EstablishedVersions;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
+import org.cuminreach.decisions.routing.Placement;
 import org.cuminreach.decisions.routing.TargetExperience;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.runtime.ProcessClock;
@@ -31,7 +32,11 @@
     private Consumer<List<Announcement>> newsListener = news -> {};
     private volatile Map<String, Map<String, List<TargetView>>> ready = Map.of();
 
-    private MeshView() {}
+    private final Placement placement;
+
+    private MeshView(Placement placement) {
+        this.placement = placement;
+    }
 
     /**
      * Returns a view without targets.
@@ -39,7 +44,26 @@
      * @return an empty view
      */
     public static MeshView empty() {
-        return new MeshView();
+        return empty(Placement.cheapCrossing());
+    }
+
+    /**
+     * Returns a view without targets, for a placement.
+     *
+     * @param placement how calls are placed
+     * @return the view
+     */
+    public static MeshView empty(Placement placement) {
+        return new MeshView(placement);
+    }
+
+    /**
+     * Returns how calls are placed.
+     *
+     * @return the placement
+     */
+    public Placement placement() {
+        return placement;
     }
 
     /**
@@ -136,7 +160,8 @@
         TargetExperience experience =
                 experiences.computeIfAbsent(
                         process(announcement),
-                        process -> TargetExperience.cold(announcement.slots(), nowMillis));
+                        process ->
+                                TargetExperience.cold(announcement.slots(), placement, nowMillis));
         return new TargetView(
                 announcement.node(),
                 announcement.instance(),
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.decisions.routing.Placement;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
@@ -18,6 +19,7 @@
  * @param administrationAddress where its metrics and health are read by HTTP
  * @param controls addresses of the controls
  * @param target the target beside it; without one, the target describes itself to the node
+ * @param dearCrossing whether bytes between data centres are dear
  * @param leaveMillis time for which a node that stops still takes new calls, in milliseconds
  * @param stopMillis longest time a planned stop waits for running calls, in milliseconds
  * @param log settings of the log
@@ -30,6 +32,7 @@
         Address administrationAddress,
         List<Address> controls,
         Optional<Target> target,
+        boolean dearCrossing,
         long leaveMillis,
         long stopMillis,
         LogSettings log) {
@@ -65,6 +68,15 @@
                                 TargetPhase.READY));
     }
 
+    /**
+     * Returns how calls are placed among targets.
+     *
+     * @return the placement that suits the price of crossings
+     */
+    public Placement placement() {
+        return dearCrossing ? Placement.dearCrossing() : Placement.cheapCrossing();
+    }
+
     /** Copies the list. */
     public NodeSettings {
         controls = List.copyOf(controls);
@@ -89,6 +101,7 @@
                         object.address("administrationAddress"),
                         object.addresses("controls"),
                         object.object("target", NodeSettings::readTarget),
+                        object.flag("dearCrossing", false),
                         object.number("leaveMillis", DEFAULT_LEAVE_MILLIS, 0, LONGEST_STOP_MILLIS),
                         object.number("stopMillis", DEFAULT_STOP_MILLIS, 0, LONGEST_STOP_MILLIS),
                         LogSettings.read(object));
--- /dev/null
+++ b/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
@@ -0,0 +1,167 @@
+package org.cuminreach.node.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import net.jqwik.api.Example;
+import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.settings.Address;
+
+/** Targets that answer twice, late, in part or not in the protocol. */
+class TargetClientTest {
+    private static final long TIMEOUT_MILLIS = 3_000;
+    private static final long LIMIT_SECONDS = 30;
+    private static final String ID = "Id";
+
+    /** What a target sends, and whether it closes the connection afterwards. */
+    private record Reply(String bytes, boolean closes) {}
+
+    @Example
+    void answerOfAnEarlierCallIsDroppedAndTheOwnOneTaken() throws Exception {
+        List<SendOutcome> outcomes =
+                send(2, number -> new Reply(answer("other", "late") + own(number), false));
+
+        assertThat(body(outcomes.get(0))).isEqualTo("body-1");
+        assertThat(body(outcomes.get(1))).isEqualTo("body-2");
+    }
+
+    @Example
+    void secondAnswerToACallIsNotTakenForTheNext() throws Exception {
+        List<SendOutcome> outcomes = send(3, number -> new Reply(own(number) + own(number), false));
+
+        assertThat(body(outcomes.get(2))).isEqualTo("body-3");
+    }
+
+    @Example
+    void answerThatEndsEarlyIsLost() throws Exception {
+        String cut = own(1).substring(0, own(1).length() - 2);
+
+        assertThat(send(1, number -> new Reply(cut, true)).getFirst())
+                .isInstanceOf(SendOutcome.Lost.class);
+    }
+
+    @Example
+    void bytesThatAreNoAnswerAreLost() throws Exception {
+        assertThat(send(1, number -> new Reply("\u0001\u0002 nothing\r\n\r\n", false)).getFirst())
+                .isInstanceOf(SendOutcome.Lost.class);
+    }
+
+    @Example
+    void answerWithoutLengthEndsWithItsConnection() throws Exception {
+        String open = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole";
+
+        assertThat(body(send(1, number -> new Reply(open, true)).getFirst())).isEqualTo("whole");
+    }
+
+    @Example
+    void callThatMeetsNoListenerWasNeverSent() throws Exception {
+        EventLoopGroup loops = EventLoops.start(1);
+        Address nobody;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            nobody = new Address("127.0.0.1", socket.getLocalPort());
+        }
+        try {
+            assertThat(send(TargetClient.create(loops), nobody, 1))
+                    .isInstanceOf(SendOutcome.NeverSent.class);
+        } finally {
+            EventLoops.stop(loops);
+        }
+    }
+
+    private static String own(int number) {
+        return answer(Integer.toString(number), "body-" + number);
+    }
+
+    private static String answer(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s"
+                .formatted(id, body.length(), body);
+    }
+
+    private static String body(SendOutcome outcome) {
+        assertThat(outcome).isInstanceOf(SendOutcome.Whole.class);
+        return new String(((SendOutcome.Whole) outcome).answer().body(), StandardCharsets.UTF_8);
+    }
+
+    /** Sends calls one after the other to a target that replies as told. */
+    private static List<SendOutcome> send(int calls, Function<Integer, Reply> replies)
+            throws Exception {
+        EventLoopGroup loops = EventLoops.start(1);
+        TargetClient client = TargetClient.create(loops);
+        try (ServerSocket target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            Thread server = new Thread(() -> serve(target, replies), "target");
+            server.setDaemon(true);
+            server.start();
+            Address address = new Address("127.0.0.1", target.getLocalPort());
+            List<SendOutcome> outcomes = new java.util.ArrayList<>();
+            for (int number = 1; number <= calls; number++) {
+                outcomes.add(send(client, address, number));
+            }
+            return outcomes;
+        } finally {
+            client.closeIdle();
+            EventLoops.stop(loops);
+        }
+    }
+
+    private static SendOutcome send(TargetClient client, Address to, int number) throws Exception {
+        String id = Integer.toString(number);
+        HttpCall call =
+                new HttpCall("GET", "/", new DefaultHttpHeaders(), new byte[0], "127.0.0.1");
+        return client.send(
+                        to,
+                        call,
+                        new DefaultHttpHeaders().set("Host", "a"),
+                        headers -> id.equals(headers.get(ID)),
+                        TIMEOUT_MILLIS)
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static void serve(ServerSocket target, Function<Integer, Reply> replies) {
+        int number = 0;
+        try {
+            while (true) {
+                Socket connection = target.accept();
+                while (readRequest(connection.getInputStream())) {
+                    number++;
+                    Reply reply = replies.apply(number);
+                    connection
+                            .getOutputStream()
+                            .write(reply.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                    connection.getOutputStream().flush();
+                    if (reply.closes()) {
+                        connection.close();
+                        break;
+                    }
+                }
+            }
+        } catch (IOException ended) {
+            // The test has ended and closed the socket.
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Reads up to the end of a request without a body; false at the end of the connection. */
+    private static boolean readRequest(InputStream input) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf("\r\n\r\n") < 0) {
+            int next = input.read();
+            if (next < 0) {
+                return false;
+            }
+            read.append((char) next);
+        }
+        return true;
+    }
+}
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -69,6 +69,10 @@
             return;
         }
         InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
+        if (server.refusesCalls()) {
+            answerWithoutRunning(context, request);
+            return;
+        }
         HttpCall call =
                 new HttpCall(
                         request.method().name(),
@@ -90,14 +94,38 @@
     private void refuseMalformed(ChannelHandlerContext context, FullHttpRequest request) {
         String reason = String.valueOf(request.decoderResult().cause().getMessage());
         LOGGER.info("event=malformed_call reason=\"{}\"", reason);
+        answerLast(
+                context, request, HttpAnswer.of(400, "text/plain", "malformed: " + reason + "\n"));
+    }
+
+    /** A call that comes while the process ends is refused; it was not run and never will be. */
+    private void answerWithoutRunning(ChannelHandlerContext context, FullHttpRequest request) {
+        answerLast(
+                context,
+                request,
+                HttpAnswer.of(503, "text/plain", "this process stops\n").with("Retry-After", 1));
+    }
+
+    private void answerLast(
+            ChannelHandlerContext context, FullHttpRequest request, HttpAnswer answer) {
         HttpCall unread = new HttpCall("GET", "/", request.headers(), new byte[0], "");
         Pending last = new Pending(unread, false);
-        last.answer = HttpAnswer.of(400, "text/plain", "malformed: " + reason + "\n");
+        last.answer = answer;
         pending.add(last);
         server.begun();
         writeReady(context);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        if (event instanceof HttpServer.CloseIfIdle && pending.isEmpty() && !closing) {
+            closing = true;
+            context.close();
+        } else {
+            super.userEventTriggered(context, event);
+        }
+    }
+
     private static void onLoop(ChannelHandlerContext context, Runnable task) {
         if (context.executor().inEventLoop()) {
             task.run();
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -27,6 +27,12 @@
     private static final int CHUNK_BYTES = 16 * 1024;
     private static final int BACKLOG_CONNECTIONS = 1_024;
 
+    /** Asks a connection to close unless a call is running on it. */
+    enum CloseIfIdle {
+        /** At once. */
+        NOW
+    }
+
     private final HttpHandler handler;
     private final ChannelGroup connections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -35,6 +41,7 @@
     private volatile Channel listening;
     private volatile boolean closing;
     private volatile boolean retiring;
+    private volatile boolean refusing;
 
     private HttpServer(HttpHandler handler) {
         this.handler = handler;
@@ -81,6 +88,12 @@
         retiring = true;
     }
 
+    /** Closes the connections that wait for their next call, and refuses calls from now on. */
+    public void refuseCalls() {
+        refusing = true;
+        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(CloseIfIdle.NOW));
+    }
+
     /** Takes no more connections and ends each one with its next answer. */
     public void beginClosing() {
         closing = true;
@@ -124,6 +137,10 @@
         return handler;
     }
 
+    boolean refusesCalls() {
+        return refusing;
+    }
+
     boolean isClosing() {
         return closing || retiring;
     }
--- /dev/null
+++ b/runtime/src/main/java/org/cuminreach/runtime/log/KindLimit.java
@@ -0,0 +1,69 @@
+package org.cuminreach.runtime.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.filter.Filter;
+import ch.qos.logback.core.spi.FilterReply;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Bounds the lines of each kind in a second, so that a storm of one kind neither costs more than it
+ * may nor pushes out the others. Warnings and errors pass. What was left out is counted.
+ */
+final class KindLimit extends Filter<ILoggingEvent> {
+    private static final long WINDOW_MILLIS = 1_000;
+    private static final int MOST_KINDS = 256;
+    private static final String OTHERS = "";
+
+    /** Lines of one kind in the present second. */
+    private static final class Window {
+        private long startMillis;
+        private int lines;
+    }
+
+    private final int linesPerSecond;
+    private final Map<String, Window> windows = new ConcurrentHashMap<>();
+    private final AtomicLong leftOut = new AtomicLong();
+
+    KindLimit(int linesPerSecond) {
+        this.linesPerSecond = linesPerSecond;
+    }
+
+    @Override
+    public FilterReply decide(ILoggingEvent event) {
+        if (event.getLevel().isGreaterOrEqual(Level.WARN)) {
+            return FilterReply.NEUTRAL;
+        }
+        if (admits(kind(event.getMessage()), event.getTimeStamp())) {
+            return FilterReply.NEUTRAL;
+        }
+        leftOut.incrementAndGet();
+        return FilterReply.DENY;
+    }
+
+    /** Returns how many lines were left out since the last time, and starts anew. */
+    long takeLeftOut() {
+        return leftOut.getAndSet(0);
+    }
+
+    private boolean admits(String kind, long nowMillis) {
+        boolean known = windows.containsKey(kind) || windows.size() < MOST_KINDS;
+        Window window = windows.computeIfAbsent(known ? kind : OTHERS, name -> new Window());
+        synchronized (window) {
+            if (Math.abs(nowMillis - window.startMillis) >= WINDOW_MILLIS) {
+                window.startMillis = nowMillis;
+                window.lines = 0;
+            }
+            window.lines++;
+            return window.lines <= linesPerSecond;
+        }
+    }
+
+    /** The first word of a line's pattern names its kind, as in {@code event=call_routed}. */
+    private static String kind(String pattern) {
+        int end = pattern.indexOf(' ');
+        return end < 0 ? pattern : pattern.substring(0, end);
+    }
+}
--- a/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
@@ -1,43 +1,84 @@
 package org.cuminreach.runtime.log;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
-import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.EncoderBase;
 import ch.qos.logback.core.joran.spi.ConsoleTarget;
+import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Sets up Logback from the settings of a process. */
+/** Sets up the log of a process. */
 public final class LogSetup {
+    private static final Logger LOGGER = LoggerFactory.getLogger(LogSetup.class);
     private static final String PATTERN =
             "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %logger{0} %msg%n";
 
+    /** Lines that wait for standard output; at 300 bytes a line about 600 KB. */
+    private static final int MOST_WAITING_LINES = 2_048;
+
+    /** Places of the queue that only warnings and errors may take. */
+    private static final int RESERVED_LINES = 512;
+
+    private static volatile KindLimit limit = new KindLimit(Integer.MAX_VALUE);
+
     private LogSetup() {}
 
     /**
-     * Sends every log line of a serving process to standard output, in the form that its settings
-     * ask for.
+     * Sends the product's log lines to standard output. A process never waits for it: what does not
+     * fit the queue is left out, ordinary lines before warnings and errors.
      *
-     * @param settings the settings
+     * @param settings level, format and bound
      */
     public static void apply(LogSettings settings) {
-        LoggerContext context = send(settings.format(), ConsoleTarget.SystemOut);
+        LoggerContext context = context();
+        limit = new KindLimit(settings.linesPerSecond());
+        AsyncAppender queue = new AsyncAppender();
+        queue.setContext(context);
+        queue.setNeverBlock(true);
+        queue.setQueueSize(MOST_WAITING_LINES);
+        queue.setDiscardingThreshold(RESERVED_LINES);
+        queue.addFilter(limit);
+        queue.addAppender(console(context, settings.format(), ConsoleTarget.SystemOut));
+        queue.start();
+        use(context, queue);
         context.getLogger("org.cuminreach").setLevel(Level.valueOf(settings.level().name()));
     }
 
-    /** Keeps standard output for the results of a command: only warnings go to standard error. */
+    /** Keeps the libraries quiet and sends warnings to standard error. */
     public static void quiet() {
-        send(LogFormat.TEXT, ConsoleTarget.SystemErr);
+        LoggerContext context = context();
+        use(context, console(context, LogFormat.TEXT, ConsoleTarget.SystemErr));
+    }
+
+    /** Writes how many lines the bound has left out since the last time, if any. */
+    public static void reportLeftOut() {
+        long lines = limit.takeLeftOut();
+        if (lines > 0) {
+            LOGGER.warn("event=log_lines_left_out lines={} reason=bound_of_their_kind", lines);
+        }
     }
 
-    private static LoggerContext send(LogFormat format, ConsoleTarget target) {
+    private static LoggerContext context() {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
+        return context;
+    }
+
+    private static void use(LoggerContext context, Appender<ILoggingEvent> appender) {
+        ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+        root.addAppender(appender);
+        root.setLevel(Level.WARN);
+    }
+
+    private static ConsoleAppender<ILoggingEvent> console(
+            LoggerContext context, LogFormat format, ConsoleTarget target) {
         EncoderBase<ILoggingEvent> encoder = encoder(format);
         encoder.setContext(context);
         encoder.start();
@@ -46,10 +87,7 @@
         appender.setTarget(target.getName());
         appender.setEncoder((Encoder<ILoggingEvent>) encoder);
         appender.start();
-        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-        root.addAppender(appender);
-        root.setLevel(Level.WARN);
-        return context;
+        return appender;
     }
 
     private static EncoderBase<ILoggingEvent> encoder(LogFormat format) {
--- /dev/null
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
@@ -0,0 +1,128 @@
+package org.cuminreach.runtime.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.settings.Address;
+
+/** Calls that are sent before earlier ones on the same connection are answered. */
+class PipelinedCallsTest {
+    private static final long LIMIT_SECONDS = 30;
+    private static final int CALLS = 4;
+
+    private final List<HttpCall> calls = new CopyOnWriteArrayList<>();
+    private final List<CompletableFuture<HttpAnswer>> answers = new CopyOnWriteArrayList<>();
+    private final CompletableFuture<Void> allArrived = new CompletableFuture<>();
+
+    private CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+        calls.add(call);
+        answers.add(answer);
+        if (answers.size() == CALLS) {
+            allArrived.complete(null);
+        }
+        return answer;
+    }
+
+    @Example
+    void runSideBySideAndAreAnsweredInTheirOrder() throws Exception {
+        try (Rig rig = new Rig(this::handle)) {
+            rig.sendCalls();
+            allArrived.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            for (int number = CALLS - 1; number >= 0; number--) {
+                answers.get(number).complete(HttpAnswer.of(200, "text/plain", "answer-" + number));
+            }
+            for (int number = 0; number < CALLS; number++) {
+                assertThat(rig.readBody()).isEqualTo("answer-" + number);
+            }
+            assertThat(rig.server.inProgress()).isEqualTo(0);
+        }
+    }
+
+    @Example
+    void callerThatLeavesAbandonsThemAllAndIsCountedOnce() throws Exception {
+        try (Rig rig = new Rig(this::handle)) {
+            rig.sendCalls();
+            allArrived.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            // A cancelled call may end its answer at once, while the others are being given up.
+            for (int number = 0; number < CALLS; number++) {
+                CompletableFuture<HttpAnswer> answer = answers.get(number);
+                calls.get(number)
+                        .abandoned()
+                        .thenRun(() -> answer.complete(HttpAnswer.of(502, "text/plain", "left")));
+            }
+            rig.socket.close();
+            for (HttpCall call : calls) {
+                call.abandoned().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            }
+            rig.settle();
+            assertThat(rig.server.inProgress()).isEqualTo(0);
+        }
+    }
+
+    /** A server and one connection to it. */
+    private static final class Rig implements AutoCloseable {
+        private final EventLoopGroup loops = EventLoops.start(1);
+        private final HttpServer server;
+        private final Socket socket;
+        private final BufferedReader reader;
+
+        Rig(HttpHandler handler) throws IOException {
+            int port;
+            try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                port = free.getLocalPort();
+            }
+            server = HttpServer.listen(new Address("127.0.0.1", port), loops, handler).join();
+            socket = new Socket("127.0.0.1", port);
+            reader =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII));
+        }
+
+        void sendCalls() throws IOException {
+            String call = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            socket.getOutputStream().write(call.repeat(CALLS).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+        }
+
+        String readBody() throws IOException {
+            int length = 0;
+            for (String line = reader.readLine(); !line.isEmpty(); line = reader.readLine()) {
+                if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                    length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+                }
+            }
+            char[] body = new char[length];
+            for (int read = 0; read < length; ) {
+                read += reader.read(body, read, length - read);
+            }
+            return new String(body);
+        }
+
+        /** Lets the event loop do what it has to do now. */
+        void settle() throws Exception {
+            loops.submit(() -> {}).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            server.close();
+            EventLoops.stop(loops);
+        }
+    }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/cuminreach/runtime/log/KindLimitTest.java
@@ -0,0 +1,37 @@
+package org.cuminreach.runtime.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.core.spi.FilterReply;
+import net.jqwik.api.Example;
+
+class KindLimitTest {
+    private static final int LINES_PER_SECOND = 3;
+
+    private final KindLimit limit = new KindLimit(LINES_PER_SECOND);
+
+    private boolean passes(Level level, String pattern, long atMillis) {
+        LoggingEvent event = new LoggingEvent();
+        event.setLevel(level);
+        event.setMessage(pattern);
+        event.setTimeStamp(atMillis);
+        return limit.decide(event) != FilterReply.DENY;
+    }
+
+    @Example
+    void stormOfOneKindLeavesTheOthersAlone() {
+        int passed = 0;
+        for (int line = 0; line < 100; line++) {
+            passed += passes(Level.INFO, "event=call_routed request={}", 5_000) ? 1 : 0;
+        }
+
+        assertThat(passed).isEqualTo(LINES_PER_SECOND);
+        assertThat(passes(Level.INFO, "event=call_refused request={}", 5_000)).isTrue();
+        assertThat(passes(Level.WARN, "event=call_routed request={}", 5_000)).isTrue();
+        assertThat(passes(Level.INFO, "event=call_routed request={}", 6_000)).isTrue();
+        assertThat(limit.takeLeftOut()).isEqualTo(100 - LINES_PER_SECOND);
+        assertThat(limit.takeLeftOut()).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/runtime/src/test/java/org/cuminreach/runtime/log/LogFloodTest.java
@@ -0,0 +1,77 @@
+package org.cuminreach.runtime.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Floods the log while nobody reads standard output. */
+class LogFloodTest {
+    private static final int LINES = 100_000;
+    private static final long LIMIT_SECONDS = 60;
+
+    /** Takes nothing until it is opened, then counts lines. */
+    private static final class StuckOutput extends OutputStream {
+        private final CountDownLatch opened = new CountDownLatch(1);
+        private final AtomicInteger warnings = new AtomicInteger();
+        private final AtomicInteger lines = new AtomicInteger();
+
+        @Override
+        public void write(int one) {
+            throw new UnsupportedOperationException("lines are written whole");
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            try {
+                opened.await();
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+            String text =
+                    new String(bytes, offset, length, java.nio.charset.StandardCharsets.UTF_8);
+            lines.addAndGet((int) text.chars().filter(character -> character == '\n').count());
+            warnings.addAndGet(text.split(" WARN ", -1).length - 1);
+        }
+    }
+
+    @Example
+    void floodNeitherBlocksNorPushesOutWarnings() throws Exception {
+        PrintStream original = System.out;
+        StuckOutput stuck = new StuckOutput();
+        System.setOut(new PrintStream(stuck, true));
+        try {
+            LogSetup.apply(new LogSettings(LogLevel.INFO, LogFormat.TEXT, 1_000_000));
+            Logger logger = LoggerFactory.getLogger("org.cuminreach.flood");
+            Thread flood =
+                    new Thread(
+                            () -> {
+                                for (int line = 0; line < LINES; line++) {
+                                    logger.info("event=flood line={}", line);
+                                }
+                                logger.warn("event=after_the_flood");
+                            });
+            flood.start();
+            flood.join(TimeUnit.SECONDS.toMillis(LIMIT_SECONDS));
+            assertThat(flood.isAlive()).isFalse();
+
+            stuck.opened.countDown();
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+            while (stuck.warnings.get() == 0 && System.nanoTime() < deadline) {
+                Thread.sleep(10);
+            }
+            assertThat(stuck.warnings.get()).isEqualTo(1);
+            assertThat(stuck.lines.get()).isLessThan(LINES);
+        } finally {
+            stuck.opened.countDown();
+            System.setOut(original);
+            LogSetup.quiet();
+        }
+    }
+}
--- a/runtime/src/test/java/org/cuminreach/runtime/log/LogSetupTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/log/LogSetupTest.java
@@ -27,7 +27,7 @@
         String printed =
                 captureOutput(
                         () -> {
-                            LogSetup.apply(new LogSettings(LogLevel.INFO, LogFormat.JSON));
+                            LogSetup.apply(LogSettings.of(LogLevel.INFO, LogFormat.JSON));
                             LoggerFactory.getLogger("org.cuminreach.x").info("event=started");
                         });
 
--- a/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/LatencyMain.java
@@ -65,7 +65,7 @@
      * @throws InterruptedException when interrupted
      */
     public static void main(String[] arguments) throws IOException, InterruptedException {
-        LogSetup.apply(new LogSettings(LogLevel.WARN, LogFormat.TEXT));
+        LogSetup.apply(LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
         int seconds = Integer.parseInt(arguments[2]);
         try (AsyncHttpClient client =
                         Dsl.asyncHttpClient(
--- a/trial/src/main/java/org/cuminreach/trial/distribution/ConvergenceMain.java
+++ b/trial/src/main/java/org/cuminreach/trial/distribution/ConvergenceMain.java
@@ -29,7 +29,7 @@
      */
     public static void main(String[] arguments)
             throws IOException, InterruptedException, TimeoutException {
-        LogSetup.apply(new LogSettings(LogLevel.WARN, LogFormat.TEXT));
+        LogSetup.apply(LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
         if (arguments.length <= FIRST_SIZE) {
             System.err.println("usage: ConvergenceMain home controls nodes...");
             System.exit(2);
--- a/trial/src/main/java/org/cuminreach/trial/once/SmallMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/SmallMesh.java
@@ -45,7 +45,7 @@
     private static final long STOP_MILLIS = 10_000;
     private static final long LONGEST_WAIT_MILLIS = 60_000;
     private static final long POLL_MILLIS = 20;
-    private static final LogSettings QUIET = new LogSettings(LogLevel.WARN, LogFormat.TEXT);
+    private static final LogSettings QUIET = LogSettings.of(LogLevel.WARN, LogFormat.TEXT);
 
     private final ControlProcess control;
     private final Address controlAddress;
@@ -100,6 +100,7 @@
                         freeAddress(),
                         List.of(controlAddress),
                         Optional.of(new NodeSettings.Target(SERVICE, VERSION, target, SLOTS)),
+                        false,
                         LEAVE_MILLIS,
                         STOP_MILLIS,
                         QUIET);
--- a/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
@@ -173,7 +173,7 @@
                 freeAddress(),
                 List.of(),
                 false,
-                new LogSettings(LogLevel.WARN, LogFormat.TEXT));
+                LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
     }
 
     private static Address freeAddress() throws IOException {
--- a/trial/src/test/java/org/cuminreach/trial/distribution/NodeRig.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeRig.java
@@ -46,9 +46,10 @@
                         unused,
                         controls,
                         Optional.of(new NodeSettings.Target("service-0", "1", unused, 9)),
+                        false,
                         500,
                         1_000,
-                        new LogSettings(LogLevel.WARN, LogFormat.TEXT));
+                        LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
         announcer = TargetAnnouncer.create(settings, incarnation);
         FrameEndpoints endpoints =
                 FrameEndpoints.create(eventLoops, TrafficCounter.zero(), SILENCE_MILLIS);
