--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -1,7 +1,6 @@
 package org.cuminreach.control.replica;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +9,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.cuminreach.control.storage.DataFolder;
-import org.cuminreach.control.storage.WriteRefusedException;
 import org.cuminreach.decisions.agreement.AgreementSettings;
 import org.cuminreach.decisions.agreement.DurableState;
 import org.cuminreach.decisions.agreement.Effect;
@@ -40,9 +38,6 @@
     private static final int ENTRIES_BETWEEN_SNAPSHOTS = 1_000;
     private static final int MOST_QUEUED_PROPOSALS = 1_000;
 
-    /** Pause before a disk that refused a write is tried again, in milliseconds. */
-    private static final long DISK_RETRY_MILLIS = 100;
-
     /** One step of the replica; it may add completions. */
     private interface Step {
         List<Effect> take(Completions completions);
@@ -52,12 +47,12 @@
     private final PeerNetwork network;
     private final Replica replica;
     private final ReplicaStorage storage;
+    private final PatientSaving patience;
     private final ReplicatedState state;
     private final ReplicaInbox<Step> inbox;
     private final ProposalSteps steps;
     private final PendingProposals proposals = new PendingProposals();
     private final PendingConfirmations confirmations;
-    private boolean diskRefuses;
     private final AtomicBoolean tickQueued = new AtomicBoolean();
 
     private ReplicaDriver(
@@ -79,6 +74,7 @@
                         folder,
                         entriesBetweenSnapshots,
                         durable.snapshot().map(Snapshot::lastIndex).orElse(0L));
+        patience = new PatientSaving(storage);
         steps = new ProposalSteps(replica, storage, state, proposals);
         confirmations = new PendingConfirmations(random.nextLong());
         inbox = new ReplicaInbox<>(this::carryOut, failures);
@@ -344,44 +340,8 @@
         completions.run();
     }
 
-    /**
-     * Saves what must be on disk before anything is sent. A disk that is full or refuses writes
-     * stops this replica from answering, not the process: the others go on without it meanwhile.
-     */
-    private void save(List<Effect> effects) {
-        boolean saved = trySave(effects);
-        while (!saved) {
-            try {
-                Thread.sleep(DISK_RETRY_MILLIS);
-            } catch (InterruptedException interrupted) {
-                Thread.currentThread().interrupt();
-                throw new IllegalStateException("stopped before its data was saved", interrupted);
-            }
-            saved = trySave(effects);
-        }
-        if (diskRefuses) {
-            diskRefuses = false;
-            LOGGER.info("event=disk_writes_again");
-        }
-    }
-
-    private boolean trySave(List<Effect> effects) {
-        try {
-            storage.save(effects);
-            return true;
-        } catch (WriteRefusedException refused) {
-            if (!diskRefuses) {
-                diskRefuses = true;
-                LOGGER.error("event=disk_refuses_writes action=wait", refused);
-            }
-            return false;
-        } catch (IOException unsynced) {
-            throw new UncheckedIOException("the data folder could not be synced", unsynced);
-        }
-    }
-
     private void carryOut(List<Effect> effects, Completions completions) {
-        save(effects);
+        patience.save(effects);
         effects.forEach(effect -> carryOut(effect, completions));
     }
 
@@ -424,6 +384,6 @@
         synchronized (this) {
             effects = replica.compact(appliedIndex, state.encoded());
         }
-        save(effects);
+        patience.save(effects);
     }
 }
--- a/control/src/test/java/org/cuminreach/control/command/TraceCommandTest.java
+++ b/control/src/test/java/org/cuminreach/control/command/TraceCommandTest.java
@@ -39,7 +39,7 @@
                 first,
                 """
                 2026-12-04T10:00:00.300Z INFO  CallerHandler event=call_given_up request=ab
-                2026-12-04T10:00:00.100Z INFO  CallerHandler event=call_routed request=ab node=node-2
+                2026-12-04T10:00:00.100Z INFO  CallerHandler event=call_routed request=ab node=b
                 2026-12-04T10:00:00.100Z INFO  CallerHandler event=call_routed request=abc node=x
                 """);
         Files.writeString(
--- a/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
+++ b/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
@@ -54,7 +54,7 @@
     }
 
     @Example
-    void aSaveThatAFullDiskCutIsWholeOnceThereIsRoom() throws IOException {
+    void saveThatFullDiskCutIsWholeOnceThereIsRoom() throws IOException {
         FakeFolder files = new FakeFolder(5);
         DataFolder folder = DataFolder.open(files);
         folder.load();
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -68,7 +68,7 @@
 
     /** After a restart of all, a leader first learns that its own admission was committed. */
     @Example
-    void groupOfNewcomersElectsALeaderAfterARestartOfAll() {
+    void groupOfNewcomersElectsLeaderAfterRestartOfAll() {
         FakeCluster cluster = new FakeCluster(11, 3);
         commitSome(cluster);
         for (String newcomer : List.of("r4", "r5", "r6")) {
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/DocumentEditTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/DocumentEditTest.java
@@ -19,7 +19,7 @@
     }
 
     @Property(seed = "62", tries = 500)
-    void changesOfAFewRoutesOfManyAreSmall(
+    void changesOfFewRoutesOfManyAreSmall(
             @ForAll @IntRange(min = 0, max = 299) int one,
             @ForAll @IntRange(min = 0, max = 299) int other) {
         String earlier = document(1, -1, -1);
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -80,7 +80,7 @@
 
     /** Twenty-four nodes meet a failing service at once, after a long calm time. */
     @Example
-    void retriesOfAllNodesTogetherStayWithinAFifthOfTheCallsAndSixtyFour() {
+    void retriesOfAllNodesTogetherAreBounded() {
         int retries = 0;
         int calls = 0;
         for (int node = 0; node < 24; node++) {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,7 +19,6 @@
 import org.cuminreach.decisions.retry.RetryBudgets;
 import org.cuminreach.decisions.retry.RetryDecision;
 import org.cuminreach.decisions.retry.RetryPolicy;
-import org.cuminreach.decisions.routing.RouteTable;
 import org.cuminreach.decisions.routing.TargetChoice;
 import org.cuminreach.decisions.routing.TargetChooser;
 import org.cuminreach.decisions.routing.TargetView;
@@ -43,17 +41,11 @@
 /** Takes calls for any service and brings each to one target, or says truly what came of it. */
 public final class CallerHandler implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerHandler.class);
-    private static final Set<String> IDEMPOTENT_METHODS =
-            Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
     private static final double MICROS_PER_MILLI = 1_000;
     private static final int NO_TARGET_RETRY_MILLIS = 1_000;
 
-    /** The routes of the configuration in force, built once for each version. */
-    private record Routes(MeshConfiguration configuration, RouteTable table) {}
-
     private final String dataCentre;
     private final String ownHost;
-    private final ConfigurationHolder holder;
     private final MeshView view;
     private final HttpSender sender;
     private final EvidenceLog evidence;
@@ -62,9 +54,7 @@
     private final ServiceTimes times = ServiceTimes.unknown();
     private final RetryBudgets budgets = RetryBudgets.full();
     private final PoisonFilter poison = new PoisonFilter();
-    private volatile Routes routes =
-            new Routes(
-                    MeshConfiguration.empty(), RouteTable.of(MeshConfiguration.empty().document()));
+    private final RoutesInForce routes;
 
     private CallerHandler(
             String dataCentre,
@@ -77,7 +67,7 @@
             ScheduledExecutorService timer) {
         this.dataCentre = dataCentre;
         this.ownHost = ownHost;
-        this.holder = holder;
+        this.routes = new RoutesInForce(holder);
         this.view = view;
         this.sender = sender;
         this.evidence = evidence;
@@ -112,7 +102,7 @@
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
-        Routes current = currentRoutes();
+        RoutesInForce.Routes current = routes.current();
         Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
         String requestId =
                 call.header(
@@ -135,21 +125,13 @@
             return CompletableFuture.completedFuture(
                     CallAnswers.notRun(404, "no_route", Optional.empty()));
         }
-        boolean idempotent = isIdempotent(route.get(), call);
+        boolean idempotent = CallRules.isIdempotent(route.get(), call);
         if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
             return handleKeyed(call, route.get(), requestId, current, false);
         }
         return start(call, route.get(), requestId, entering(call), current.configuration());
     }
 
-    private static boolean isIdempotent(Route route, HttpCall call) {
-        return switch (route.idempotence()) {
-            case ALWAYS -> true;
-            case NEVER -> false;
-            case BY_METHOD -> IDEMPOTENT_METHODS.contains(call.method());
-        };
-    }
-
     private Caller entering(HttpCall call) {
         return Caller.entering(call.header(MeshHeaders.CALLER, ""), call.remoteHost(), ownHost);
     }
@@ -161,7 +143,7 @@
      * @return completes with the answer
      */
     public CompletableFuture<HttpAnswer> handleAsKeyHome(HttpCall call) {
-        Routes current = currentRoutes();
+        RoutesInForce.Routes current = routes.current();
         Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
         if (route.isEmpty()) {
             return CompletableFuture.completedFuture(CallAnswers.mayHaveRun("no_route"));
@@ -171,14 +153,18 @@
     }
 
     private CompletableFuture<HttpAnswer> handleKeyed(
-            HttpCall call, Route route, String requestId, Routes current, boolean fromNode) {
+            HttpCall call,
+            Route route,
+            String requestId,
+            RoutesInForce.Routes current,
+            boolean fromNode) {
         Optional<IdempotencyKey> key =
                 IdempotencyKey.read(call.header(MeshHeaders.IDEMPOTENCY_KEY, ""));
         if (key.isEmpty()) {
             return CompletableFuture.completedFuture(
                     CallAnswers.notRun(400, "malformed_idempotency_key", Optional.empty()));
         }
-        long remaining = timeoutMillis(call, route);
+        long remaining = CallRules.timeoutMillis(route, call);
         Caller caller =
                 fromNode ? Caller.parse(call.header(MeshHeaders.CALLER, "")) : entering(call);
         HttpHeaders headers =
@@ -219,29 +205,14 @@
                         service,
                         requestId,
                         caller.text(),
-                        isIdempotent(route, call),
-                        ProcessClock.monotonicMillis() + timeoutMillis(call, route),
+                        CallRules.isIdempotent(route, call),
+                        ProcessClock.monotonicMillis() + CallRules.timeoutMillis(route, call),
                         configuration.version(),
                         RetryPolicy.attemptsBefore(
                                 CallAnswers.number(call, MeshHeaders.ATTEMPTS, 0)));
         return attempt(attempts, configuration);
     }
 
-    private Routes currentRoutes() {
-        MeshConfiguration inForce = holder.inForce();
-        Routes known = routes;
-        if (known.configuration().version() != inForce.version()) {
-            known = new Routes(inForce, RouteTable.of(inForce.document()));
-            routes = known;
-        }
-        return known;
-    }
-
-    private static long timeoutMillis(HttpCall call, Route route) {
-        int left = CallAnswers.number(call, MeshHeaders.REMAINING_MILLIS, route.timeoutMillis());
-        return Math.min(left, route.timeoutMillis());
-    }
-
     private CompletableFuture<HttpAnswer> attempt(
             CallAttempts attempts, MeshConfiguration configuration) {
         long nowMillis = ProcessClock.monotonicMillis();
--- a/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
@@ -38,7 +38,7 @@
     }
 
     @Example
-    void secondAnswerToACallIsNotTakenForTheNext() throws Exception {
+    void secondAnswerToOneCallIsNotTakenForTheNext() throws Exception {
         List<SendOutcome> outcomes = send(3, number -> new Reply(own(number) + own(number), false));
 
         assertThat(body(outcomes.get(2))).isEqualTo("body-3");
