--- a/control/src/main/java/org/cuminreach/control/command/ServeCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/ServeCommand.java
@@ -49,6 +49,7 @@
                             new Thread(
                                     () -> {
                                         process.stop();
+                                        LogSetup.finish();
                                         stopped.countDown();
                                     }));
             stopped.await();
--- a/node/src/main/java/org/cuminreach/node/command/ServeCommand.java
+++ b/node/src/main/java/org/cuminreach/node/command/ServeCommand.java
@@ -61,6 +61,7 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
+        LogSetup.finish();
         stopped.countDown();
     }
 }
--- a/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
@@ -57,6 +57,11 @@
         use(context, console(context, LogFormat.TEXT, ConsoleTarget.SystemErr));
     }
 
+    /** Writes the lines that still wait, and no more afterwards: the process ends. */
+    public static void finish() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     /** Writes how many lines the bound has left out since the last time, if any. */
     public static void reportLeftOut() {
         long lines = limit.takeLeftOut();
--- a/runtime/src/test/java/org/cuminreach/runtime/log/LogSetupTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/log/LogSetupTest.java
@@ -29,6 +29,7 @@
                         () -> {
                             LogSetup.apply(LogSettings.of(LogLevel.INFO, LogFormat.JSON));
                             LoggerFactory.getLogger("org.cuminreach.x").info("event=started");
+                            LogSetup.finish();
                         });
 
         assertThat(printed.lines().toList()).hasSize(1);
