--- a/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
@@ -48,6 +48,7 @@
             for (int number = 0; number < CALLS; number++) {
                 assertThat(rig.readBody()).isEqualTo("answer-" + number);
             }
+            rig.settle();
             assertThat(rig.server.inProgress()).isEqualTo(0);
         }
     }
