Accept routes of kinds that this version gives no meaning, uploads among them

Ruled out: the kind as one more value of Idempotence, which would say nothing on how a call may be run.

--- a/document/src/main/java/org/cuminreach/document/DocumentReader.java
+++ b/document/src/main/java/org/cuminreach/document/DocumentReader.java
@@ -96,7 +96,8 @@
                 (int)
                         object.number(
                                 "latencyObjectiveMillis", timeoutMillis, 0, LONGEST_TIMEOUT_MILLIS),
-                (int) object.number("priority", 0, 0, LOWEST_PRIORITY));
+                (int) object.number("priority", 0, 0, LOWEST_PRIORITY),
+                object.text("kind", ""));
     }
 
     private static List<WeightedService> destinations(CheckedObject object) {
--- a/document/src/main/java/org/cuminreach/document/Route.java
+++ b/document/src/main/java/org/cuminreach/document/Route.java
@@ -16,6 +16,8 @@
  * @param maxAttempts most targets that one call may be sent to
  * @param latencyObjectiveMillis time within which an answer is of full use, in milliseconds
  * @param priority rank among the routes; 0 is the most urgent
+ * @param kind the operators' own word for the calls of the route, kept for them and of no effect;
+ *     empty where they give none
  */
 public record Route(
         String name,
@@ -26,7 +28,8 @@
         Idempotence idempotence,
         int maxAttempts,
         int latencyObjectiveMillis,
-        int priority) {
+        int priority,
+        String kind) {
     /** Targets that one call may be sent to where the document does not say. */
     public static final int DEFAULT_MAX_ATTEMPTS = 3;
 
@@ -64,7 +67,8 @@
                 idempotent ? Idempotence.ALWAYS : Idempotence.BY_METHOD,
                 DEFAULT_MAX_ATTEMPTS,
                 timeoutMillis,
-                0);
+                0,
+                "");
     }
 
     /**
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -81,7 +81,7 @@
 struct RouteStruct {
   1: required string name, 2: required string host, 3: required string pathPrefix, 5: required i32 timeoutMillis,
   7: required list<WeightedServiceStruct> destinations, 8: required i32 idempotence, 9: required i32 maxAttempts,
-  10: required i32 latencyObjectiveMillis, 11: required i32 priority
+  10: required i32 latencyObjectiveMillis, 11: required i32 priority, 12: optional string kind
 }
 struct ConfigurationDeltaStruct {
   1: required i64 baseVersion, 2: required i64 version, 3: required i64 documentVersion, 4: required i32 rolloutPriority,
--- a/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
@@ -112,18 +112,23 @@
     }
 
     private static RouteStruct toStruct(Route route) {
-        return new RouteStruct(
-                route.name(),
-                route.host(),
-                route.pathPrefix(),
-                route.timeoutMillis(),
-                route.destinations().stream()
-                        .map(part -> new WeightedServiceStruct(part.service(), part.weight()))
-                        .toList(),
-                route.idempotence().ordinal(),
-                route.maxAttempts(),
-                route.latencyObjectiveMillis(),
-                route.priority());
+        RouteStruct struct =
+                new RouteStruct(
+                        route.name(),
+                        route.host(),
+                        route.pathPrefix(),
+                        route.timeoutMillis(),
+                        route.destinations().stream()
+                                .map(
+                                        part ->
+                                                new WeightedServiceStruct(
+                                                        part.service(), part.weight()))
+                                .toList(),
+                        route.idempotence().ordinal(),
+                        route.maxAttempts(),
+                        route.latencyObjectiveMillis(),
+                        route.priority());
+        return route.kind().isEmpty() ? struct : struct.setKind(route.kind());
     }
 
     private static Service toService(ServiceStruct struct) throws MalformedFrameException {
@@ -190,7 +195,8 @@
                 idempotences[struct.getIdempotence()],
                 struct.getMaxAttempts(),
                 struct.getLatencyObjectiveMillis(),
-                struct.getPriority());
+                struct.getPriority(),
+                struct.isSetKind() ? struct.getKind() : "");
     }
 
     private static RolloutPriority toPriority(int ordinal) throws MalformedFrameException {
--- /dev/null
+++ b/wire/src/test/java/org/cuminreach/wire/DeltaCodecTest.java
@@ -0,0 +1,47 @@
+package org.cuminreach.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminreach.decisions.configuration.ConfigurationDelta;
+import org.cuminreach.decisions.configuration.KeyedChanges;
+import org.cuminreach.document.CallerLimits;
+import org.cuminreach.document.Idempotence;
+import org.cuminreach.document.RolloutPriority;
+import org.cuminreach.document.Route;
+import org.cuminreach.document.WeightedService;
+import org.cuminreach.wire.generated.ConfigurationDeltaStruct;
+
+class DeltaCodecTest {
+    private static final List<WeightedService> PARTS =
+            List.of(new WeightedService("one", 90), new WeightedService("two", 10));
+
+    private static Route route(String name, String kind) {
+        return new Route(
+                name, "a.example", "/" + name, PARTS, 900, Idempotence.NEVER, 2, 400, 1, kind);
+    }
+
+    /** Nodes check the digest of what they have read, so that a lost field stops distribution. */
+    @Example
+    void routesSurviveTheWire() throws MalformedFrameException {
+        ConfigurationDelta delta =
+                new ConfigurationDelta(
+                        3,
+                        4,
+                        2,
+                        RolloutPriority.SAFETY,
+                        new KeyedChanges<>(List.of(), List.of("gone")),
+                        new KeyedChanges<>(
+                                List.of(route("plain", ""), route("named", "upload")), List.of()),
+                        new KeyedChanges<>(List.of(), List.of()),
+                        77,
+                        12,
+                        CallerLimits.standard());
+
+        byte[] bytes = StructCodec.encode(DeltaCodec.toStruct(delta));
+
+        assertThat(DeltaCodec.toDelta(StructCodec.decode(bytes, new ConfigurationDeltaStruct())))
+                .isEqualTo(delta);
+    }
+}
