--- a/control/src/main/java/org/cuminreach/control/node/FeedFrames.java
+++ b/control/src/main/java/org/cuminreach/control/node/FeedFrames.java
@@ -9,7 +9,7 @@
 import org.cuminreach.decisions.membership.TargetRegistry;
 import org.cuminreach.wire.DeltaCodec;
 import org.cuminreach.wire.MembershipCodec;
-import org.cuminreach.wire.StructCodec;
+import org.cuminreach.wire.frame.FrameCodec;
 import org.cuminreach.wire.generated.Frame;
 
 /**
@@ -73,7 +73,7 @@
 
     private byte[] encodeTargets(long sinceRevision) {
         List<Announcement> announcements = registry.changedSince(sinceRevision);
-        return StructCodec.encode(
+        return FrameCodec.encode(
                 settled && sinceRevision < 0
                         ? MembershipCodec.toCompleteFrame(announcements)
                         : MembershipCodec.toFrame(announcements));
@@ -81,7 +81,7 @@
 
     private byte[] encodeConfiguration(long baseVersion) {
         synchronized (history) {
-            return StructCodec.encode(
+            return FrameCodec.encode(
                     Frame.configurationDelta(DeltaCodec.toStruct(history.since(baseVersion))));
         }
     }
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -65,12 +65,12 @@
 struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements, 2: optional bool complete }
 struct EvidenceBatch { 1: required list<EvidenceStruct> evidence }
 struct NodeHolding { 1: required string node, 2: required i64 version, 3: required i64 applied }
-struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions, 4: optional string nodeAddress }
+struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions, 4: optional string nodeAddress, 5: optional string dataCentre }
 
 # ---- between a node and its control ----
-struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion }
+struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion, 5: optional bool mayMove }
 struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation, 3: optional list<string> controls }
-struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis }
+struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis, 3: optional string nearer }
 struct CriteriaStruct { 1: required i32 falseAlarmPerMille, 2: required i32 missPerMille, 3: required i32 failureDifferencePerMille, 4: required i32 slownessPercent, 5: required i32 watchSeconds, 6: required i32 thinEvidence }
 struct TargetAccessStruct { 1: required string healthPath, 2: required i32 maxConnections, 3: required string protocol, 4: required bool tls }
 struct WeightedServiceStruct { 1: required string serviceName, 2: required i32 weight }
@@ -93,11 +93,12 @@
 struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults, 3: optional bool needsWhole }
 struct Heartbeat { 1: required i64 sentMillis }
 
-# Frame field 11 carried whole documents and stays unused.
+# Frame field 11 carried whole documents and stays unused. A packed frame holds another, deflated.
 union Frame {
   1: ControlHello controlHello, 2: AgreementStruct agreement, 3: SubmissionForward submissionForward,
   4: SubmissionAnswer submissionAnswer, 5: AnnouncementBatch announcements, 6: EvidenceBatch evidence,
   7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
   12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat,
-  14: ConfigurationDeltaStruct configurationDelta, 15: JoinRequest joinRequest
+  14: ConfigurationDeltaStruct configurationDelta, 15: JoinRequest joinRequest,
+  16: binary packed
 }
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import org.cuminreach.wire.StructCodec;
 import org.cuminreach.wire.generated.Frame;
 
 /** One connection between two processes. Safe for use by several threads. */
@@ -23,7 +22,7 @@
      * @return false when the frame was dropped
      */
     public boolean send(Frame frame) {
-        return sendEncoded(StructCodec.encode(frame));
+        return sendEncoded(FrameCodec.encode(frame));
     }
 
     /**
@@ -47,7 +46,7 @@
      * @param frame the frame
      */
     public void sendLast(Frame frame) {
-        channel.writeAndFlush(Unpooled.wrappedBuffer(StructCodec.encode(frame)))
+        channel.writeAndFlush(Unpooled.wrappedBuffer(FrameCodec.encode(frame)))
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
--- a/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FramePipeline.java
@@ -83,7 +83,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes)
                 throws MalformedFrameException {
             traffic.received(bytes.readableBytes());
-            Frame frame = StructCodec.decode(ByteBufUtil.getBytes(bytes), new Frame());
+            Frame frame = FrameCodec.decode(ByteBufUtil.getBytes(bytes));
             if (frame.getSetField() == null) {
                 LOGGER.debug("event=unknown_frame_ignored remote={}", connection.remote());
                 return;
