--- /dev/null
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/LargeFleetModel.java
@@ -0,0 +1,187 @@
+package org.cuminreach.decisions.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.cuminreach.settings.Address;
+
+/**
+ * Plays the calls of 95 nodes to the 46 targets of one service in five data centres, in simulated
+ * time. Targets differ in speed; a node learns of a target's load only from answers to its own
+ * calls, so that most of what it knows is seconds old.
+ */
+final class LargeFleetModel {
+    static final int NODES = 95;
+    static final int TARGETS = 46;
+    static final int DATA_CENTRES = 5;
+    static final int SLOTS = 6;
+    static final double RUN_MILLIS = 205;
+    static final double OBJECTIVE_MILLIS = 640;
+
+    private static final double[] SPEEDS = {0.6, 1.0, 1.4};
+    private static final double SPREAD = 0.8;
+    private static final double TAIL_SHARE = 0.01;
+    private static final double TAIL_TIMES = 5;
+    private static final long LENGTH_MILLIS = 30_000;
+    private static final long WARM_UP_MILLIS = 5_000;
+
+    /** What came of the calls after the warm-up. */
+    record Tally(int calls, int onTime, int crossed, double meanMillis) {
+        double onTimeShare() {
+            return (double) onTime / calls;
+        }
+
+        double crossedShare() {
+            return (double) crossed / calls;
+        }
+    }
+
+    private record Call(int node, int target, long sentMillis, double workMillis) {}
+
+    private record End(double atMillis, Call call, double ranMillis) {}
+
+    private static final class Target {
+        private final double speed;
+        private final Deque<Call> waiting = new ArrayDeque<>();
+        private int running;
+
+        private Target(double speed) {
+            this.speed = speed;
+        }
+    }
+
+    private final Random random;
+    private final Placement placement;
+    private final double callsPerMilli;
+    private final List<Target> targets = new ArrayList<>();
+    private final List<List<TargetView>> views = new ArrayList<>();
+    private final PriorityQueue<End> ends =
+            new PriorityQueue<>(Comparator.comparingDouble(End::atMillis));
+    private int calls;
+    private int onTime;
+    private int crossed;
+    private double totalMillis;
+
+    private LargeFleetModel(Placement placement, double callsPerSecond, long seed) {
+        this.random = new Random(seed);
+        this.placement = placement;
+        this.callsPerMilli = callsPerSecond / 1_000;
+        for (int target = 0; target < TARGETS; target++) {
+            targets.add(new Target(SPEEDS[random.nextInt(SPEEDS.length)]));
+        }
+        for (int node = 0; node < NODES; node++) {
+            List<TargetView> seen = new ArrayList<>();
+            for (int target = 0; target < TARGETS; target++) {
+                seen.add(view(target));
+            }
+            views.add(seen);
+        }
+    }
+
+    static Tally play(Placement placement, double callsPerSecond, long seed) {
+        return new LargeFleetModel(placement, callsPerSecond, seed).play();
+    }
+
+    private TargetView view(int target) {
+        return new TargetView(
+                "node-" + target,
+                "start-" + target,
+                dataCentre(target),
+                new Address("127.0.0.1", 1),
+                SLOTS,
+                TargetExperience.cold(SLOTS, placement, -LENGTH_MILLIS));
+    }
+
+    private static String dataCentre(int index) {
+        return "data-centre-" + index % DATA_CENTRES;
+    }
+
+    private Tally play() {
+        double now = 0;
+        while (now < LENGTH_MILLIS) {
+            now -= Math.log(1 - random.nextDouble()) / callsPerMilli;
+            endUntil(now);
+            arrive((long) now);
+        }
+        endUntil(Double.MAX_VALUE);
+        return new Tally(calls, onTime, crossed, totalMillis / calls);
+    }
+
+    private void arrive(long nowMillis) {
+        int node = random.nextInt(NODES);
+        CallNeed need = new CallNeed(true, 0, RUN_MILLIS, OBJECTIVE_MILLIS - 1.5 * RUN_MILLIS, 1);
+        TargetChoice choice =
+                TargetChooser.choose(
+                        views.get(node),
+                        Set.of(),
+                        need,
+                        dataCentre(node),
+                        placement,
+                        nowMillis,
+                        random);
+        if (choice instanceof TargetChoice.Chosen chosen) {
+            int index = Integer.parseInt(chosen.target().node().substring("node-".length()));
+            chosen.target().experience().begun(nowMillis);
+            Call call = new Call(node, index, nowMillis, workMillis());
+            Target target = targets.get(index);
+            if (target.running < SLOTS) {
+                start(call, nowMillis);
+            } else {
+                target.waiting.add(call);
+            }
+        }
+    }
+
+    private double workMillis() {
+        double deviation = Math.sqrt(Math.log(1 + SPREAD * SPREAD));
+        double drawn = Math.exp(deviation * random.nextGaussian() - deviation * deviation / 2);
+        return RUN_MILLIS * drawn * (random.nextDouble() < TAIL_SHARE ? TAIL_TIMES : 1);
+    }
+
+    private void start(Call call, double nowMillis) {
+        Target target = targets.get(call.target());
+        target.running++;
+        double ran = call.workMillis() / target.speed;
+        ends.add(new End(nowMillis + ran, call, ran));
+    }
+
+    private void endUntil(double nowMillis) {
+        while (!ends.isEmpty() && ends.peek().atMillis() <= nowMillis) {
+            end(ends.poll());
+        }
+    }
+
+    private void end(End end) {
+        Call call = end.call();
+        Target target = targets.get(call.target());
+        target.running--;
+        if (!target.waiting.isEmpty()) {
+            start(target.waiting.poll(), end.atMillis());
+        }
+        long nowMillis = (long) end.atMillis();
+        TargetExperience experience = views.get(call.node()).get(call.target()).experience();
+        experience.ended(TargetAnswer.ANSWERED, end.ranMillis() / RUN_MILLIS, nowMillis);
+        experience.reported(report(target, (int) end.ranMillis()), nowMillis);
+        if (call.sentMillis() >= WARM_UP_MILLIS) {
+            double took = end.atMillis() - call.sentMillis();
+            calls++;
+            totalMillis += took;
+            onTime += took <= OBJECTIVE_MILLIS ? 1 : 0;
+            crossed += dataCentre(call.node()).equals(dataCentre(call.target())) ? 0 : 1;
+        }
+    }
+
+    private static LoadReport report(Target target, int ranMillis) {
+        int waiting = target.waiting.size();
+        List<Integer> waits =
+                waiting == 0
+                        ? List.of()
+                        : List.of((int) (waiting * RUN_MILLIS / target.speed / SLOTS));
+        return new LoadReport(target.running, waiting, SLOTS, false, ranMillis, waits);
+    }
+}
