Make no TLS context for calls between nodes

Cause: of what a node loads at its start, the key factories and certificates of the Java runtime stand out (-Xlog:class+load): the HTTP client builds a TLS context by default and reads the trust store. Calls between nodes use none.

--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -12,7 +12,9 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
+import javax.net.ssl.SSLEngine;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.Request;
@@ -62,10 +64,16 @@
                                 .setPooledConnectionIdleTimeout(IDLE_TIMEOUT)
                                 .setReadTimeout(Duration.ofMillis(-1))
                                 .setCookieStore(null)
+                                .setSslEngineFactory(HttpSender::refuseTls)
                                 .setEnableAutomaticDecompression(false)
                                 .setCompressionEnforced(false)));
     }
 
+    /** Spares the start the reading of certificates: the client makes a TLS context by default. */
+    private static SSLEngine refuseTls(AsyncHttpClientConfig config, String host, int port) {
+        throw new IllegalStateException("calls between nodes use no TLS, asked for " + host);
+    }
+
     /**
      * Sends a call. When the call is abandoned before its answer, its connection is closed.
      *
