--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
@@ -1,7 +1,6 @@
 package org.cuminreach.decisions.configuration;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
+import java.math.BigInteger;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,8 +74,14 @@
         return sum;
     }
 
+    /** Hashes the characters of a text, two bytes each, to the last 64 bits of their digest. */
     private static long hash(String text) {
-        byte[] digest = Sha256.begin().digest(text.getBytes(StandardCharsets.UTF_8));
-        return ByteBuffer.wrap(digest).getLong();
+        byte[] bytes = new byte[text.length() * Character.BYTES];
+        for (int index = 0; index < text.length(); index++) {
+            char character = text.charAt(index);
+            bytes[index * Character.BYTES] = (byte) (character >> Byte.SIZE);
+            bytes[index * Character.BYTES + 1] = (byte) character;
+        }
+        return new BigInteger(Sha256.begin().digest(bytes)).longValue();
     }
 }
