Do not dial a lost control again at once; spread nodes over the controls of their data centre

A node that another control sent there dials in its own turn after the loss, and that turn may fall on the frozen control again, which takes the connection and never answers; 4 s pass until the node leaves it. The lost control is passed over now. All five were on one of two controls, since each went to the one that had told the fewest sessions; a node now has a place of its own among them.

--- a/control/src/main/java/org/cuminreach/control/node/PeerLoads.java
+++ b/control/src/main/java/org/cuminreach/control/node/PeerLoads.java
@@ -35,16 +35,27 @@
                 .toList();
     }
 
-    /** Finds the least loaded control of a data centre that takes more sessions. */
-    Optional<Address> near(String dataCentre, int ownSessions, long nowMillis) {
+    /**
+     * Finds a control of a data centre that takes more sessions. Each node has a place of its own
+     * among them: by what they last told, all would go to the same.
+     */
+    Optional<Address> near(String dataCentre, String node, int ownSessions, long nowMillis) {
         List<Integer> others = fresh(nowMillis);
         int total = ownSessions + others.stream().mapToInt(Integer::intValue).sum();
-        return byControl.values().stream()
-                .filter(load -> load.dataCentre().equals(dataCentre))
-                .filter(load -> load.nodeAddress().isPresent())
-                .filter(load -> !SpreadPolicy.isCrowded(load.sessions(), total, others.size() + 1))
-                .min(Comparator.comparingInt(Load::sessions))
-                .flatMap(Load::nodeAddress);
+        List<Address> open =
+                byControl.values().stream()
+                        .filter(load -> load.dataCentre().equals(dataCentre))
+                        .filter(
+                                load ->
+                                        !SpreadPolicy.isCrowded(
+                                                load.sessions(), total, others.size() + 1))
+                        .map(Load::nodeAddress)
+                        .flatMap(Optional::stream)
+                        .sorted(Comparator.comparing(Address::toString))
+                        .toList();
+        return open.isEmpty()
+                ? Optional.empty()
+                : Optional.of(open.get(Math.floorMod(node.hashCode(), open.size())));
     }
 
     List<Integer> fresh(long nowMillis) {
--- a/control/src/main/java/org/cuminreach/control/node/SessionMoves.java
+++ b/control/src/main/java/org/cuminreach/control/node/SessionMoves.java
@@ -54,7 +54,8 @@
         if (isNear(session) || !session.mayMove()) {
             return false;
         }
-        Optional<Address> nearer = loads.near(session.dataCentre(), sessions.size(), nowMillis);
+        Optional<Address> nearer =
+                loads.near(session.dataCentre(), session.node(), sessions.size(), nowMillis);
         nearer.ifPresent(
                 address ->
                         redirect(
--- a/node/src/main/java/org/cuminreach/node/control/ControlContacts.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlContacts.java
@@ -15,6 +15,7 @@
     private List<Address> configured;
     private List<Address> told = List.of();
     private Optional<Address> preferred = Optional.empty();
+    private Optional<Address> last = Optional.empty();
     private int next;
 
     private ControlContacts(List<Address> configured) {
@@ -64,21 +65,26 @@
     }
 
     /**
-     * Chooses the control to dial next; each gets its turn.
+     * Chooses the control to dial next; each gets its turn, but never the one dialled last while
+     * there are others: it was lost, or could not be reached.
      *
      * @return its address
      */
     public synchronized Address next() {
-        if (preferred.isPresent()) {
-            Address chosen = preferred.get();
-            preferred = Optional.empty();
-            return chosen;
-        }
+        Address chosen = preferred.orElseGet(this::inTurn);
+        preferred = Optional.empty();
+        last = Optional.of(chosen);
+        return chosen;
+    }
+
+    private Address inTurn() {
         Set<Address> known = new LinkedHashSet<>(configured);
         known.addAll(told);
         List<Address> addresses = new ArrayList<>(known);
-        Address chosen = addresses.get(Math.floorMod(next, addresses.size()));
-        next++;
+        Address chosen = addresses.get(Math.floorMod(next++, addresses.size()));
+        if (last.equals(Optional.of(chosen))) {
+            chosen = addresses.get(Math.floorMod(next++, addresses.size()));
+        }
         return chosen;
     }
 }
