--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
@@ -5,7 +5,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses a target: the least loaded of three random ones of the own data centre, or of three
+ * Chooses a target: the less loaded of two random ones of the chooser's own data centre, or of two
  * elsewhere. Where crossings are cheap, calls go elsewhere once they would have to wait in the own
  * data centre; where they are dear, once they would wait so long that they may be late.
  */
@@ -13,9 +13,6 @@
     /** By how much a target elsewhere must be less loaded, for the way there. */
     private static final double SPILL_MARGIN = 0.1;
 
-    /** Targets of one kind that are compared with each other. */
-    private static final int DRAWN = 3;
-
     /** Gain from which every call is sent elsewhere; below it, a share, lest all go at once. */
     private static final double SPILL_ALL_GAIN = 0.25;
 
@@ -86,21 +83,28 @@
         return candidates.choose(!tried.isEmpty());
     }
 
-    /** A draw of some targets from one kind of targets, each as likely as any other. */
+    /** Draws of two targets from one kind of targets, each pair as likely as any other. */
     private static final class Draw {
-        private final TargetView[] drawn = new TargetView[DRAWN];
+        private TargetView first;
+        private TargetView second;
         private int offered;
 
         private void offer(TargetView target, RandomGenerator random) {
-            int place = offered < DRAWN ? offered : random.nextInt(offered + 1);
             offered++;
-            if (place < DRAWN) {
-                drawn[place] = target;
+            if (offered == 1) {
+                first = target;
+                return;
+            }
+            if (offered == 2) {
+                second = target;
+                return;
+            }
+            int place = random.nextInt(offered);
+            if (place == 0) {
+                first = target;
+            } else if (place == 1) {
+                second = target;
             }
-        }
-
-        private int size() {
-            return Math.min(offered, DRAWN);
         }
     }
 
@@ -185,12 +189,12 @@
             if (near.offered == 0) {
                 return chosen(far, "none_in_own_data_centre");
             }
-            TargetView nearest = least(near);
+            TargetView nearest = lesser(near);
             double nearLoad = nearest.experience().load(nowMillis);
             if (nearLoad <= spilling.load() || far.offered == 0) {
                 return new TargetChoice.Chosen(nearest, "own_data_centre");
             }
-            TargetView elsewhere = least(far);
+            TargetView elsewhere = lesser(far);
             double gain = nearLoad - elsewhere.experience().load(nowMillis) - SPILL_MARGIN;
             return gain > random.nextDouble() * SPILL_ALL_GAIN
                     ? new TargetChoice.Chosen(elsewhere, "spilled")
@@ -202,13 +206,13 @@
                 Placement.Spilling.WhenLate spilling, boolean triedOthers) {
             double spare = Math.max(0, need.spareMillis());
             if (near.offered > 0) {
-                TargetView nearest = least(near);
+                TargetView nearest = lesser(near);
                 if (waitMillis(nearest) <= spilling.shareToWaitNear(need.weight()) * spare) {
                     return new TargetChoice.Chosen(nearest, "own_data_centre");
                 }
             }
             if (far.offered > 0) {
-                TargetView elsewhere = least(far);
+                TargetView elsewhere = lesser(far);
                 if (waitMillis(elsewhere) <= spare) {
                     return new TargetChoice.Chosen(elsewhere, "spilled");
                 }
@@ -227,23 +231,19 @@
         }
 
         private TargetChoice chosen(Draw draw, String reason) {
-            return new TargetChoice.Chosen(least(draw), reason);
+            return new TargetChoice.Chosen(lesser(draw), reason);
         }
 
-        /** Returns the least loaded target of a draw; equal ones are as likely as each other. */
-        private TargetView least(Draw draw) {
-            int first = random.nextInt(draw.size());
-            TargetView least = draw.drawn[first];
-            double leastCost = least.experience().cost(nowMillis);
-            for (int step = 1; step < draw.size(); step++) {
-                TargetView other = draw.drawn[(first + step) % draw.size()];
-                double cost = other.experience().cost(nowMillis);
-                if (cost < leastCost) {
-                    least = other;
-                    leastCost = cost;
-                }
+        private TargetView lesser(Draw draw) {
+            if (draw.second == null) {
+                return draw.first;
+            }
+            double first = draw.first.experience().cost(nowMillis);
+            double second = draw.second.experience().cost(nowMillis);
+            if (first == second) {
+                return random.nextBoolean() ? draw.first : draw.second;
             }
-            return least;
+            return first < second ? draw.first : draw.second;
         }
     }
 }
