One sum of the controls' sessions; a plain loop where nodes are sent nearer

Two places worked out whether a control is crowded from the same sum; PeerLoads does it for both now. Nodes were sent nearer by a side effect within a filter, which ended in a log line that NodeSession writes already. Behaviour stays as it is.

--- a/control/src/main/java/org/cuminreach/control/node/PeerLoads.java
+++ b/control/src/main/java/org/cuminreach/control/node/PeerLoads.java
@@ -40,15 +40,10 @@
      * among them: by what they last told, all would go to the same.
      */
     Optional<Address> near(String dataCentre, String node, int ownSessions, long nowMillis) {
-        List<Integer> others = fresh(nowMillis);
-        int total = ownSessions + others.stream().mapToInt(Integer::intValue).sum();
         List<Address> open =
                 byControl.values().stream()
                         .filter(load -> load.dataCentre().equals(dataCentre))
-                        .filter(
-                                load ->
-                                        !SpreadPolicy.isCrowded(
-                                                load.sessions(), total, others.size() + 1))
+                        .filter(load -> !isCrowded(load.sessions(), ownSessions, nowMillis))
                         .map(Load::nodeAddress)
                         .flatMap(Optional::stream)
                         .sorted(Comparator.comparing(Address::toString))
@@ -58,6 +53,13 @@
                 : Optional.of(open.get(Math.floorMod(node.hashCode(), open.size())));
     }
 
+    /** Tells whether a number of sessions is far more than a control's fair part now. */
+    boolean isCrowded(int sessions, int ownSessions, long nowMillis) {
+        List<Integer> others = fresh(nowMillis);
+        int total = ownSessions + others.stream().mapToInt(Integer::intValue).sum();
+        return SpreadPolicy.isCrowded(sessions, total, others.size() + 1);
+    }
+
     List<Integer> fresh(long nowMillis) {
         byControl.values().removeIf(load -> nowMillis - load.heardMillis() > FRESH_MILLIS);
         return byControl.values().stream().map(Load::sessions).toList();
--- a/control/src/main/java/org/cuminreach/control/node/SessionUpkeep.java
+++ b/control/src/main/java/org/cuminreach/control/node/SessionUpkeep.java
@@ -1,17 +1,13 @@
 package org.cuminreach.control.node;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.decisions.distribution.CutOffWatch;
 import org.cuminreach.decisions.distribution.SpreadPolicy;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** What time does to the sessions of a control: some are sent away, some get complete lists. */
 final class SessionUpkeep {
-    private static final Logger LOGGER = LoggerFactory.getLogger(SessionUpkeep.class);
     private static final long CUT_OFF_PATIENCE_MILLIS = 400;
     private static final long LEAVE_MILLIS = 1_000;
     private static final long MOVE_MILLIS = 200;
@@ -60,11 +56,9 @@
     }
 
     private void evenOut(long nowMillis) {
-        List<Integer> others = loads.fresh(nowMillis);
         int own = sessions.size();
-        int moving = SpreadPolicy.toMove(own, others, MOST_MOVED_AT_ONCE);
-        int total = own + others.stream().mapToInt(Integer::intValue).sum();
-        boolean crowded = SpreadPolicy.isCrowded(own, total, others.size() + 1);
+        int moving = SpreadPolicy.toMove(own, loads.fresh(nowMillis), MOST_MOVED_AT_ONCE);
+        boolean crowded = loads.isCrowded(own, own, nowMillis);
         sessions.stream()
                 .filter(NodeSession::welcomed)
                 .filter(session -> crowded || !moves.isNear(session))
@@ -74,11 +68,15 @@
 
     /** Sends nodes on whose own data centre has got a control since they came. */
     private void bringNear(long nowMillis) {
-        sessions.stream()
-                .filter(NodeSession::welcomed)
-                .filter(session -> moves.sendNearer(session, nowMillis))
-                .limit(MOST_MOVED_AT_ONCE)
-                .forEach(moved -> LOGGER.debug("event=node_sent_nearer node={}", moved.node()));
+        int moved = 0;
+        for (NodeSession session : sessions) {
+            if (moved == MOST_MOVED_AT_ONCE) {
+                return;
+            }
+            if (session.welcomed() && moves.sendNearer(session, nowMillis)) {
+                moved++;
+            }
+        }
     }
 
     private void closeLingering(long nowMillis) {
