--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -335,6 +335,11 @@
                 "cuminreach_node_waiting_calls",
                 "Calls that wait",
                 admissionHandler::waiting);
+        Gauges.register(
+                registry,
+                "cuminreach_node_target_limit_per_second",
+                "Calls per second that the target states as its limit, 0 without one",
+                admissionHandler::limitPerSecond);
         Gauges.register(
                 registry,
                 "cuminreach_node_control_sent_bytes",
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -35,6 +35,15 @@
     /** Set when the target itself refused the call, not the node next to it. */
     public static final String REACHED_TARGET = "X-Cuminreach-Reached-Target";
 
+    /**
+     * Calls per second that a target accepts from all callers together, a decimal number; set by
+     * the target, and between nodes the limit in force.
+     */
+    public static final String TARGET_LIMIT = "X-Cuminreach-Target-Limit";
+
+    /** Set to {@code true} by a target that is about to stop. */
+    public static final String TARGET_LEAVING = "X-Cuminreach-Target-Leaving";
+
     /** Reason code of a refused or lost call. */
     public static final String REASON = "X-Cuminreach-Reason";
 
@@ -86,6 +95,8 @@
                     TARGET_VERSION,
                     REPEATED,
                     REACHED_TARGET,
+                    TARGET_LIMIT,
+                    TARGET_LEAVING,
                     REASON,
                     RETRY_AFTER_MILLIS);
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -53,6 +53,7 @@
     private final FairQueue<PendingCall> queue = FairQueue.ofSlots(1);
     private final TargetMetrics metrics;
     private final RunTimes runTimes = RunTimes.empty();
+    private final TargetNotices notices = new TargetNotices();
     private int slots = 1;
     private volatile String drainingInstance = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
@@ -229,6 +230,15 @@
         }
     }
 
+    /**
+     * Returns the limit that the target states.
+     *
+     * @return calls per second, 0 when it states none
+     */
+    public double limitPerSecond() {
+        return notices.limitPerSecond();
+    }
+
     private void run(PendingCall pending) {
         long startNanos = System.nanoTime();
         metrics.recordStart(startNanos - pending.arrivalNanos());
@@ -253,25 +263,31 @@
                 MeshHeaders.endToEnd(pending.call().headers())
                         .remove(MeshHeaders.TARGET_NODE)
                         .remove(MeshHeaders.TARGET_START);
+        String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
                         pending.requestId(),
                         pending.admissionRequest().caller(),
                         remainingMillis,
-                        pending.call().header(MeshHeaders.TARGET_START, current.get().instance()));
+                        pending.call().header(MeshHeaders.TARGET_START, instance));
+        notices.recordSent(instance, ProcessClock.monotonicMillis());
         return client.send(
                         current.get().address(),
                         pending.call(),
                         protocol.requestHeaders(headers, metadata),
                         answer -> protocol.isAnswerTo(answer, pending.requestId()),
                         remainingMillis)
-                .thenApply(this::read);
+                .thenApply(sent -> read(sent, instance));
     }
 
-    private SendOutcome read(SendOutcome sent) {
-        return sent instanceof SendOutcome.Completed completed
-                ? protocol.readAnswer(completed.answer())
-                : sent;
+    private SendOutcome read(SendOutcome sent, String instance) {
+        if (!(sent instanceof SendOutcome.Completed completed)) {
+            return sent;
+        }
+        if (protocol.isFromAddressedTarget(completed.answer()) && isCurrentInstance(instance)) {
+            notices.record(instance, protocol.readNotice(completed.answer().headers()));
+        }
+        return protocol.readAnswer(completed.answer());
     }
 
     private void release(PendingCall pending, double runMillis, SendOutcome sent) {
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -0,0 +1,99 @@
+package org.cuminreach.node.target;
+
+import org.cuminreach.decisions.admission.CallRateLimit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The latest notice of the target next to the node, and the calls that were sent to it while it
+ * states a limit. A new start of the target begins without a notice. Thread-safe.
+ */
+final class TargetNotices {
+    private static final Logger LOGGER = LoggerFactory.getLogger(TargetNotices.class);
+    private static final long REPORT_INTERVAL_MILLIS = 1_000;
+
+    private String instance = "";
+    private CallRateLimit limit = CallRateLimit.unlimited();
+    private boolean leaving;
+    private int sentSinceReport;
+    private long reportedMillis;
+
+    /**
+     * Records the notice in an answer.
+     *
+     * @param answeringInstance start of the target that answered
+     * @param notice the notice
+     */
+    synchronized void record(String answeringInstance, TargetNotice notice) {
+        resetForNewStart(answeringInstance);
+        switch (notice.limit()) {
+            case CallRateLimit.Unreadable unreadable ->
+                    LOGGER.warn(
+                            "event=target_limit_invalid instance={} text=\"{}\""
+                                    + " limit_per_second={}",
+                            instance,
+                            unreadable.text(),
+                            limit.text());
+            case CallRateLimit.Unlimited none -> setLimit(none);
+            case CallRateLimit.PerSecond stated -> setLimit(stated);
+        }
+        if (notice.leaving() && !leaving) {
+            leaving = true;
+            LOGGER.info("event=target_leaving instance={}", instance);
+        }
+    }
+
+    /**
+     * Records that a call was sent to the target.
+     *
+     * @param receivingInstance start of the target that it was sent to
+     * @param nowMillis current time
+     */
+    synchronized void recordSent(String receivingInstance, long nowMillis) {
+        resetForNewStart(receivingInstance);
+        sentSinceReport++;
+        long elapsedMillis = nowMillis - reportedMillis;
+        if (elapsedMillis < REPORT_INTERVAL_MILLIS) {
+            return;
+        }
+        if (limit instanceof CallRateLimit.PerSecond) {
+            LOGGER.info(
+                    "event=target_limited instance={} limit_per_second={} sent={} elapsed_ms={}",
+                    instance,
+                    limit.text(),
+                    sentSinceReport,
+                    elapsedMillis);
+        }
+        sentSinceReport = 0;
+        reportedMillis = nowMillis;
+    }
+
+    /** Returns the limit that the current start of the target states. */
+    synchronized CallRateLimit limit() {
+        return limit;
+    }
+
+    /** Returns the stated limit in calls per second, or 0 when there is none. */
+    double limitPerSecond() {
+        return limit() instanceof CallRateLimit.PerSecond stated ? stated.callsPerSecond() : 0;
+    }
+
+    private void resetForNewStart(String currentInstance) {
+        if (!currentInstance.equals(instance)) {
+            instance = currentInstance;
+            limit = CallRateLimit.unlimited();
+            leaving = false;
+        }
+    }
+
+    private void setLimit(CallRateLimit stated) {
+        if (!stated.equals(limit)) {
+            LOGGER.info(
+                    "event=target_limit_changed instance={} limit_per_second={} previous={}",
+                    instance,
+                    stated.text(),
+                    limit.text());
+            limit = stated;
+        }
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -1,6 +1,7 @@
 package org.cuminreach.node.target;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.cuminreach.decisions.admission.CallRateLimit;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -34,6 +35,23 @@
      */
     SendOutcome readAnswer(HttpAnswer answer);
 
+    /**
+     * Tells whether an answer is from the start of the target that the call was addressed to, not
+     * from another target that now has its address.
+     *
+     * @param answer the answer
+     * @return whether it is
+     */
+    boolean isFromAddressedTarget(HttpAnswer answer);
+
+    /**
+     * Reads what a target says about itself in an answer.
+     *
+     * @param headers headers of the answer
+     * @return its notice
+     */
+    TargetNotice readNotice(HttpHeaders headers);
+
     /**
      * Returns the protocol of targets that use the mesh's own headers.
      *
@@ -55,6 +73,18 @@
             public SendOutcome readAnswer(HttpAnswer answer) {
                 return new SendOutcome.Completed(answer);
             }
+
+            @Override
+            public boolean isFromAddressedTarget(HttpAnswer answer) {
+                return true;
+            }
+
+            @Override
+            public TargetNotice readNotice(HttpHeaders headers) {
+                return new TargetNotice(
+                        CallRateLimit.parse(headers.get(MeshHeaders.TARGET_LIMIT, "")),
+                        Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")));
+            }
         };
     }
 }
