Keep the calls to a target within the limit that it states

Cause: nothing between the answer of a target and the admission of the next call knew the limit. Admission went by slots alone, and a target that states 26 calls a second ran 70.

The queue counts the wait for tokens like the wait for slots: a call that cannot be on time is refused at once, with a Retry-After from the limit; sources share the tokens as they share the slots. The load report tells the waits and the calls that the target can sustain, and callers keep the limit beyond the age of a report, so that their choice of target follows it. A call that was not sent gives its token back.

--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -1,18 +1,20 @@
 package org.cuminreach.decisions.admission;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.cuminreach.decisions.routing.CallRateLimit;
 
 /**
- * Admission queue of one target, which runs at most as many calls at once as the target has slots.
- * Waiting calls are served by the priority of their routes, within a priority calls that can still
- * be on time before late ones, and within such a band so that each source gets the same running
- * time. A call that can be on time is admitted only while it is likely to be, given the work ahead
- * of it. Under overload the slots thus serve calls that are on time, and the others are refused
- * while their callers can still try elsewhere. A full queue refuses the newest call of whoever has
- * the most calls in it. Only callers with calls here take up memory. Not thread-safe.
+ * Admission queue of one target, which runs at most as many calls at once as the target has slots,
+ * and starts no more of them a second than the target states as its limit. Waiting calls are served
+ * by the priority of their routes, within a priority calls that can still be on time before late
+ * ones, and within such a band so that each source gets the same running time. A call that can be
+ * on time is admitted only while it is likely to be, given the work ahead of it. Under overload the
+ * slots thus serve calls that are on time, and the others are refused while their callers can still
+ * try elsewhere. A full queue refuses the newest call of whoever has the most calls in it. Only
+ * callers with calls here take up memory. Not thread-safe.
  *
  * @param <C> type of a call
  */
@@ -23,40 +25,20 @@
     /** Bounds every wait: callers without a deadline are better off elsewhere after a second. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
-    /** Time after the last arrival in a band during which more are expected, in milliseconds. */
-    private static final long RECENT_ARRIVAL_MILLIS = 1_000;
-
-    /** Weight of the latest call in the mean running time, which adapts within about ten calls. */
-    private static final double SMOOTHING = 0.1;
-
-    /** Running time that is assumed until the first call has ended, in milliseconds. */
-    private static final double INITIAL_RUN_MILLIS = 5;
-
-    /** Share of each running time by which the shortest one drifts up, so that it is forgotten. */
-    private static final double MIN_RUN_DRIFT = 0.001;
-
     private static final String DEADLINE = "deadline_cannot_be_met";
     private static final String OBJECTIVE = "objective_cannot_be_met";
     private static final String QUEUE_FULL = "queue_full";
 
     private int maxWaiting;
-    private ConcurrencyLimit limit;
-    private final List<PriorityBand<C>> bands = new ArrayList<>();
+    private final TargetCapacity capacity;
+    private final WaitingCalls<C> waitingCalls = new WaitingCalls<>();
     private final List<RefusedCall<C>> refused = new ArrayList<>();
     private int running;
-    private double meanRunMillis = INITIAL_RUN_MILLIS;
-    private double minRunMillis;
     private final TolerableWaits tolerableWaits = new TolerableWaits();
-    private final SlotReserve reserve = new SlotReserve();
-    private final long[] lastArrivalMillis = new long[2 * AdmissionRequest.PRIORITIES];
 
     private FairQueue(int slots) {
         this.maxWaiting = slots * MAX_WAITING_PER_SLOT;
-        this.limit = new ConcurrencyLimit(slots);
-        for (int band = 0; band < 2 * AdmissionRequest.PRIORITIES; band++) {
-            bands.add(new PriorityBand<>());
-        }
-        Arrays.fill(lastArrivalMillis, -RECENT_ARRIVAL_MILLIS);
+        this.capacity = new TargetCapacity(slots);
     }
 
     /**
@@ -77,7 +59,17 @@
      */
     public void resize(int slots) {
         maxWaiting = slots * MAX_WAITING_PER_SLOT;
-        limit = new ConcurrencyLimit(slots);
+        capacity.resize(slots);
+    }
+
+    /**
+     * Sets the limit on the rate at which calls start.
+     *
+     * @param limit limit that the target states
+     * @param nowMillis current time
+     */
+    public void setRateLimit(CallRateLimit limit, long nowMillis) {
+        capacity.setRateLimit(limit, nowMillis);
     }
 
     /**
@@ -106,35 +98,44 @@
      */
     public AdmissionOutcome offer(C call, AdmissionRequest request, long nowMillis) {
         long latest = latestUsefulStart(request, nowMillis);
-        if (request.deadlineMillis() - Math.round(minRunMillis) <= nowMillis) {
+        if (request.deadlineMillis() - Math.round(capacity.minRunMillis()) <= nowMillis) {
             return refusal(
                     DEADLINE,
+                    request,
                     expectedWait(request, nowMillis),
-                    maxWait(request, latest, nowMillis));
+                    maxWait(request, latest, nowMillis),
+                    nowMillis);
         }
-        PriorityBand<C> band = bands.get(request.band());
-        lastArrivalMillis[request.band()] = nowMillis;
+        PriorityBand<C> band = waitingCalls.band(request.band());
+        waitingCalls.recordArrival(request, nowMillis);
         double runMillis =
-                request.typicalRunMillis() > 0 ? request.typicalRunMillis() : meanRunMillis;
-        reserve.recordArrival(request.clampedPriority(), runMillis, nowMillis);
+                request.typicalRunMillis() > 0
+                        ? request.typicalRunMillis()
+                        : capacity.meanRunMillis();
+        capacity.recordArrival(request.clampedPriority(), runMillis, nowMillis);
         if (!request.isLate()) {
             tolerableWaits.recordArrival(request, latest - nowMillis, nowMillis);
         }
-        if (!hasCallsAhead(request) && running < slotsFor(request.clampedPriority(), nowMillis)) {
+        if (!waitingCalls.hasCallsAhead(request)
+                && capacity.allowsStart(running, request.clampedPriority(), nowMillis)) {
             running++;
-            band.recordStart(request.caller(), meanRunMillis);
+            capacity.recordStart(nowMillis);
+            band.recordStart(request.caller(), capacity.meanRunMillis());
             return new AdmissionOutcome.Run();
         }
         double wait = expectedWait(request, nowMillis);
         double maxWait = maxWait(request, latest, nowMillis);
         if (wait > maxWait) {
-            return refusal(request.isLate() ? DEADLINE : OBJECTIVE, wait, maxWait);
+            String reason = request.isLate() ? DEADLINE : OBJECTIVE;
+            return refusal(reason, request, wait, maxWait, nowMillis);
         }
-        if (waiting() >= maxWaiting && !displace(request)) {
-            return refusal(QUEUE_FULL, wait, maxWait);
+        if (waiting() >= maxWaiting && !displace(request, nowMillis)) {
+            return refusal(QUEUE_FULL, request, wait, maxWait, nowMillis);
         }
         long waitsUntil =
-                hasLessUrgentCalls(request, nowMillis) ? latestStart(request, nowMillis) : latest;
+                waitingCalls.hasLessUrgentCalls(request, nowMillis)
+                        ? latestStart(request, nowMillis)
+                        : latest;
         band.add(request.caller(), new SourceQueue.QueuedCall<>(call, runMillis, waitsUntil));
         return new AdmissionOutcome.Queued();
     }
@@ -155,24 +156,11 @@
 
     /** Returns the latest time at which a call can start and still end within its deadline. */
     private long latestStart(AdmissionRequest request, long nowMillis) {
-        double runMillis = Math.max(minRunMillis, request.typicalRunMillis());
+        double runMillis = Math.max(capacity.minRunMillis(), request.typicalRunMillis());
         return Math.min(
                 request.deadlineMillis() - Math.round(runMillis), nowMillis + MAX_WAIT_MILLIS);
     }
 
-    /**
-     * Tells whether less urgent calls have arrived lately. A call that is served before them may
-     * wait beyond its objective, as its wait costs no call of its own band a slot.
-     */
-    private boolean hasLessUrgentCalls(AdmissionRequest request, long nowMillis) {
-        for (int band = request.band() + 1; band < bands.size(); band++) {
-            if (nowMillis - lastArrivalMillis[band] < RECENT_ARRIVAL_MILLIS) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /**
      * Releases the slot of a call without an objective that has ended, and starts the next calls.
      *
@@ -198,18 +186,36 @@
     public List<C> release(
             AdmissionRequest request, double runMillis, double slowness, long nowMillis) {
         running--;
-        bands.get(request.band()).recordEnd(request.caller(), runMillis, meanRunMillis);
-        meanRunMillis += SMOOTHING * (runMillis - meanRunMillis);
-        minRunMillis = Math.min(runMillis, minRunMillis + MIN_RUN_DRIFT * runMillis);
-        limit.recordRunTime(slowness, nowMillis);
+        waitingCalls
+                .band(request.band())
+                .recordEnd(request.caller(), runMillis, capacity.meanRunMillis());
+        capacity.recordEnd(runMillis, slowness, nowMillis);
+        return startWaiting(nowMillis);
+    }
+
+    /** Takes back the start of a call that was not sent; it is still released as usual. */
+    public void cancelStart() {
+        capacity.cancelStart();
+    }
+
+    /**
+     * Starts the waiting calls for which there is room, for example because time has passed since
+     * the latest start.
+     *
+     * @param nowMillis current time
+     * @return the calls to run now
+     */
+    public List<C> startWaiting(long nowMillis) {
         List<C> started = List.of();
         Optional<PriorityBand<C>> band = nextBand(nowMillis);
         while (band.isPresent()) {
-            SourceQueue.QueuedCall<C> next = band.get().takeNext(meanRunMillis, nowMillis);
+            SourceQueue.QueuedCall<C> next =
+                    band.get().takeNext(capacity.meanRunMillis(), nowMillis);
             if (next.latestStartMillis() < nowMillis) {
-                refused.add(new RefusedCall<>(next.call(), refusal(DEADLINE)));
+                refused.add(new RefusedCall<>(next.call(), refusal(DEADLINE, nowMillis)));
             } else {
                 running++;
+                capacity.recordStart(nowMillis);
                 started = append(started, next.call());
             }
             band = nextBand(nowMillis);
@@ -217,30 +223,12 @@
         return started;
     }
 
-    /** Returns the most urgent band with waiting calls, or empty if no slot is free for it. */
+    /** Returns the most urgent band with waiting calls, or empty if none of them may start. */
     private Optional<PriorityBand<C>> nextBand(long nowMillis) {
-        for (int band = 0; band < bands.size(); band++) {
-            if (bands.get(band).waiting() > 0) {
-                return running < slotsFor(band / 2, nowMillis)
-                        ? Optional.of(bands.get(band))
-                        : Optional.empty();
-            }
-        }
-        return Optional.empty();
-    }
-
-    /** Tells whether calls wait in the band of a call or in a more urgent one. */
-    private boolean hasCallsAhead(AdmissionRequest request) {
-        for (int band = 0; band <= request.band(); band++) {
-            if (bands.get(band).waiting() > 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private int slotsFor(int rank, long nowMillis) {
-        return Math.max(1, limit.maxCalls() - reserve.reserved(rank, limit.maxCalls(), nowMillis));
+        OptionalInt band = waitingCalls.mostUrgentBand();
+        return band.isPresent() && capacity.allowsStart(running, band.getAsInt() / 2, nowMillis)
+                ? Optional.of(waitingCalls.band(band.getAsInt()))
+                : Optional.empty();
     }
 
     /**
@@ -250,9 +238,9 @@
      * @return the calls to refuse, none of which has run
      */
     public List<RefusedCall<C>> expire(long nowMillis) {
-        for (PriorityBand<C> band : bands) {
-            band.expire(nowMillis, call -> refused.add(new RefusedCall<>(call, refusal(DEADLINE))));
-        }
+        waitingCalls.expire(
+                nowMillis,
+                call -> refused.add(new RefusedCall<>(call, refusal(DEADLINE, nowMillis))));
         return takeRefused();
     }
 
@@ -285,20 +273,27 @@
      * @return waiting calls
      */
     public int waiting() {
-        int waiting = 0;
-        for (PriorityBand<C> band : bands) {
-            waiting += band.waiting();
-        }
-        return waiting;
+        return waitingCalls.size();
     }
 
     /**
-     * Returns the current concurrency limit.
+     * Returns the number of calls that the target can sustain at once.
      *
      * @return at least 1, at most the number of slots
      */
     public int limit() {
-        return limit.maxCalls();
+        return capacity.sustainableCalls();
+    }
+
+    /**
+     * Tells whether a new call of the lowest priority would have to wait.
+     *
+     * @param nowMillis current time
+     * @return whether calls wait, or none may start yet
+     */
+    public boolean isBusy(long nowMillis) {
+        int lowest = AdmissionRequest.PRIORITIES - 1;
+        return waiting() > 0 || !capacity.allowsStart(running, lowest, nowMillis);
     }
 
     /**
@@ -307,11 +302,7 @@
      * @return sources that take up memory
      */
     public int sources() {
-        int sources = 0;
-        for (PriorityBand<C> band : bands) {
-            sources += band.sources();
-        }
-        return sources;
+        return waitingCalls.sources();
     }
 
     /**
@@ -322,12 +313,8 @@
      */
     public List<Integer> expectedWaitsMillis(long nowMillis) {
         List<Integer> waits = new ArrayList<>();
-        double ahead = meanRunMillis;
-        for (int priority = 0; priority < AdmissionRequest.PRIORITIES; priority++) {
-            ahead += bands.get(2 * priority).waitingRunMillis();
-            double slots = reserve.remaining(priority, limit.maxCalls(), nowMillis);
-            waits.add((int) Math.round(ahead / slots));
-            ahead += bands.get(2 * priority + 1).waitingRunMillis();
+        for (WaitingCalls.Ahead ahead : waitingCalls.aheadByPriority()) {
+            waits.add((int) Math.round(waitMillis(ahead, waits.size(), nowMillis)));
         }
         return waits;
     }
@@ -336,55 +323,50 @@
      * Refuses all waiting calls, for example because the target drains.
      *
      * @param reason reason code
+     * @param nowMillis current time
      * @return the calls to refuse
      */
-    public List<RefusedCall<C>> refuseAll(String reason) {
-        for (PriorityBand<C> band : bands) {
-            band.expire(
-                    Long.MAX_VALUE, call -> refused.add(new RefusedCall<>(call, refusal(reason))));
-        }
+    public List<RefusedCall<C>> refuseAll(String reason, long nowMillis) {
+        waitingCalls.expire(
+                Long.MAX_VALUE,
+                call -> refused.add(new RefusedCall<>(call, refusal(reason, nowMillis))));
         return takeRefused();
     }
 
     /** Estimates the wait of a call from the work that is served before it. */
     private double expectedWait(AdmissionRequest request, long nowMillis) {
-        double ahead = meanRunMillis;
-        for (int band = 0; band < request.band(); band++) {
-            ahead += bands.get(band).waitingRunMillis();
-        }
-        ahead += bands.get(request.band()).runMillisAhead(request.caller());
-        return ahead / reserve.remaining(request.clampedPriority(), limit.maxCalls(), nowMillis);
+        return waitMillis(waitingCalls.ahead(request), request.clampedPriority(), nowMillis);
     }
 
-    /** Refuses the newest call of the least urgent lower band, or of a longer queue in its band. */
-    private boolean displace(AdmissionRequest request) {
-        for (int band = bands.size() - 1; band > request.band(); band--) {
-            if (bands.get(band).waiting() > 0) {
-                refuseDisplaced(bands.get(band).removeNewestOfLongestQueue());
-                return true;
-            }
-        }
-        Optional<SourceQueue.QueuedCall<C>> newest =
-                bands.get(request.band()).removeNewestOfLongerQueue(request.caller());
-        newest.ifPresent(this::refuseDisplaced);
-        return newest.isPresent();
+    private double waitMillis(WaitingCalls.Ahead ahead, int priority, long nowMillis) {
+        return capacity.waitMillis(ahead.runMillis(), ahead.calls(), priority, nowMillis);
     }
 
-    private void refuseDisplaced(SourceQueue.QueuedCall<C> call) {
-        refused.add(new RefusedCall<>(call.call(), refusal(QUEUE_FULL)));
+    /** Refuses a waiting call in favour of a new one, and tells whether there is one to refuse. */
+    private boolean displace(AdmissionRequest request, long nowMillis) {
+        Optional<SourceQueue.QueuedCall<C>> displaced = waitingCalls.removeDisplacedBy(request);
+        displaced.ifPresent(
+                call ->
+                        refused.add(
+                                new RefusedCall<>(call.call(), refusal(QUEUE_FULL, nowMillis))));
+        return displaced.isPresent();
     }
 
     /** Refuses a call that waited; its turn would come after the waiting calls and one more. */
-    private AdmissionOutcome.Refused refusal(String reason) {
-        long millis = Math.round(meanRunMillis * (waiting() + 1) / limit.maxCalls());
-        return new AdmissionOutcome.Refused(reason, Math.max(1, millis));
+    private AdmissionOutcome.Refused refusal(String reason, long nowMillis) {
+        double nextFree = capacity.nextFreeMillis(waiting(), 0, nowMillis);
+        return new AdmissionOutcome.Refused(reason, Math.max(1, Math.round(nextFree)));
     }
 
     /** Refuses an arriving call until the expected wait has fallen to what it tolerates. */
     private AdmissionOutcome.Refused refusal(
-            String reason, double waitMillis, double maxWaitMillis) {
+            String reason,
+            AdmissionRequest request,
+            double waitMillis,
+            double maxWaitMillis,
+            long nowMillis) {
         double excess = waitMillis - Math.max(0, maxWaitMillis);
-        double nextFree = meanRunMillis / limit.maxCalls();
+        double nextFree = capacity.nextFreeMillis(0, request.clampedPriority(), nowMillis);
         return new AdmissionOutcome.Refused(
                 reason, Math.max(1, Math.round(Math.max(excess, nextFree))));
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/PriorityBand.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/PriorityBand.java
@@ -69,8 +69,8 @@
         return call;
     }
 
-    /** Estimates the running time of the calls that are served before a caller's next one. */
-    double runMillisAhead(Caller caller) {
+    /** Estimates the number of calls that are served before a caller's next one. */
+    int callsAhead(Caller caller) {
         if (waiting == 0) {
             return 0;
         }
@@ -80,8 +80,12 @@
             int turns = (source.waiting(caller.name()) + 1) * Math.max(1, source.nameCount());
             ahead = Math.min(source.waiting(), turns);
         }
-        int position = Math.min(waiting, (ahead + 1) * sources.size());
-        return waitingRunMillis * position / waiting;
+        return Math.min(waiting, (ahead + 1) * sources.size());
+    }
+
+    /** Returns the mean running time of the waiting calls times a number of calls. */
+    double runMillis(int calls) {
+        return waiting == 0 ? 0 : waitingRunMillis * calls / waiting;
     }
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/CallRateLimit.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/CallRateLimit.java
@@ -1,4 +1,4 @@
-package org.cuminreach.decisions.admission;
+package org.cuminreach.decisions.routing;
 
 import java.math.BigDecimal;
 import java.util.regex.Pattern;
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -46,6 +46,7 @@
     private long reportedMillis = NEVER;
     private long reportsIgnoredUntilMillis = NEVER;
     private boolean draining;
+    private CallRateLimit rateLimit = CallRateLimit.unlimited();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
         this.policy = policy;
@@ -117,7 +118,9 @@
             case FAILED -> recordAnswer(1, nowMillis);
             case SHED -> {
                 markHealthy(nowMillis);
-                if (usesReports(nowMillis) && otherNodesCalls + outstanding < limit) {
+                if (!isRateLimited()
+                        && usesReports(nowMillis)
+                        && otherNodesCalls + outstanding < limit) {
                     reportsIgnoredUntilMillis = nowMillis + IGNORE_REPORTS_MILLIS;
                 }
                 pushedBackUntilMillis = nowMillis + pushbackMillis;
@@ -133,6 +136,15 @@
         }
     }
 
+    /**
+     * Records the limit on the rate of calls that the target states in an answer.
+     *
+     * @param stated the limit
+     */
+    public synchronized void recordRateLimit(CallRateLimit stated) {
+        rateLimit = stated;
+    }
+
     /**
      * Records a load report, as a hint of the calls that other nodes have sent to the target.
      *
@@ -166,7 +178,7 @@
         double capacity = limit * slowStartShare(nowMillis);
         double runMillis = typicalRunMillis * meanSlowness;
         if (!usesReports(nowMillis)) {
-            return Math.max(0, outstanding + 1 - slots * slowStartShare(nowMillis))
+            return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * slowStartShare(nowMillis))
                     * runMillis
                     / capacity;
         }
@@ -187,11 +199,10 @@
      */
     public synchronized double load(long nowMillis) {
         double others = 0;
-        double capacity = slots;
+        double capacity = maxCalls(nowMillis);
         if (usesReports(nowMillis)) {
             double age = nowMillis - reportedMillis;
             others = otherNodesCalls / (1 + age / REPORT_HALF_WEIGHT_MILLIS);
-            capacity = limit;
         }
         double used = (outstanding + others + 1) / (capacity * slowStartShare(nowMillis));
         return used + FAILURE_WEIGHT * failureRate * failureRate;
@@ -256,6 +267,15 @@
                 && nowMillis >= reportsIgnoredUntilMillis;
     }
 
+    /** Returns the calls that the target takes at once; a rate limit outlasts its load report. */
+    private int maxCalls(long nowMillis) {
+        return isRateLimited() || usesReports(nowMillis) ? limit : slots;
+    }
+
+    private boolean isRateLimited() {
+        return rateLimit instanceof CallRateLimit.PerSecond;
+    }
+
     private double slowStartShare(long nowMillis) {
         double warmed = (double) (nowMillis - slowStartSinceMillis) / policy.slowStartMillis();
         return Math.clamp(warmed, policy.initialShare(), 1);
--- a/decisions/src/test/java/org/cuminreach/decisions/admission/CallRateLimitTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/CallRateLimitTest.java
@@ -1,4 +1,4 @@
-package org.cuminreach.decisions.admission;
+package org.cuminreach.decisions.routing;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -1,7 +1,9 @@
 package org.cuminreach.node.peer;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetCallResult;
 import org.cuminreach.decisions.routing.TargetView;
@@ -48,10 +50,23 @@
             Optional<LoadReport> report,
             double slowness,
             long nowMillis) {
-        target.statistics().recordResult(result(sent), slowness, nowMillis);
+        TargetCallResult result = result(sent);
+        if (sent instanceof SendOutcome.Completed completed) {
+            CallRateLimit limit = removeLimit(completed.answer().headers());
+            if (report.isPresent() && result != TargetCallResult.UNREACHABLE) {
+                target.statistics().recordRateLimit(limit);
+            }
+        }
+        target.statistics().recordResult(result, slowness, nowMillis);
         report.ifPresent(load -> target.statistics().recordLoadReport(load, nowMillis));
     }
 
+    private static CallRateLimit removeLimit(HttpHeaders headers) {
+        String limit = headers.get(MeshHeaders.TARGET_LIMIT, "");
+        headers.remove(MeshHeaders.TARGET_LIMIT);
+        return CallRateLimit.parse(limit);
+    }
+
     private static TargetCallResult result(SendOutcome sent) {
         return switch (sent) {
             case SendOutcome.NotSent notSent -> TargetCallResult.UNREACHABLE;
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -44,6 +44,11 @@
         private String caller() {
             return admissionRequest.caller().text();
         }
+
+        /** Start of the target that the call is for, or empty when its sender named none. */
+        private String targetStart() {
+            return call.header(MeshHeaders.TARGET_START, "");
+        }
     }
 
     private final String node;
@@ -164,12 +169,13 @@
         if (drainingInstance.equals(instance) && nowMillis >= drainFromMillis) {
             return Optional.of("draining");
         }
-        updateSlots(current.get());
+        applyDescription(current.get(), nowMillis);
         return Optional.empty();
     }
 
-    private void updateSlots(TargetDescription current) {
+    private void applyDescription(TargetDescription current, long nowMillis) {
         synchronized (queue) {
+            queue.setRateLimit(notices.limit(current.instance()), nowMillis);
             if (slots != current.slots()) {
                 slots = current.slots();
                 queue.resize(slots);
@@ -178,19 +184,23 @@
     }
 
     /**
-     * Refuses the waiting calls that can no longer start in time, or all while the target drains.
+     * Starts the waiting calls for which there is room, and refuses those that can no longer start
+     * in time, or all while the target drains.
      *
      * @param nowMillis current time
      */
     public void onTimer(long nowMillis) {
         List<RefusedCall<PendingCall>> expired;
+        List<PendingCall> started;
         synchronized (queue) {
             expired =
                     nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
-                            ? queue.refuseAll("draining")
+                            ? queue.refuseAll("draining", nowMillis)
                             : queue.expire(nowMillis);
+            started = queue.startWaiting(nowMillis);
         }
         expired.forEach(this::refuse);
+        started.forEach(this::run);
     }
 
     private boolean isCurrentInstance(String instance) {
@@ -286,6 +296,9 @@
         }
         if (protocol.isFromAddressedTarget(completed.answer()) && isCurrentInstance(instance)) {
             notices.record(instance, protocol.readNotice(completed.answer().headers()));
+            synchronized (queue) {
+                queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
+            }
         }
         return protocol.readAnswer(completed.answer());
     }
@@ -295,6 +308,9 @@
         List<RefusedCall<PendingCall>> refused;
         synchronized (queue) {
             double slowness = runTimes.slowness(pending.admissionRequest().route(), runMillis);
+            if (sent instanceof SendOutcome.NotSent) {
+                queue.cancelStart();
+            }
             if (sent instanceof SendOutcome.Completed) {
                 runTimes.record(pending.admissionRequest().route(), runMillis);
             }
@@ -320,13 +336,14 @@
             LOGGER.info(
                     "event=call_unanswered request={} outcome={}", pending.requestId(), outcome);
         }
-        pending.answer()
-                .complete(
-                        CallAnswers.fromTarget(outcome)
-                                .setHeader(MeshHeaders.LOAD, loadReport((int) runMillis).text()));
+        HttpAnswer answer =
+                CallAnswers.fromTarget(outcome)
+                        .setHeader(MeshHeaders.LOAD, loadReport((int) runMillis).text());
+        pending.answer().complete(notices.addTo(answer, pending.targetStart()));
     }
 
     private LoadReport loadReport(int runMillis) {
+        long nowMillis = ProcessClock.monotonicMillis();
         synchronized (queue) {
             return new LoadReport(
                     queue.running(),
@@ -334,9 +351,7 @@
                     queue.limit(),
                     !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance),
                     runMillis,
-                    queue.waiting() == 0
-                            ? List.of()
-                            : queue.expectedWaitsMillis(ProcessClock.monotonicMillis()));
+                    queue.isBusy(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of());
         }
     }
 
@@ -354,9 +369,9 @@
                 reason,
                 load.text(),
                 retryAfterMillis);
-        pending.answer()
-                .complete(
-                        CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis))
-                                .setHeader(MeshHeaders.LOAD, load.text()));
+        HttpAnswer answer =
+                CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis))
+                        .setHeader(MeshHeaders.LOAD, load.text());
+        pending.answer().complete(notices.addTo(answer, pending.targetStart()));
     }
 }
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotice.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotice.java
@@ -1,6 +1,6 @@
 package org.cuminreach.node.target;
 
-import org.cuminreach.decisions.admission.CallRateLimit;
+import org.cuminreach.decisions.routing.CallRateLimit;
 
 /**
  * Statements of a target about itself in the headers of an answer.
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -1,6 +1,8 @@
 package org.cuminreach.node.target;
 
-import org.cuminreach.decisions.admission.CallRateLimit;
+import org.cuminreach.decisions.routing.CallRateLimit;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.http.HttpAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -68,14 +70,35 @@
         reportedMillis = nowMillis;
     }
 
-    /** Returns the limit that the current start of the target states. */
-    synchronized CallRateLimit limit() {
+    /** Returns the limit that a start of the target states. */
+    synchronized CallRateLimit limit(String currentInstance) {
+        resetForNewStart(currentInstance);
         return limit;
     }
 
+    /**
+     * Adds the notice to the answer to a call.
+     *
+     * @param answer the answer
+     * @param addressedInstance start of the target that the call is for, or empty for any
+     * @return the same answer; unchanged when the call is for another start
+     */
+    synchronized HttpAnswer addTo(HttpAnswer answer, String addressedInstance) {
+        if (!addressedInstance.isEmpty() && !addressedInstance.equals(instance)) {
+            return answer;
+        }
+        if (limit instanceof CallRateLimit.PerSecond) {
+            answer.setHeader(MeshHeaders.TARGET_LIMIT, limit.text());
+        }
+        if (leaving) {
+            answer.setHeader(MeshHeaders.TARGET_LEAVING, "true");
+        }
+        return answer;
+    }
+
     /** Returns the stated limit in calls per second, or 0 when there is none. */
-    double limitPerSecond() {
-        return limit() instanceof CallRateLimit.PerSecond stated ? stated.callsPerSecond() : 0;
+    synchronized double limitPerSecond() {
+        return limit instanceof CallRateLimit.PerSecond stated ? stated.callsPerSecond() : 0;
     }
 
     private void resetForNewStart(String currentInstance) {
--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -1,7 +1,7 @@
 package org.cuminreach.node.target;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import org.cuminreach.decisions.admission.CallRateLimit;
+import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.http.HttpAnswer;
