Keep the limit of a target across restarts of the node beside it

A node that starts again beside a target in need knew of no limit until the first answer, and let a call into each slot meanwhile; restarts in series added up. Callers of the other nodes were told the limit before, so that their calls count.

Callers now send the limit that they last heard of with each call, for this start of the target, and a node that has no answer of the target yet adopts the lowest of them, without tokens. The first answer replaces it, so that a limit that has ended does not come back.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -145,6 +145,15 @@
         rateLimit = stated;
     }
 
+    /**
+     * Returns the limit that the target last stated.
+     *
+     * @return the limit
+     */
+    public synchronized CallRateLimit rateLimit() {
+        return rateLimit;
+    }
+
     /**
      * Records a load report, as a hint of the calls that other nodes have sent to the target.
      *
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.RouteMetadata;
+import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.document.Route;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpCall;
@@ -157,15 +159,23 @@
         return RouteMetadata.of(route, nowMillis - startMillis);
     }
 
-    /** Returns the headers of the call for the node of a target. */
-    synchronized HttpHeaders headers(long remainingMillis, long nowMillis) {
-        return MeshHeaders.endToEnd(call.headers())
-                .remove(MeshHeaders.KEY_HOME)
-                .set(MeshHeaders.REQUEST_ID, requestId)
-                .set(MeshHeaders.CALLER, caller)
-                .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
-                .set(MeshHeaders.ROUTE, routeMetadata(nowMillis).text())
-                .set(MeshHeaders.ATTEMPTS, attempts);
+    /** Returns the headers of the call for the node of a target, with the limit known for it. */
+    synchronized HttpHeaders headers(TargetView target, long remainingMillis, long nowMillis) {
+        HttpHeaders headers =
+                MeshHeaders.endToEnd(call.headers())
+                        .remove(MeshHeaders.KEY_HOME)
+                        .remove(MeshHeaders.TARGET_LIMIT)
+                        .set(MeshHeaders.REQUEST_ID, requestId)
+                        .set(MeshHeaders.CALLER, caller)
+                        .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
+                        .set(MeshHeaders.ROUTE, routeMetadata(nowMillis).text())
+                        .set(MeshHeaders.ATTEMPTS, attempts)
+                        .set(MeshHeaders.TARGET_NODE, target.node())
+                        .set(MeshHeaders.TARGET_START, target.instance());
+        if (target.statistics().rateLimit() instanceof CallRateLimit.PerSecond limit) {
+            headers.set(MeshHeaders.TARGET_LIMIT, limit.text());
+        }
+        return headers;
     }
 
     long remainingMillis(long nowMillis) {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -290,10 +290,7 @@
                     attempts, configuration, version, new SendOutcome.NotSent("deadline_passed"));
         }
         target.statistics().recordSent(startMillis);
-        HttpHeaders headers =
-                attempts.headers(remaining, startMillis)
-                        .set(MeshHeaders.TARGET_NODE, target.node())
-                        .set(MeshHeaders.TARGET_START, target.instance());
+        HttpHeaders headers = attempts.headers(target, remaining, startMillis);
         HttpCall call = attempts.mayHedge() ? attempts.call().abandonableCopy() : attempts.call();
         CompletableFuture<HttpAnswer> answer =
                 sender.send(target.inbound(), call, headers, remaining)
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -37,7 +37,8 @@
 
     /**
      * Calls per second that a target accepts from all callers together, a decimal number; set by
-     * the target, and between nodes the limit in force.
+     * the target. Between nodes it is the limit in force in an answer, and the one that the sender
+     * last heard of in a call, so that a node learns it again after its restart.
      */
     public static final String TARGET_LIMIT = "X-Cuminreach-Target-Limit";
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -11,6 +11,7 @@
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
 import org.cuminreach.decisions.admission.RunTimes;
+import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.RouteMetadata;
 import org.cuminreach.node.http.CallAnswers;
@@ -169,6 +170,10 @@
         if (drainingInstance.equals(instance) && nowMillis >= drainFromMillis) {
             return Optional.of("draining");
         }
+        if (call.headers().contains(MeshHeaders.TARGET_LIMIT)) {
+            notices.adoptLimit(
+                    instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
+        }
         applyDescription(current.get(), nowMillis);
         return Optional.empty();
     }
@@ -272,7 +277,8 @@
         HttpHeaders headers =
                 MeshHeaders.endToEnd(pending.call().headers())
                         .remove(MeshHeaders.TARGET_NODE)
-                        .remove(MeshHeaders.TARGET_START);
+                        .remove(MeshHeaders.TARGET_START)
+                        .remove(MeshHeaders.TARGET_LIMIT);
         String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -17,6 +17,7 @@
     private String instance = "";
     private CallRateLimit limit = CallRateLimit.unlimited();
     private boolean leaving;
+    private boolean hasAnswered;
     private int sentSinceReport;
     private long reportedMillis;
 
@@ -28,6 +29,7 @@
      */
     synchronized void record(String answeringInstance, TargetNotice notice) {
         resetForNewStart(answeringInstance);
+        hasAnswered = true;
         switch (notice.limit()) {
             case CallRateLimit.Unreadable unreadable ->
                     LOGGER.warn(
@@ -36,8 +38,8 @@
                             instance,
                             unreadable.text(),
                             limit.text());
-            case CallRateLimit.Unlimited none -> setLimit(none);
-            case CallRateLimit.PerSecond stated -> setLimit(stated);
+            case CallRateLimit.Unlimited none -> setLimit(none, "answer");
+            case CallRateLimit.PerSecond stated -> setLimit(stated, "answer");
         }
         if (notice.leaving() && !leaving) {
             leaving = true;
@@ -45,6 +47,23 @@
         }
     }
 
+    /**
+     * Adopts the limit that the sender of a call last heard of, unless the target has answered this
+     * process. Of several limits the lowest is adopted.
+     *
+     * @param addressedInstance start of the target that the call is for
+     * @param known the limit
+     */
+    synchronized void adoptLimit(String addressedInstance, CallRateLimit known) {
+        resetForNewStart(addressedInstance);
+        if (!hasAnswered
+                && known instanceof CallRateLimit.PerSecond stated
+                && !(limit instanceof CallRateLimit.PerSecond current
+                        && current.callsPerSecond() <= stated.callsPerSecond())) {
+            setLimit(stated, "caller");
+        }
+    }
+
     /**
      * Records that a call was sent to the target.
      *
@@ -106,16 +125,19 @@
             instance = currentInstance;
             limit = CallRateLimit.unlimited();
             leaving = false;
+            hasAnswered = false;
         }
     }
 
-    private void setLimit(CallRateLimit stated) {
+    private void setLimit(CallRateLimit stated, String source) {
         if (!stated.equals(limit)) {
             LOGGER.info(
-                    "event=target_limit_changed instance={} limit_per_second={} previous={}",
+                    "event=target_limit_changed instance={} limit_per_second={} previous={}"
+                            + " source={}",
                     instance,
                     stated.text(),
-                    limit.text());
+                    limit.text(),
+                    source);
             limit = stated;
         }
     }
--- a/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
@@ -102,6 +102,40 @@
         }
     }
 
+    @Example
+    void limitKnownToCallersIsNotLostWithRestartOfNode() throws Exception {
+        Address address = freeAddress();
+        HttpServer target = HttpServer.listen(address, eventLoops, this::runAtTarget).join();
+        TargetDescription description =
+                new TargetDescription("start-1", "service", "1", address, SLOTS, TargetPhase.READY);
+        TargetClient client = TargetClient.create(eventLoops);
+        try {
+            TargetAdmissionHandler justStarted =
+                    TargetAdmissionHandler.create(
+                            "node",
+                            () -> Optional.of(description),
+                            client,
+                            TargetProtocol.passThrough(),
+                            TargetMetrics.register(new PrometheusRegistry()));
+            for (int call = 0; call < SLOTS; call++) {
+                HttpCall sent = call("call-" + call, "a");
+                sent.headers()
+                        .set(MeshHeaders.TARGET_START, "start-1")
+                        .set(MeshHeaders.TARGET_LIMIT, "0.5");
+                CompletableFuture<HttpAnswer> answer = justStarted.handle(sent);
+                assertThat(answer.get(WAIT_SECONDS, TimeUnit.SECONDS).status()).isEqualTo(503);
+            }
+
+            assertThat(ran).isEmpty();
+            assertThat(justStarted.limitPerSecond()).isEqualTo(0.5);
+        } finally {
+            client.closeIdle();
+            target.close();
+            timer.shutdownNow();
+            EventLoops.stop(eventLoops);
+        }
+    }
+
     private CompletableFuture<HttpAnswer> runAtTarget(HttpCall call) {
         String number = call.header("X-Number", "");
         assertThat(ran.add(number)).isTrue();
