Send no more calls to a target that states that it leaves

A target that says in its answers that it leaves went on getting calls until its heartbeat or its deregistration said so, and again after a restart of the node beside it: that node takes the next heartbeat for a ready target, and announces it.

The statement stood in answers, and nothing between an answer and the choice of the next target read it.

The node beside the target now treats it like a draining heartbeat: it announces the target as draining and refuses calls once the others know. Callers' nodes get the statement with the answer, choose another target at once, and keep it for this start of the target while they know its node, so that an announcement by a node that has forgotten it changes nothing.

--- a/decisions/src/main/java/org/cuminreach/decisions/membership/HeartbeatTracker.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/HeartbeatTracker.java
@@ -71,6 +71,17 @@
         return isCurrent;
     }
 
+    /**
+     * Records that the current target has stated in an answer that it is about to stop.
+     *
+     * @param startIdentity identity of the start that stated it
+     */
+    public void recordLeaving(String startIdentity) {
+        draining |=
+                latest.filter(heartbeat -> heartbeat.startIdentity().equals(startIdentity))
+                        .isPresent();
+    }
+
     /**
      * Returns the latest heartbeat.
      *
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -46,6 +46,7 @@
     private long reportedMillis = NEVER;
     private long reportsIgnoredUntilMillis = NEVER;
     private boolean draining;
+    private boolean leaving;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
@@ -145,6 +146,20 @@
         rateLimit = stated;
     }
 
+    /** Records that the target stated that it is about to stop; this start gets no more calls. */
+    public synchronized void recordLeaving() {
+        leaving = true;
+    }
+
+    /**
+     * Tells whether the target has stated that it is about to stop.
+     *
+     * @return whether it has
+     */
+    public synchronized boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Returns the limit that the target last stated.
      *
@@ -237,7 +252,7 @@
      * @return the status
      */
     public synchronized TargetStatus status(long nowMillis) {
-        if (draining) {
+        if (draining || leaving) {
             return TargetStatus.DRAINING;
         }
         if (health != TargetHealth.HEALTHY) {
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -107,6 +107,8 @@
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
+        admissionHandler.setLeavingListener(
+                instance -> localTarget.recordLeaving(instance, ProcessClock.monotonicMillis()));
         deduplicator =
                 CallDeduplicator.create(
                         settings.name(), controlSession::isWelcomed, keyHomes, httpSender);
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -122,10 +122,20 @@
             }
         }
         establishedVersions.update(registry.all());
-        statistics.keySet().retainAll(present);
+        statistics
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                !present.contains(entry.getKey())
+                                        && !isLeavingOfKnownNode(entry.getKey()));
         readyTargets = next;
     }
 
+    /** Tells whether a target that is not ready now could be announced as ready by mistake. */
+    private boolean isLeavingOfKnownNode(NodeInstance target) {
+        return statistics.get(target).isLeaving() && registry.find(target.node()).isPresent();
+    }
+
     /**
      * Returns the ready targets of a version.
      *
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -52,7 +52,13 @@
             long nowMillis) {
         TargetCallResult result = result(sent);
         if (sent instanceof SendOutcome.Completed completed) {
-            CallRateLimit limit = removeLimit(completed.answer().headers());
+            HttpHeaders headers = completed.answer().headers();
+            CallRateLimit limit = removeLimit(headers);
+            boolean leaving = headers.contains(MeshHeaders.TARGET_LEAVING);
+            headers.remove(MeshHeaders.TARGET_LEAVING);
+            if (leaving) {
+                target.statistics().recordLeaving();
+            }
             if (report.isPresent() && result != TargetCallResult.UNREACHABLE) {
                 target.statistics().recordRateLimit(limit);
             }
--- a/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
+++ b/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
@@ -91,6 +91,24 @@
         }
     }
 
+    /**
+     * Records that a target has stated in an answer that it is about to stop.
+     *
+     * @param instance start of the target
+     * @param nowMillis current time
+     */
+    public synchronized void recordLeaving(String instance, long nowMillis) {
+        heartbeats.recordLeaving(instance);
+        announcer
+                .target()
+                .filter(target -> target.instance().equals(instance))
+                .filter(target -> target.phase() == TargetPhase.READY)
+                .ifPresent(
+                        target ->
+                                applyDescription(
+                                        target.withPhase(TargetPhase.DRAINING), nowMillis));
+    }
+
     /** Announces that the target is gone, because the node is stopping. */
     public synchronized void stop() {
         stopping = true;
@@ -107,6 +125,10 @@
                         heartbeat.address(),
                         heartbeat.slots(),
                         stopping ? TargetPhase.GONE : phase);
+        applyDescription(description, nowMillis);
+    }
+
+    private void applyDescription(TargetDescription description, long nowMillis) {
         if (!announcer.updateTarget(description)) {
             return;
         }
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
 import org.cuminreach.decisions.admission.AdmissionRequest;
@@ -61,6 +62,7 @@
     private final RunTimes runTimes = RunTimes.empty();
     private final TargetNotices notices = new TargetNotices();
     private int slots = 1;
+    private volatile Consumer<String> leavingListener = instance -> {};
     private volatile String drainingInstance = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
 
@@ -170,10 +172,8 @@
         if (drainingInstance.equals(instance) && nowMillis >= drainFromMillis) {
             return Optional.of("draining");
         }
-        if (call.headers().contains(MeshHeaders.TARGET_LIMIT)) {
-            notices.adoptLimit(
-                    instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
-        }
+        notices.adoptLimit(
+                instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
         applyDescription(current.get(), nowMillis);
         return Optional.empty();
     }
@@ -188,6 +188,15 @@
         }
     }
 
+    /**
+     * Sets the listener for targets that state that they are about to stop.
+     *
+     * @param listener gets the start of the target, once
+     */
+    public void setLeavingListener(Consumer<String> listener) {
+        leavingListener = listener;
+    }
+
     /**
      * Starts the waiting calls for which there is room, and refuses those that can no longer start
      * in time, or all while the target drains.
@@ -301,14 +310,21 @@
             return sent;
         }
         if (protocol.isFromAddressedTarget(completed.answer()) && isCurrentInstance(instance)) {
-            notices.record(instance, protocol.readNotice(completed.answer().headers()));
-            synchronized (queue) {
-                queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
-            }
+            recordNotice(instance, protocol.readNotice(completed.answer().headers()));
         }
         return protocol.readAnswer(completed.answer());
     }
 
+    private void recordNotice(String instance, TargetNotice notice) {
+        boolean isFirstLeaving = notices.record(instance, notice);
+        synchronized (queue) {
+            queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
+        }
+        if (isFirstLeaving) {
+            leavingListener.accept(instance);
+        }
+    }
+
     private void release(PendingCall pending, double runMillis, SendOutcome sent) {
         List<PendingCall> next;
         List<RefusedCall<PendingCall>> refused;
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -26,8 +26,9 @@
      *
      * @param answeringInstance start of the target that answered
      * @param notice the notice
+     * @return whether it states for the first time that this start is about to stop
      */
-    synchronized void record(String answeringInstance, TargetNotice notice) {
+    synchronized boolean record(String answeringInstance, TargetNotice notice) {
         resetForNewStart(answeringInstance);
         hasAnswered = true;
         switch (notice.limit()) {
@@ -41,10 +42,12 @@
             case CallRateLimit.Unlimited none -> setLimit(none, "answer");
             case CallRateLimit.PerSecond stated -> setLimit(stated, "answer");
         }
-        if (notice.leaving() && !leaving) {
+        boolean isFirstLeaving = notice.leaving() && !leaving;
+        if (isFirstLeaving) {
             leaving = true;
             LOGGER.info("event=target_leaving instance={}", instance);
         }
+        return isFirstLeaving;
     }
 
     /**
