Keep a draining target draining across restarts of the node beside it

A target that was announced as draining or had deregistered became ready again for the whole mesh when the node beside it started again and its target's next heartbeat said ready: an announcement of a later process replaces an earlier one whatever its phase, and the node has nothing on disk.

Controls and nodes now remember the starts that were announced as draining, for as long as they know the node, and take a later announcement of such a start as draining. The result does not depend on the order of arrival. Targets whose instance does not identify a start are left out, since their next start has the same instance.

Failed before: drainingTargetDoesNotReturnWithRestartOfItsNode (READY where DRAINING is expected).

--- a/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
@@ -55,6 +55,18 @@
         return phase == TargetPhase.GONE;
     }
 
+    /**
+     * Tells whether an instance identifies a start of a target. A target that is only known from
+     * the settings of its node has the name of the node as its instance at every start.
+     *
+     * @param node name of the node
+     * @param instance instance of its target
+     * @return true when a later start has another instance
+     */
+    public static boolean identifiesStart(String node, String instance) {
+        return !instance.equals(node);
+    }
+
     /**
      * Returns this announcement with another phase and sequence number.
      *
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/TargetRegistry.java
@@ -1,7 +1,9 @@
 package org.cuminreach.decisions.membership;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,9 +20,13 @@
     private record Entry(
             Announcement announcement, long revision, Optional<Long> goneSinceMillis) {}
 
+    /** Number of draining starts remembered for a node. */
+    private static final int MAX_DRAINING_STARTS = 16;
+
     private static final int MAX_MISSING_DIVISOR = 3;
 
     private final Map<String, Entry> latest = new HashMap<>();
+    private final Map<String, Deque<String>> drainingStarts = new HashMap<>();
     private long revision;
 
     private TargetRegistry() {}
@@ -35,7 +41,8 @@
     }
 
     /**
-     * Merges announcements.
+     * Merges announcements. A start of a target that was announced as draining does not become
+     * ready again, even if a later process of its node announces it so.
      *
      * @param announcements announcements in any order
      * @return those that were later than the known ones
@@ -44,9 +51,14 @@
         List<Announcement> changes = new ArrayList<>();
         for (Announcement announcement : announcements) {
             Entry known = latest.get(announcement.node());
-            if (known == null || announcement.isLaterThan(known.announcement())) {
-                put(announcement, revision + 1);
-                changes.add(announcement);
+            boolean isLater = known == null || announcement.isLaterThan(known.announcement());
+            boolean isNewlyDraining = recordIfDraining(announcement);
+            if (isLater || isNewlyDraining) {
+                Announcement merged = keepDraining(isLater ? announcement : known.announcement());
+                if (isLater || !merged.equals(known.announcement())) {
+                    put(merged, revision + 1);
+                    changes.add(merged);
+                }
             }
         }
         if (!changes.isEmpty()) {
@@ -121,6 +133,7 @@
             }
         }
         removed.forEach(latest::remove);
+        removed.forEach(drainingStarts::remove);
         return removed;
     }
 
@@ -165,6 +178,35 @@
         return revision;
     }
 
+    /** Remembers the start of a draining target, and tells whether it was not known to drain. */
+    private boolean recordIfDraining(Announcement announcement) {
+        if (announcement.phase() != TargetPhase.DRAINING
+                || !Announcement.identifiesStart(announcement.node(), announcement.instance())) {
+            return false;
+        }
+        Deque<String> starts =
+                drainingStarts.computeIfAbsent(announcement.node(), node -> new ArrayDeque<>());
+        if (starts.contains(announcement.instance())) {
+            return false;
+        }
+        starts.addLast(announcement.instance());
+        if (starts.size() > MAX_DRAINING_STARTS) {
+            starts.removeFirst();
+        }
+        return true;
+    }
+
+    private Announcement keepDraining(Announcement announcement) {
+        boolean isDraining =
+                announcement.phase() == TargetPhase.READY
+                        && drainingStarts
+                                .getOrDefault(announcement.node(), new ArrayDeque<>())
+                                .contains(announcement.instance());
+        return isDraining
+                ? announcement.withPhase(TargetPhase.DRAINING, announcement.sequence())
+                : announcement;
+    }
+
     private void put(Announcement announcement, long newRevision) {
         latest.put(announcement.node(), new Entry(announcement, newRevision, Optional.empty()));
     }
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/TargetRegistryTest.java
@@ -117,7 +117,47 @@
         assertThat(registry.find("node-2")).isPresent();
     }
 
+    @Property(seed = "257", tries = 100)
+    void drainingTargetDoesNotReturnWithRestartOfItsNode(@ForAll long shuffleSeed) {
+        Announcement draining = start("node-1", 1, 2).withPhase(TargetPhase.DRAINING, 2);
+        List<Announcement> sent =
+                new ArrayList<>(
+                        List.of(
+                                start("node-1", 1, 1),
+                                draining,
+                                draining.withPhase(TargetPhase.GONE, 3),
+                                start("node-1", 2, 1),
+                                start("node-1", 2, 2)));
+        Collections.shuffle(sent, new Random(shuffleSeed));
+        TargetRegistry registry = TargetRegistry.empty();
+        sent.forEach(announcement -> registry.merge(List.of(announcement)));
+
+        assertThat(registry.find("node-1").orElseThrow().phase()).isEqualTo(TargetPhase.DRAINING);
+    }
+
+    /** A node that stops announces that its target is gone, though the target runs on. */
+    @Example
+    void readyTargetReturnsWithRestartOfItsNode() {
+        TargetRegistry registry = TargetRegistry.empty();
+        registry.merge(List.of(start("node-1", 1, 1)));
+        registry.merge(List.of(start("node-1", 1, 1).withPhase(TargetPhase.GONE, 2)));
+
+        registry.merge(List.of(start("node-1", 2, 1)));
+
+        assertThat(registry.find("node-1").orElseThrow().phase()).isEqualTo(TargetPhase.READY);
+    }
+
     private static Announcement announcement(String node, long incarnation, long sequence) {
+        return announcement(node, incarnation, sequence, node);
+    }
+
+    /** Returns the announcement of a target whose instance identifies its start. */
+    private static Announcement start(String node, long incarnation, long sequence) {
+        return announcement(node, incarnation, sequence, "start-1");
+    }
+
+    private static Announcement announcement(
+            String node, long incarnation, long sequence, String instance) {
         return new Announcement(
                 node,
                 incarnation,
@@ -128,6 +168,6 @@
                 new Address("127.0.0.1", 7_000),
                 9,
                 TargetPhase.READY,
-                node);
+                instance);
     }
 }
