Avoid a leaving target for a minute where its starts cannot be told apart

A target that is only known from the settings of its node has the name of the node as its instance at every start. Callers now avoid it for a minute, and its node does not announce it. Targets that register by heartbeats name their start and are avoided for good.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -46,7 +46,7 @@
     private long reportedMillis = NEVER;
     private long reportsIgnoredUntilMillis = NEVER;
     private boolean draining;
-    private boolean leaving;
+    private long leavingUntilMillis = NEVER;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
@@ -146,18 +146,23 @@
         rateLimit = stated;
     }
 
-    /** Records that the target stated that it is about to stop; this start gets no more calls. */
-    public synchronized void recordLeaving() {
-        leaving = true;
+    /**
+     * Records that the target stated that it is about to stop.
+     *
+     * @param untilMillis time until which it gets no calls
+     */
+    public synchronized void recordLeaving(long untilMillis) {
+        leavingUntilMillis = untilMillis;
     }
 
     /**
-     * Tells whether the target has stated that it is about to stop.
+     * Tells whether the target gets no calls because it stated that it is about to stop.
      *
-     * @return whether it has
+     * @param nowMillis current time
+     * @return whether that is so
      */
-    public synchronized boolean isLeaving() {
-        return leaving;
+    public synchronized boolean isLeaving(long nowMillis) {
+        return nowMillis < leavingUntilMillis;
     }
 
     /**
@@ -252,7 +257,7 @@
      * @return the status
      */
     public synchronized TargetStatus status(long nowMillis) {
-        if (draining || leaving) {
+        if (draining || isLeaving(nowMillis)) {
             return TargetStatus.DRAINING;
         }
         if (health != TargetHealth.HEALTHY) {
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetView.java
@@ -1,5 +1,6 @@
 package org.cuminreach.decisions.routing;
 
+import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.settings.Address;
 
 /**
@@ -18,4 +19,22 @@
         String dataCentre,
         Address inbound,
         int slots,
-        TargetStatistics statistics) {}
+        TargetStatistics statistics) {
+    /**
+     * Time for which a target that left is avoided where its starts cannot be told apart, in
+     * milliseconds: longer than a target takes to stop.
+     */
+    private static final long LEAVING_RETENTION_MILLIS = 60_000;
+
+    /**
+     * Records that the target stated that it is about to stop.
+     *
+     * @param nowMillis current time
+     */
+    public void recordLeaving(long nowMillis) {
+        statistics.recordLeaving(
+                Announcement.identifiesStart(node, instance)
+                        ? Long.MAX_VALUE
+                        : nowMillis + LEAVING_RETENTION_MILLIS);
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -127,13 +127,14 @@
                 .removeIf(
                         entry ->
                                 !present.contains(entry.getKey())
-                                        && !isLeavingOfKnownNode(entry.getKey()));
+                                        && !isLeavingOfKnownNode(entry.getKey(), nowMillis));
         readyTargets = next;
     }
 
     /** Tells whether a target that is not ready now could be announced as ready by mistake. */
-    private boolean isLeavingOfKnownNode(NodeInstance target) {
-        return statistics.get(target).isLeaving() && registry.find(target.node()).isPresent();
+    private boolean isLeavingOfKnownNode(NodeInstance target, long nowMillis) {
+        return statistics.get(target).isLeaving(nowMillis)
+                && registry.find(target.node()).isPresent();
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -57,7 +57,7 @@
             boolean leaving = headers.contains(MeshHeaders.TARGET_LEAVING);
             headers.remove(MeshHeaders.TARGET_LEAVING);
             if (leaving) {
-                target.statistics().recordLeaving();
+                target.recordLeaving(nowMillis);
             }
             if (report.isPresent() && result != TargetCallResult.UNREACHABLE) {
                 target.statistics().recordRateLimit(limit);
--- a/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
+++ b/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
@@ -92,7 +92,9 @@
     }
 
     /**
-     * Records that a target has stated in an answer that it is about to stop.
+     * Records that a target has stated in an answer that it is about to stop. One that is only
+     * known from the settings stays announced, as its next start could not be told apart; callers
+     * avoid it for a while.
      *
      * @param instance start of the target
      * @param nowMillis current time
@@ -101,6 +103,7 @@
         heartbeats.recordLeaving(instance);
         announcer
                 .target()
+                .filter(target -> heartbeats.latest().isPresent())
                 .filter(target -> target.instance().equals(instance))
                 .filter(target -> target.phase() == TargetPhase.READY)
                 .ifPresent(
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -43,8 +43,8 @@
             case CallRateLimit.PerSecond stated -> setLimit(stated, "answer");
         }
         boolean isFirstLeaving = notice.leaving() && !leaving;
+        leaving = notice.leaving();
         if (isFirstLeaving) {
-            leaving = true;
             LOGGER.info("event=target_leaving instance={}", instance);
         }
         return isFirstLeaving;
