Use a target again after a planned restart of its node whose end was not heard

A node that stops reports its target as draining in its last answers. A caller's node that does not hear of the end of that process, for example behind a cut, learns only of the next process, and kept the target of the same start as draining for good: one target less for its callers until the target itself restarts.

The report now counts for the process that gave it.

Failed before: targetIsUsedAgainAfterPlannedRestartOfItsNode (DRAINING where USABLE is expected).

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -47,6 +47,7 @@
     private long reportsIgnoredUntilMillis = NEVER;
     private boolean draining;
     private long leavingUntilMillis = NEVER;
+    private long nodeIncarnation;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
@@ -146,6 +147,17 @@
         rateLimit = stated;
     }
 
+    /**
+     * Records which process of its node announced the target. A later one accepts calls again after
+     * the planned stop of an earlier one.
+     *
+     * @param incarnation incarnation of the process
+     */
+    public synchronized void recordNodeIncarnation(long incarnation) {
+        draining &= incarnation == nodeIncarnation;
+        nodeIncarnation = incarnation;
+    }
+
     /**
      * Records that the target stated that it is about to stop.
      *
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -177,6 +177,7 @@
                         instance ->
                                 TargetStatistics.cold(
                                         announcement.slots(), loadBalancingPolicy, nowMillis));
+        targetStatistics.recordNodeIncarnation(announcement.incarnation());
         return new TargetView(
                 announcement.node(),
                 announcement.instance(),
--- a/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
+++ b/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.Example;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetStatus;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.settings.Address;
@@ -36,6 +37,17 @@
         assertThat(target().statistics().status(0)).isEqualTo(TargetStatus.USABLE);
     }
 
+    /** The end of the earlier process is not always heard of, for example during a partition. */
+    @Example
+    void targetIsUsedAgainAfterPlannedRestartOfItsNode() {
+        view.merge(List.of(ready(1, START)));
+        target().statistics().recordLoadReport(new LoadReport(0, 0, 4, true), 0);
+
+        view.merge(List.of(ready(2, START)));
+
+        assertThat(target().statistics().status(0)).isEqualTo(TargetStatus.USABLE);
+    }
+
     private TargetView target() {
         return view.targets("arkiv", "1").getFirst();
     }
