Test that two lost disks with power lost everywhere lose nothing committed

Two of five voters lose their disks at any moment after a proposal, the other three restart from theirs, and two empty replicas start beside them.

--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
@@ -36,6 +38,30 @@
         assertThat(leader.process.orElseThrow().membership().isVoter("r6")).isTrue();
     }
 
+    @Property(tries = 200, seed = "258", shrinking = ShrinkingMode.OFF)
+    void twoLostDisksWithPowerLostEverywhereLoseNoCommittedEntry(
+            @ForAll long seed, @ForAll @IntRange(max = 12) int stepsAfterProposal) {
+        FakeCluster cluster = new FakeCluster(seed, 5);
+        commitEntries(cluster);
+        cluster.propose(cluster.leader());
+        cluster.run(stepsAfterProposal);
+        long committedBefore = cluster.safetyChecker.lastCommitted();
+        List<String> all = new ArrayList<>(cluster.hosts.keySet());
+        Collections.shuffle(all, cluster.random);
+        List<FakeCluster.Host> survivors =
+                all.subList(2, 5).stream().map(cluster.hosts::get).toList();
+        survivors.forEach(cluster::crash);
+        all.subList(0, 2).forEach(cluster::destroy);
+
+        survivors.forEach(cluster::start);
+        cluster.startWithEmptyDisk("r6");
+        cluster.startWithEmptyDisk("r7");
+        cluster.propose(cluster.leader());
+        cluster.run(100);
+
+        assertThat(cluster.leader().appliedIndex).isGreaterThan(committedBefore);
+    }
+
     @Example
     void learnerIsPromotedOnlyAfterCatchingUp() {
         FakeCluster cluster = new FakeCluster(7, 3);
