Report waits of a target without a limit only behind waiting calls

Only targets with a limit need that; the estimates of callers add the calls sent since the report by themselves.

waitsAreReportedOnlyBehindCallsOrLimit guards it; not run on the code before.

--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -286,14 +286,13 @@
     }
 
     /**
-     * Tells whether a new call of the lowest priority would have to wait.
+     * Tells whether a new call would wait behind others or for its turn under the rate limit.
      *
      * @param nowMillis current time
-     * @return whether calls wait, or none may start yet
+     * @return whether calls wait, or the rate limit lets none start yet
      */
-    public boolean isBusy(long nowMillis) {
-        int lowest = AdmissionRequest.PRIORITIES - 1;
-        return waiting() > 0 || !capacity.allowsStart(running, lowest, nowMillis);
+    public boolean hasWaits(long nowMillis) {
+        return waiting() > 0 || !capacity.isWithinRate(nowMillis);
     }
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
@@ -53,7 +53,12 @@
     boolean allowsStart(int running, int priority, long nowMillis) {
         int slots = concurrency.maxCalls();
         int usable = Math.max(1, slots - reserve.reserved(priority, slots, nowMillis));
-        return running < usable && rate.allowsStart(nowMillis);
+        return running < usable && isWithinRate(nowMillis);
+    }
+
+    /** Tells whether the rate limit lets a call start now. */
+    boolean isWithinRate(long nowMillis) {
+        return rate.allowsStart(nowMillis);
     }
 
     void recordStart(long nowMillis) {
--- a/decisions/src/test/java/org/cuminreach/decisions/admission/LimitedTargetTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/admission/LimitedTargetTest.java
@@ -199,6 +199,17 @@
         assertThat((double) simulation.mostStartsInWindow()).isAtMost(allowedInWindow(0));
     }
 
+    @Example
+    void waitsAreReportedOnlyBehindCallsOrLimit() {
+        FairQueue<String> queue = FairQueue.ofSlots(1);
+        queue.offer("running", FIRST, 10_000, 0);
+        assertThat(queue.hasWaits(0)).isFalse();
+
+        queue.setRateLimit(new CallRateLimit.PerSecond(10), 0);
+        assertThat(queue.hasWaits(0)).isTrue();
+        assertThat(queue.hasWaits(100)).isFalse();
+    }
+
     @Example
     void endOfLimitStartsWaitingCalls() {
         Simulation simulation = new Simulation(3);
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -373,7 +373,7 @@
                     queue.limit(),
                     !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance),
                     runMillis,
-                    queue.isBusy(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of());
+                    queue.hasWaits(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of());
         }
     }
 
