--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package org.cuminreach.trial.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -105,8 +106,7 @@
                 ledger.violations());
     }
 
-    private void answerPlainly(String head, String body, java.net.Socket socket)
-            throws IOException {
+    private void answerPlainly(String head, String body, Socket socket) throws IOException {
         SoakCall call = SoakCall.parse(head);
         ledger.recordRun("plain", call, ProcessClock.monotonicMillis());
         ScriptedTarget.writeAnswer(
