Add tenants, cold starts, homes and evacuations to the document and the replicated state

Heartbeats may carry a question of freshness, and frames for demands and grants of quotas are reserved. What a document leaves out leaves its digest as it was, so that nodes and controls of the build before agree with this one.

--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDelta.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDelta.java
@@ -1,10 +1,12 @@
 package org.cuminreach.decisions.configuration;
 
+import java.util.List;
 import org.cuminreach.document.CallerLimits;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
+import org.cuminreach.document.Tenant;
 
 /**
  * The difference between a configuration version and a later one. With base version 0 it contains
@@ -21,6 +23,8 @@
  * @param digest digest of the result
  * @param revision revision number that the operators gave the document
  * @param limits limits on what callers may send
+ * @param tenants changes of the tenants
+ * @param evacuatedDataCentres all data centres that are evacuated in the result
  */
 public record ConfigurationDelta(
         long baseVersion,
@@ -32,7 +36,14 @@
         KeyedChanges<RolloutProgress> rollouts,
         long digest,
         long revision,
-        CallerLimits limits) {
+        CallerLimits limits,
+        KeyedChanges<Tenant> tenants,
+        List<String> evacuatedDataCentres) {
+    /** Copies the list. */
+    public ConfigurationDelta {
+        evacuatedDataCentres = List.copyOf(evacuatedDataCentres);
+    }
+
     /**
      * Returns whether the delta contains the full configuration.
      *
@@ -55,12 +66,14 @@
                         services.applyTo(base.document().services(), Service::name),
                         routes.applyTo(base.document().routes(), Route::name),
                         rolloutPriority,
-                        limits);
+                        limits,
+                        tenants.applyTo(base.document().tenants(), Tenant::name));
         return new MeshConfiguration(
                 version,
                 documentVersion,
                 document,
                 "",
-                rollouts.applyTo(base.rollouts(), RolloutProgress::service));
+                rollouts.applyTo(base.rollouts(), RolloutProgress::service),
+                evacuatedDataCentres);
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationDigest.java
@@ -9,7 +9,8 @@
  * Computes a 64-bit digest of a configuration, independent of the order of services and routes. The
  * hashes of items that a configuration shares with the previous one are cached, so that a change of
  * one route among many is cheap. The digest covers {@code toString()} of services, routes, rollout
- * states and limits, so their string form must be the same on controls and nodes. Not thread-safe.
+ * states, tenants and limits, so their string form must be the same on controls and nodes. Not
+ * thread-safe.
  */
 public final class ConfigurationDigest {
     private Map<Object, Long> cachedHashes = new IdentityHashMap<>();
@@ -57,6 +58,10 @@
         sum += sum(configuration.document().services(), hashes);
         sum += sum(configuration.document().routes(), hashes);
         sum += sum(configuration.rollouts(), hashes);
+        sum += sum(configuration.document().tenants(), hashes);
+        for (String dataCentre : configuration.evacuatedDataCentres()) {
+            sum += hash("evacuated|" + dataCentre);
+        }
         cachedHashes = hashes;
         return sum;
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
+import org.cuminreach.document.Tenant;
 
 /**
  * The latest configuration with the names changed by each recent version, from which deltas since
@@ -19,7 +20,11 @@
 
     /** The names that differ between a version and the next one. */
     private record Step(
-            long fromVersion, Set<String> services, Set<String> routes, Set<String> rollouts) {}
+            long fromVersion,
+            Set<String> services,
+            Set<String> routes,
+            Set<String> rollouts,
+            Set<String> tenants) {}
 
     private final Deque<Step> steps = new ArrayDeque<>();
     private final ConfigurationDigest digests = ConfigurationDigest.create();
@@ -69,7 +74,11 @@
                         KeyedChanges.changedNames(
                                 current.document().routes(), next.document().routes(), Route::name),
                         KeyedChanges.changedNames(
-                                current.rollouts(), next.rollouts(), RolloutProgress::service)));
+                                current.rollouts(), next.rollouts(), RolloutProgress::service),
+                        KeyedChanges.changedNames(
+                                current.document().tenants(),
+                                next.document().tenants(),
+                                Tenant::name)));
         if (steps.size() > MAX_STEPS) {
             steps.removeFirst();
         }
@@ -87,6 +96,7 @@
         Set<String> services = new HashSet<>();
         Set<String> routes = new HashSet<>();
         Set<String> rollouts = new HashSet<>();
+        Set<String> tenants = new HashSet<>();
         boolean found = false;
         for (Step step : steps) {
             found = found || step.fromVersion() == heldVersion;
@@ -94,9 +104,10 @@
                 services.addAll(step.services());
                 routes.addAll(step.routes());
                 rollouts.addAll(step.rollouts());
+                tenants.addAll(step.tenants());
             }
         }
-        return found ? delta(heldVersion, services, routes, rollouts) : fullDelta();
+        return found ? delta(heldVersion, services, routes, rollouts, tenants) : fullDelta();
     }
 
     private ConfigurationDelta fullDelta() {
@@ -108,11 +119,17 @@
                 KeyedChanges.changedNames(
                         empty.document().routes(), current.document().routes(), Route::name),
                 KeyedChanges.changedNames(
-                        empty.rollouts(), current.rollouts(), RolloutProgress::service));
+                        empty.rollouts(), current.rollouts(), RolloutProgress::service),
+                KeyedChanges.changedNames(
+                        empty.document().tenants(), current.document().tenants(), Tenant::name));
     }
 
     private ConfigurationDelta delta(
-            long baseVersion, Set<String> services, Set<String> routes, Set<String> rollouts) {
+            long baseVersion,
+            Set<String> services,
+            Set<String> routes,
+            Set<String> rollouts,
+            Set<String> tenants) {
         return new ConfigurationDelta(
                 baseVersion,
                 current.version(),
@@ -123,6 +140,8 @@
                 KeyedChanges.of(rollouts, current.rollouts(), RolloutProgress::service),
                 digest,
                 current.document().revision(),
-                current.document().limits());
+                current.document().limits(),
+                KeyedChanges.of(tenants, current.document().tenants(), Tenant::name),
+                current.evacuatedDataCentres());
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshCommand.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshCommand.java
@@ -44,4 +44,15 @@
             String reason,
             long atMillis)
             implements MeshCommand {}
+
+    /**
+     * Starts or ends the evacuation of a data centre. Idempotent: repeating it changes nothing.
+     *
+     * @param operator name of the operator, for the history
+     * @param dataCentre name of the data centre
+     * @param evacuated true to start the evacuation, false to end it
+     * @param atMillis wall-clock time at the leader, in milliseconds since the epoch
+     */
+    record SetEvacuation(String operator, String dataCentre, boolean evacuated, long atMillis)
+            implements MeshCommand {}
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import org.cuminreach.document.DocumentReader;
 import org.cuminreach.document.MeshDocument;
 import org.cuminreach.document.Rollout;
@@ -46,7 +48,8 @@
                         image.documentVersion(),
                         document,
                         image.documentText(),
-                        image.rollouts());
+                        image.rollouts(),
+                        image.evacuatedDataCentres());
         image.outcomes().forEach(entry -> retain(entry.key(), entry.outcome()));
         rolledBackVersions.addAll(image.rolledBackVersions());
         history.addAll(image.history());
@@ -79,7 +82,8 @@
                 configuration.rollouts(),
                 List.copyOf(rolledBackVersions),
                 retained,
-                List.copyOf(history));
+                List.copyOf(history),
+                configuration.evacuatedDataCentres());
     }
 
     /**
@@ -123,6 +127,7 @@
                     previousOutcome(submission.key(), submission.basedOn());
             case MeshCommand.EditDocument edit -> previousOutcome(edit.key(), edit.basedOn());
             case MeshCommand.StepRollout step -> Optional.empty();
+            case MeshCommand.SetEvacuation evacuation -> Optional.empty();
         };
     }
 
@@ -139,7 +144,7 @@
      *
      * @param index index of its log entry
      * @param command the command
-     * @return the outcome of a submission, or empty for other commands
+     * @return the outcome of a submission or an evacuation, or empty for other commands
      */
     public Optional<SubmissionOutcome> apply(long index, MeshCommand command) {
         return switch (command) {
@@ -149,6 +154,8 @@
                 stepRollout(index, step);
                 yield Optional.empty();
             }
+            case MeshCommand.SetEvacuation evacuation ->
+                    Optional.of(setEvacuation(index, evacuation));
         };
     }
 
@@ -211,7 +218,8 @@
                         index,
                         document,
                         submission.text(),
-                        rolloutsOf(document, submission.atMillis()));
+                        rolloutsOf(document, submission.atMillis()),
+                        configuration.evacuatedDataCentres());
         record(index, submission.atMillis(), submission.operator(), "document accepted");
         return new SubmissionOutcome.Accepted(index);
     }
@@ -333,7 +341,32 @@
                         configuration.documentVersion(),
                         configuration.document(),
                         configuration.documentText(),
-                        rollouts);
+                        rollouts,
+                        configuration.evacuatedDataCentres());
+    }
+
+    private SubmissionOutcome setEvacuation(long index, MeshCommand.SetEvacuation evacuation) {
+        String dataCentre = evacuation.dataCentre();
+        if (configuration.isEvacuated(dataCentre) == evacuation.evacuated()) {
+            return new SubmissionOutcome.Accepted(configuration.version());
+        }
+        SortedSet<String> evacuated = new TreeSet<>(configuration.evacuatedDataCentres());
+        if (evacuation.evacuated()) {
+            evacuated.add(dataCentre);
+        } else {
+            evacuated.remove(dataCentre);
+        }
+        configuration =
+                new MeshConfiguration(
+                        index,
+                        configuration.documentVersion(),
+                        configuration.document(),
+                        configuration.documentText(),
+                        configuration.rollouts(),
+                        List.copyOf(evacuated));
+        String event = evacuation.evacuated() ? "evacuation started: " : "evacuation ended: ";
+        record(index, evacuation.atMillis(), evacuation.operator(), event + dataCentre);
+        return new SubmissionOutcome.Accepted(index);
     }
 
     private static String describe(MeshCommand.StepRollout step) {
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshStateImage.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshStateImage.java
@@ -12,6 +12,7 @@
  * @param rolledBackVersions versions that were rolled back
  * @param outcomes retained outcomes of submissions, oldest first
  * @param history change history, oldest first
+ * @param evacuatedDataCentres data centres that are evacuated, in alphabetical order
  */
 public record MeshStateImage(
         long version,
@@ -20,7 +21,8 @@
         List<RolloutProgress> rollouts,
         List<RolledBackVersion> rolledBackVersions,
         List<RetainedOutcome> outcomes,
-        List<HistoryEntry> history) {
+        List<HistoryEntry> history,
+        List<String> evacuatedDataCentres) {
     /**
      * The retained outcome of a submission.
      *
@@ -35,6 +37,7 @@
         rolledBackVersions = List.copyOf(rolledBackVersions);
         outcomes = List.copyOf(outcomes);
         history = List.copyOf(history);
+        evacuatedDataCentres = List.copyOf(evacuatedDataCentres);
     }
 
     /**
@@ -43,6 +46,7 @@
      * @return an empty state
      */
     public static MeshStateImage empty() {
-        return new MeshStateImage(0, 0, "{}", List.of(), List.of(), List.of(), List.of());
+        return new MeshStateImage(
+                0, 0, "{}", List.of(), List.of(), List.of(), List.of(), List.of());
     }
 }
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationDigestTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationDigestTest.java
@@ -20,7 +20,7 @@
 
     private static MeshConfiguration configuration(long version, List<Route> routes) {
         MeshDocument document = MeshDocument.of(List.of(), routes, RolloutPriority.SAFETY);
-        return new MeshConfiguration(version, version, document, "", List.of());
+        return MeshConfiguration.of(version, version, document, "", List.of());
     }
 
     /** Guards against cached hashes that change the digest of a later configuration. */
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
@@ -83,7 +83,7 @@
                         List.of(ConfigurationSamples.route("r", "verksted", 5)),
                         RolloutPriority.SAFETY);
         ConfigurationHistory history = ConfigurationHistory.of(MeshConfiguration.empty());
-        history.advance(new MeshConfiguration(3, 3, document, "", List.of()));
+        history.advance(MeshConfiguration.of(3, 3, document, "", List.of()));
 
         assertThat(holder.offer(history.deltaSince(0))).isInstanceOf(OfferOutcome.Refused.class);
         assertThat(holder.activeConfiguration().version()).isEqualTo(0);
@@ -133,7 +133,9 @@
                 valid.rollouts(),
                 valid.digest(),
                 valid.revision(),
-                valid.limits());
+                valid.limits(),
+                valid.tenants(),
+                valid.evacuatedDataCentres());
     }
 
     private static void assertCommitted(MeshConfiguration held, List<MeshConfiguration> committed) {
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationSamples.java
@@ -60,7 +60,7 @@
         }
         RolloutPriority priority = RolloutPriority.values()[random.nextInt(2)];
         MeshDocument document = MeshDocument.of(services, routes, priority);
-        return new MeshConfiguration(version, version, document, "text", rollouts);
+        return MeshConfiguration.of(version, version, document, "text", rollouts);
     }
 
     static Route route(String name, String service, int timeoutMillis) {
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/RolloutStepsTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/RolloutStepsTest.java
@@ -47,9 +47,7 @@
     }
 
     private static MeshState stateWithAcceptedDocument() {
-        MeshState state =
-                MeshState.of(
-                        new MeshStateImage(0, 0, "{}", List.of(), List.of(), List.of(), List.of()));
+        MeshState state = MeshState.of(MeshStateImage.empty());
         state.apply(1, new MeshCommand.SubmitDocument("operator", "key-1", 0, DOCUMENT, 0));
         return state;
     }
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
@@ -81,7 +81,7 @@
             long seed) {
         RolloutProgress progress = new RolloutProgress("arkiv", "2", phase, share, 0, 0, "");
         MeshConfiguration configuration =
-                new MeshConfiguration(7, 5, MeshDocument.empty(), "{}", List.of(progress));
+                MeshConfiguration.of(7, 5, MeshDocument.empty(), "{}", List.of(progress));
         return VersionChooser.choose(
                 configuration,
                 SERVICE,
--- a/document/src/main/java/org/cuminreach/document/DocumentReader.java
+++ b/document/src/main/java/org/cuminreach/document/DocumentReader.java
@@ -23,6 +23,7 @@
     private static final int MAX_CONNECTIONS = 1_000_000;
     private static final int MAX_HEADER_BYTES = 1024 * 1024;
     private static final long MAX_BODY_BYTES = 1024L * 1024 * 1024;
+    private static final double MAX_CALLS_PER_SECOND = 10_000_000;
     private static final int MAX_IDLE_TIMEOUT_MILLIS = 86_400_000;
 
     private DocumentReader() {}
@@ -44,9 +45,14 @@
                 object.object("limits", DocumentReader::limits).orElse(CallerLimits.defaults());
         List<Service> services = object.objects("services", entry -> service(entry, priority));
         List<Route> routes = object.objects("routes", DocumentReader::route);
+        List<Tenant> tenants =
+                object.has("tenants")
+                        ? object.objects("tenants", DocumentReader::tenant)
+                        : List.of();
         refuseDuplicateServices(object, services);
         refuseInvalidRoutes(object, services, routes);
-        return new MeshDocument(revision, services, routes, priority, limits);
+        refuseInvalidTenants(object, tenants);
+        return new MeshDocument(revision, services, routes, priority, limits, tenants);
     }
 
     private static Service service(CheckedObject object, RolloutPriority priority) {
@@ -59,7 +65,9 @@
         }
         TargetAccess access =
                 object.object("targets", DocumentReader::access).orElse(TargetAccess.defaults());
-        return new Service(name, version, rollout, access);
+        ColdStart coldStart =
+                object.object("coldStart", DocumentReader::coldStart).orElse(ColdStart.none());
+        return new Service(name, version, rollout, access, coldStart);
     }
 
     private static Rollout rollout(CheckedObject object, RolloutPriority priority) {
@@ -93,7 +101,28 @@
                 (int) object.number("maxAttempts", Route.DEFAULT_MAX_ATTEMPTS, 1, MAX_ATTEMPTS),
                 (int) object.number("latencyObjectiveMillis", timeoutMillis, 0, MAX_TIMEOUT_MILLIS),
                 (int) object.number("priority", 0, 0, LOWEST_PRIORITY),
-                object.text("kind", ""));
+                object.text("kind", ""),
+                new RouteAccess(object.flag("public", false), homeRegions(object)));
+    }
+
+    private static List<String> homeRegions(CheckedObject object) {
+        return object.has("homeRegions") ? object.texts("homeRegions") : List.of();
+    }
+
+    private static ColdStart coldStart(CheckedObject object) {
+        return new ColdStart(
+                object.number("durationMillis", 0, 0, MAX_TIMEOUT_MILLIS),
+                object.decimal("callsPerSecond", 0, 0, MAX_CALLS_PER_SECOND));
+    }
+
+    private static Tenant tenant(CheckedObject object) {
+        return new Tenant(
+                object.name("name"),
+                object.texts("keys").stream().map(ApiKey::ofText).toList(),
+                (int) object.number("priority", 0, 0, LOWEST_PRIORITY),
+                object.decimal("ratePerSecond", 0, 0, MAX_CALLS_PER_SECOND),
+                object.decimal("burst", 0, 0, MAX_CALLS_PER_SECOND),
+                homeRegions(object));
     }
 
     private static List<WeightedService> destinations(CheckedObject object) {
@@ -165,6 +194,28 @@
         }
     }
 
+    /** Refuses names and keys that are used twice. A fault names a key by its place only. */
+    private static void refuseInvalidTenants(CheckedObject object, List<Tenant> tenants) {
+        Set<String> names = new HashSet<>();
+        Set<ApiKey> keys = new HashSet<>();
+        for (int index = 0; index < tenants.size(); index++) {
+            Tenant tenant = tenants.get(index);
+            String path = "tenants[" + index + "]";
+            if (!names.add(tenant.name())) {
+                object.addFault(path + ".name", "repeats \"" + tenant.name() + "\"");
+            }
+            for (int position = 0; position < tenant.keys().size(); position++) {
+                ApiKey key = tenant.keys().get(position);
+                String keyPath = path + ".keys[" + position + "]";
+                if (key.text().orElse("").isBlank()) {
+                    object.addFault(keyPath, "is empty");
+                } else if (!keys.add(key)) {
+                    object.addFault(keyPath, "repeats a key of this or another tenant");
+                }
+            }
+        }
+    }
+
     private static void refuseInvalidRoutes(
             CheckedObject object, List<Service> services, List<Route> routes) {
         Set<String> known = new HashSet<>();
--- a/document/src/main/java/org/cuminreach/document/MeshDocument.java
+++ b/document/src/main/java/org/cuminreach/document/MeshDocument.java
@@ -11,17 +11,20 @@
  * @param routes the routes, in the operators' order
  * @param rolloutPriority preference of rollouts when there is little evidence
  * @param limits limits on callers' requests
+ * @param tenants the tenants, in the operators' order; empty when callers need no API key
  */
 public record MeshDocument(
         long revision,
         List<Service> services,
         List<Route> routes,
         RolloutPriority rolloutPriority,
-        CallerLimits limits) {
+        CallerLimits limits,
+        List<Tenant> tenants) {
     /** Copies the lists. */
     public MeshDocument {
         services = List.copyOf(services);
         routes = List.copyOf(routes);
+        tenants = List.copyOf(tenants);
     }
 
     /**
@@ -34,7 +37,8 @@
      */
     public static MeshDocument of(
             List<Service> services, List<Route> routes, RolloutPriority rolloutPriority) {
-        return new MeshDocument(0, services, routes, rolloutPriority, CallerLimits.defaults());
+        return new MeshDocument(
+                0, services, routes, rolloutPriority, CallerLimits.defaults(), List.of());
     }
 
     /**
@@ -46,6 +50,15 @@
         return of(List.of(), List.of(), RolloutPriority.SAFETY);
     }
 
+    /**
+     * Tells whether callers need an API key on routes that are not public.
+     *
+     * @return true when the document has tenants
+     */
+    public boolean requiresKeys() {
+        return !tenants.isEmpty();
+    }
+
     /**
      * Finds a service.
      *
--- a/document/src/main/java/org/cuminreach/document/Route.java
+++ b/document/src/main/java/org/cuminreach/document/Route.java
@@ -19,6 +19,7 @@
  * @param priority priority of the calls; 0 is the highest
  * @param kind label that the operators give to the calls of the route, stored without any effect;
  *     empty when they give none
+ * @param access who may call the route and where its calls may be handled
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         int maxAttempts,
         int latencyObjectiveMillis,
         int priority,
-        String kind) {
+        String kind,
+        RouteAccess access) {
     /** Maximum number of attempts when the document does not specify one. */
     public static final int DEFAULT_MAX_ATTEMPTS = 3;
 
@@ -69,7 +71,40 @@
                 DEFAULT_MAX_ATTEMPTS,
                 timeoutMillis,
                 0,
-                "");
+                "",
+                RouteAccess.unrestricted());
+    }
+
+    /**
+     * Returns the text that the digest of a configuration covers. An unrestricted access is left
+     * out, so that processes that know no access compute the same digest.
+     */
+    @Override
+    public String toString() {
+        String known =
+                "Route[name="
+                        + name
+                        + ", host="
+                        + host
+                        + ", pathPrefix="
+                        + pathPrefix
+                        + ", destinations="
+                        + destinations
+                        + ", timeoutMillis="
+                        + timeoutMillis
+                        + ", idempotence="
+                        + idempotence
+                        + ", maxAttempts="
+                        + maxAttempts
+                        + ", latencyObjectiveMillis="
+                        + latencyObjectiveMillis
+                        + ", priority="
+                        + priority
+                        + ", kind="
+                        + kind;
+        return access.equals(RouteAccess.unrestricted())
+                ? known + "]"
+                : known + ", access=" + access + "]";
     }
 
     /**
--- a/document/src/main/java/org/cuminreach/settings/CheckedObject.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedObject.java
@@ -157,6 +157,49 @@
         return value.longValue();
     }
 
+    /**
+     * Reads an optional decimal number.
+     *
+     * @param field name of the field
+     * @param defaultValue value when the field is absent
+     * @param min smallest allowed value
+     * @param max largest allowed value
+     * @return the number, or the smallest allowed value when invalid
+     */
+    public double decimal(String field, double defaultValue, double min, double max) {
+        if (!has(field)) {
+            return defaultValue;
+        }
+        JsonNode value = node.get(field);
+        boolean inRange =
+                value.isNumber() && value.doubleValue() >= min && value.doubleValue() <= max;
+        if (!inRange) {
+            addFault(field, "is " + value + "; allowed is a number from " + min + " to " + max);
+            return min;
+        }
+        return value.doubleValue();
+    }
+
+    /**
+     * Reads an optional list of texts. Faults do not repeat the values, which may be secret.
+     *
+     * @param field name of the field
+     * @return the texts in file order
+     */
+    public List<String> texts(String field) {
+        List<String> texts = new ArrayList<>();
+        int index = 0;
+        for (JsonNode entry : array(field)) {
+            if (entry.isTextual()) {
+                texts.add(entry.textValue());
+            } else {
+                addFault(field + "[" + index + "]", "is not a text");
+            }
+            index++;
+        }
+        return texts;
+    }
+
     /**
      * Reads an optional boolean.
      *
--- a/trial/src/main/java/org/cuminreach/trial/benchmark/DistributionBenchmark.java
+++ b/trial/src/main/java/org/cuminreach/trial/benchmark/DistributionBenchmark.java
@@ -121,7 +121,7 @@
             routes.add(Route.toService("r" + number, name + ".example", "/", name, timeout, false));
         }
         MeshDocument document = MeshDocument.of(serviceList, routes, RolloutPriority.SAFETY);
-        return new MeshConfiguration(version, version, document, "", List.of());
+        return MeshConfiguration.of(version, version, document, "", List.of());
     }
 
     private static Announcement announcement(int number) {
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -30,7 +30,8 @@
 struct EditPartStruct { 1: optional i32 keptFrom, 2: optional i32 keptLength, 3: optional string added }
 struct EditDocumentStruct { 1: required string operatorName, 2: required string key, 3: required i64 basedOn, 4: required list<EditPartStruct> parts, 5: required i64 atMillis }
 struct StepRolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required string reason, 6: required i64 atMillis }
-union CommandStruct { 1: SubmitDocumentStruct submitDocument, 2: StepRolloutStruct stepRollout, 3: EditDocumentStruct editDocument }
+struct SetEvacuationStruct { 1: required string operatorName, 2: required string dataCentre, 3: required bool evacuated, 4: required i64 atMillis }
+union CommandStruct { 1: SubmitDocumentStruct submitDocument, 2: StepRolloutStruct stepRollout, 3: EditDocumentStruct editDocument, 4: SetEvacuationStruct setEvacuation }
 struct RolloutStruct { 1: required string serviceName, 2: required string version, 3: required i32 phase, 4: required i32 sharePerMille, 5: required i64 startedMillis, 6: required i64 steppedMillis, 7: required string reason }
 union OutcomeStruct { 1: i64 accepted, 2: i64 refusedAsStale, 3: list<FaultStruct> refusedAsFaulty }
 struct AnswerStruct { 1: required string key, 2: required OutcomeStruct outcome }
@@ -39,7 +40,8 @@
 struct StateStruct {
   1: required i64 version, 2: required i64 documentVersion, 3: required string documentText,
   4: required list<RolloutStruct> rollouts, 5: required list<TakenBackStruct> takenBack,
-  6: required list<AnswerStruct> answers, 7: required list<HistoryStruct> history
+  6: required list<AnswerStruct> answers, 7: required list<HistoryStruct> history,
+  8: optional list<string> evacuatedDataCentres
 }
 
 # ---- records of the data folder ----
@@ -49,7 +51,7 @@
 struct AnnouncementStruct {
   1: required string node, 2: required i64 incarnation, 3: required i64 sequence, 4: required string serviceName,
   5: required string version, 6: required string dataCentre, 7: required string inbound, 8: required i32 slots, 9: required i32 phase,
-  10: optional string instance
+  10: optional string instance, 11: optional i64 coldMillis
 }
 struct EvidenceStruct {
   1: required string serviceName, 2: required string version, 3: required string route, 4: required i64 calls, 5: required i64 failures, 6: required i64 totalMicros,
@@ -76,23 +78,33 @@
 struct WeightedServiceStruct { 1: required string serviceName, 2: required i32 weight }
 struct LimitsStruct { 1: required i32 maxHeaderBytes, 2: required i64 maxBodyBytes, 3: required i32 headerTimeoutMillis, 4: required i32 idleTimeoutMillis }
 # An empty version stands for none.
-struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos, 7: optional CriteriaStruct criteria, 8: optional TargetAccessStruct access }
+struct ServiceStruct { 1: required string name, 2: required string version, 3: optional string rolloutVersion, 4: optional i32 sharePerMille, 5: optional i64 doneBySeconds, 6: optional i32 doneByNanos, 7: optional CriteriaStruct criteria, 8: optional TargetAccessStruct access, 9: optional i64 coldStartMillis, 10: optional double coldCallsPerSecond }
 # Field 4 of a route carried its only service and field 6 a flag; they stay unused.
 struct RouteStruct {
   1: required string name, 2: required string host, 3: required string pathPrefix, 5: required i32 timeoutMillis,
   7: required list<WeightedServiceStruct> destinations, 8: required i32 idempotence, 9: required i32 maxAttempts,
-  10: required i32 latencyObjectiveMillis, 11: required i32 priority, 12: optional string kind
+  10: required i32 latencyObjectiveMillis, 11: required i32 priority, 12: optional string kind, 13: optional bool publicAccess, 14: optional list<string> homeRegions
 }
+# Nodes get digests of keys, never the keys.
+struct TenantStruct { 1: required string name, 2: required list<string> keyDigests, 3: required i32 priority, 4: required double ratePerSecond, 5: required double burst, 6: optional list<string> homeRegions }
 struct ConfigurationDeltaStruct {
   1: required i64 baseVersion, 2: required i64 version, 3: required i64 documentVersion, 4: required i32 rolloutPriority,
   5: required list<ServiceStruct> services, 6: required list<string> removedServices,
   7: required list<RouteStruct> routes, 8: required list<string> removedRoutes,
   9: required list<RolloutStruct> rollouts, 10: required list<string> removedRollouts, 11: required i64 digest,
-  12: required i64 revision, 13: required LimitsStruct limits
+  12: required i64 revision, 13: required LimitsStruct limits,
+  14: optional list<TenantStruct> tenants, 15: optional list<string> removedTenants, 16: optional list<string> evacuatedDataCentres
 }
 struct ConfigurationReport { 1: required i64 version, 2: optional list<FaultStruct> faults, 3: optional bool needsWhole }
-# A node tells in it whether it may be sent to a nearer control.
-struct Heartbeat { 1: required i64 sentMillis, 2: optional bool mayMove }
+# A node tells in it whether it may be sent to a nearer control. It may ask for a proof that its
+# configuration is current; the control echoes the number of the question with the version that a
+# majority has confirmed after the question arrived.
+struct Heartbeat { 1: required i64 sentMillis, 2: optional bool mayMove, 3: optional i64 freshnessQuestion, 4: optional i64 answeredQuestion, 5: optional i64 confirmedVersion }
+# Calls that a node asks to let through for a tenant, and those that it gives back unused.
+struct QuotaDemandStruct { 1: required string tenant, 2: required i32 wanted, 3: optional i32 returned }
+struct QuotaRequest { 1: required i64 correlation, 2: required list<QuotaDemandStruct> demands, 3: optional string node, 4: optional string control }
+struct QuotaGrantStruct { 1: required string tenant, 2: required i32 granted, 3: required i64 validMillis, 4: optional i64 retryAfterMillis }
+struct QuotaGrant { 1: required i64 correlation, 2: required list<QuotaGrantStruct> grants, 3: optional string node }
 
 # Frame field 11 carried whole documents and stays unused. A packed frame holds another, deflated.
 union Frame {
@@ -101,5 +113,5 @@
   7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
   12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat,
   14: ConfigurationDeltaStruct configurationDelta, 15: JoinRequest joinRequest,
-  16: binary packed
+  16: binary packed, 17: QuotaRequest quotaRequest, 18: QuotaGrant quotaGrant
 }
--- a/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/ConfigurationCodec.java
@@ -19,6 +19,7 @@
 import org.cuminreach.wire.generated.HistoryStruct;
 import org.cuminreach.wire.generated.OutcomeStruct;
 import org.cuminreach.wire.generated.RolloutStruct;
+import org.cuminreach.wire.generated.SetEvacuationStruct;
 import org.cuminreach.wire.generated.StateStruct;
 import org.cuminreach.wire.generated.StepRolloutStruct;
 import org.cuminreach.wire.generated.SubmitDocumentStruct;
@@ -66,6 +67,13 @@
                                     step.sharePerMille(),
                                     step.reason(),
                                     step.atMillis()));
+            case MeshCommand.SetEvacuation evacuation ->
+                    CommandStruct.setEvacuation(
+                            new SetEvacuationStruct(
+                                    evacuation.operator(),
+                                    evacuation.dataCentre(),
+                                    evacuation.evacuated(),
+                                    evacuation.atMillis()));
         };
     }
 
@@ -109,6 +117,14 @@
                         step.getReason(),
                         step.getAtMillis());
             }
+            case SET_EVACUATION -> {
+                SetEvacuationStruct evacuation = struct.getSetEvacuation();
+                yield new MeshCommand.SetEvacuation(
+                        evacuation.getOperatorName(),
+                        evacuation.getDataCentre(),
+                        evacuation.isEvacuated(),
+                        evacuation.getAtMillis());
+            }
         };
     }
 
@@ -155,7 +171,7 @@
      * @return its bytes
      */
     public static byte[] encode(MeshStateImage image) {
-        return StructCodec.encode(
+        StateStruct struct =
                 new StateStruct(
                         image.version(),
                         image.documentVersion(),
@@ -181,7 +197,11 @@
                                                         entry.atMillis(),
                                                         entry.actor(),
                                                         entry.event()))
-                                .toList()));
+                                .toList());
+        if (!image.evacuatedDataCentres().isEmpty()) {
+            struct.setEvacuatedDataCentres(image.evacuatedDataCentres());
+        }
+        return StructCodec.encode(struct);
     }
 
     /**
@@ -220,7 +240,8 @@
                                                 entry.getAtMillis(),
                                                 entry.getActor(),
                                                 entry.getEvent()))
-                        .toList());
+                        .toList(),
+                struct.isSetEvacuatedDataCentres() ? struct.getEvacuatedDataCentres() : List.of());
     }
 
     /**
--- a/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/DeltaCodec.java
@@ -7,19 +7,24 @@
 import java.util.Optional;
 import org.cuminreach.decisions.configuration.ConfigurationDelta;
 import org.cuminreach.decisions.configuration.KeyedChanges;
+import org.cuminreach.document.ApiKey;
 import org.cuminreach.document.CallerLimits;
+import org.cuminreach.document.ColdStart;
 import org.cuminreach.document.Idempotence;
 import org.cuminreach.document.Rollout;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
+import org.cuminreach.document.RouteAccess;
 import org.cuminreach.document.Service;
 import org.cuminreach.document.TargetAccess;
+import org.cuminreach.document.Tenant;
 import org.cuminreach.document.WeightedService;
 import org.cuminreach.wire.generated.ConfigurationDeltaStruct;
 import org.cuminreach.wire.generated.LimitsStruct;
 import org.cuminreach.wire.generated.RouteStruct;
 import org.cuminreach.wire.generated.ServiceStruct;
 import org.cuminreach.wire.generated.TargetAccessStruct;
+import org.cuminreach.wire.generated.TenantStruct;
 import org.cuminreach.wire.generated.WeightedServiceStruct;
 
 /** Converts between configuration deltas and their Thrift structs. */
@@ -35,20 +40,31 @@
      * @return the struct
      */
     public static ConfigurationDeltaStruct toStruct(ConfigurationDelta delta) {
-        return new ConfigurationDeltaStruct(
-                delta.baseVersion(),
-                delta.version(),
-                delta.documentVersion(),
-                delta.rolloutPriority().ordinal(),
-                delta.services().put().stream().map(DeltaCodec::toStruct).toList(),
-                delta.services().removed(),
-                delta.routes().put().stream().map(DeltaCodec::toStruct).toList(),
-                delta.routes().removed(),
-                delta.rollouts().put().stream().map(ConfigurationCodec::toStruct).toList(),
-                delta.rollouts().removed(),
-                delta.digest(),
-                delta.revision(),
-                toStruct(delta.limits()));
+        ConfigurationDeltaStruct struct =
+                new ConfigurationDeltaStruct(
+                        delta.baseVersion(),
+                        delta.version(),
+                        delta.documentVersion(),
+                        delta.rolloutPriority().ordinal(),
+                        delta.services().put().stream().map(DeltaCodec::toStruct).toList(),
+                        delta.services().removed(),
+                        delta.routes().put().stream().map(DeltaCodec::toStruct).toList(),
+                        delta.routes().removed(),
+                        delta.rollouts().put().stream().map(ConfigurationCodec::toStruct).toList(),
+                        delta.rollouts().removed(),
+                        delta.digest(),
+                        delta.revision(),
+                        toStruct(delta.limits()));
+        if (!delta.tenants().put().isEmpty()) {
+            struct.setTenants(delta.tenants().put().stream().map(DeltaCodec::toStruct).toList());
+        }
+        if (!delta.tenants().removed().isEmpty()) {
+            struct.setRemovedTenants(delta.tenants().removed());
+        }
+        if (!delta.evacuatedDataCentres().isEmpty()) {
+            struct.setEvacuatedDataCentres(delta.evacuatedDataCentres());
+        }
+        return struct;
     }
 
     /**
@@ -80,13 +96,48 @@
                         struct.getRemovedRollouts()),
                 struct.getDigest(),
                 struct.getRevision(),
-                toLimits(struct.getLimits()));
+                toLimits(struct.getLimits()),
+                new KeyedChanges<>(
+                        listOrEmpty(struct.getTenants()).stream()
+                                .map(DeltaCodec::toTenant)
+                                .toList(),
+                        listOrEmpty(struct.getRemovedTenants())),
+                listOrEmpty(struct.getEvacuatedDataCentres()));
+    }
+
+    /** Returns an optional list of a struct, which is null when the sender left it out. */
+    private static <T> List<T> listOrEmpty(List<T> list) {
+        return list == null ? List.of() : list;
+    }
+
+    private static TenantStruct toStruct(Tenant tenant) {
+        return new TenantStruct(
+                        tenant.name(),
+                        tenant.keys().stream().map(ApiKey::digest).toList(),
+                        tenant.priority(),
+                        tenant.ratePerSecond(),
+                        tenant.burst())
+                .setHomeRegions(tenant.homeRegions());
+    }
+
+    private static Tenant toTenant(TenantStruct struct) {
+        return new Tenant(
+                struct.getName(),
+                struct.getKeyDigests().stream().map(ApiKey::ofDigest).toList(),
+                struct.getPriority(),
+                struct.getRatePerSecond(),
+                struct.getBurst(),
+                listOrEmpty(struct.getHomeRegions()));
     }
 
     private static ServiceStruct toStruct(Service service) {
         ServiceStruct struct =
                 new ServiceStruct(service.name(), service.version().orElse(NO_VERSION));
         struct.setAccess(toStruct(service.access()));
+        if (!service.coldStart().equals(ColdStart.none())) {
+            struct.setColdStartMillis(service.coldStart().durationMillis())
+                    .setColdCallsPerSecond(service.coldStart().callsPerSecond());
+        }
         service.rollout()
                 .ifPresent(
                         rollout ->
@@ -129,7 +180,14 @@
                         route.maxAttempts(),
                         route.latencyObjectiveMillis(),
                         route.priority());
-        return route.kind().isEmpty() ? struct : struct.setKind(route.kind());
+        if (!route.kind().isEmpty()) {
+            struct.setKind(route.kind());
+        }
+        if (!route.access().equals(RouteAccess.unrestricted())) {
+            struct.setPublicAccess(route.access().isPublic())
+                    .setHomeRegions(route.access().homeRegions());
+        }
+        return struct;
     }
 
     private static Service toService(ServiceStruct struct) throws MalformedFrameException {
@@ -165,7 +223,10 @@
                                 access.getHealthPath(),
                                 access.getMaxConnections(),
                                 access.getProtocol(),
-                                access.isTls()));
+                                access.isTls()),
+                struct.isSetColdStartMillis()
+                        ? new ColdStart(struct.getColdStartMillis(), struct.getColdCallsPerSecond())
+                        : ColdStart.none());
     }
 
     private static CallerLimits toLimits(LimitsStruct struct) {
@@ -202,7 +263,11 @@
                 struct.getMaxAttempts(),
                 struct.getLatencyObjectiveMillis(),
                 struct.getPriority(),
-                struct.isSetKind() ? struct.getKind() : "");
+                struct.isSetKind() ? struct.getKind() : "",
+                struct.isSetPublicAccess()
+                        ? new RouteAccess(
+                                struct.isPublicAccess(), listOrEmpty(struct.getHomeRegions()))
+                        : RouteAccess.unrestricted());
     }
 
     private static RolloutPriority toPriority(int ordinal) throws MalformedFrameException {
--- a/wire/src/test/java/org/cuminreach/wire/DeltaCodecTest.java
+++ b/wire/src/test/java/org/cuminreach/wire/DeltaCodecTest.java
@@ -3,13 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.Example;
 import org.cuminreach.decisions.configuration.ConfigurationDelta;
 import org.cuminreach.decisions.configuration.KeyedChanges;
+import org.cuminreach.document.ApiKey;
 import org.cuminreach.document.CallerLimits;
+import org.cuminreach.document.ColdStart;
 import org.cuminreach.document.Idempotence;
 import org.cuminreach.document.RolloutPriority;
 import org.cuminreach.document.Route;
+import org.cuminreach.document.RouteAccess;
+import org.cuminreach.document.Service;
+import org.cuminreach.document.TargetAccess;
+import org.cuminreach.document.Tenant;
 import org.cuminreach.document.WeightedService;
 import org.cuminreach.wire.generated.ConfigurationDeltaStruct;
 
@@ -28,7 +35,23 @@
                 2,
                 400,
                 1,
-                kind);
+                kind,
+                RouteAccess.unrestricted());
+    }
+
+    private static Route openRoute() {
+        return new Route(
+                "open",
+                "host",
+                "/open/",
+                DESTINATIONS,
+                900,
+                Idempotence.ALWAYS,
+                2,
+                400,
+                1,
+                "download",
+                new RouteAccess(true, List.of("south")));
     }
 
     /**
@@ -43,13 +66,33 @@
                         4,
                         2,
                         RolloutPriority.SAFETY,
-                        new KeyedChanges<>(List.of(), List.of("gone")),
                         new KeyedChanges<>(
-                                List.of(route("plain", ""), route("named", "upload")), List.of()),
+                                List.of(
+                                        new Service(
+                                                "cold",
+                                                Optional.empty(),
+                                                Optional.empty(),
+                                                TargetAccess.defaults(),
+                                                new ColdStart(3_000, 9.1))),
+                                List.of("gone")),
+                        new KeyedChanges<>(
+                                List.of(route("plain", ""), route("named", "upload"), openRoute()),
+                                List.of()),
                         new KeyedChanges<>(List.of(), List.of()),
                         77,
                         12,
-                        CallerLimits.defaults());
+                        CallerLimits.defaults(),
+                        new KeyedChanges<>(
+                                List.of(
+                                        new Tenant(
+                                                "council",
+                                                List.of(ApiKey.ofText("key")),
+                                                1,
+                                                7.5,
+                                                3,
+                                                List.of("south"))),
+                                List.of("left")),
+                        List.of("east"));
 
         byte[] bytes = StructCodec.encode(DeltaCodec.toStruct(delta));
 
