--- a/control/src/main/java/org/cuminreach/control/ControlSettings.java
+++ b/control/src/main/java/org/cuminreach/control/ControlSettings.java
@@ -6,6 +6,7 @@
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
 import org.cuminreach.settings.DistinctAddresses;
+import org.cuminreach.settings.MeshBounds;
 
 /**
  * Settings of a control process.
@@ -19,6 +20,7 @@
  * @param administrationAddress HTTP address of its metrics and health checks
  * @param controls all controls of the mesh, including this one
  * @param joins whether this control requests its own admission as a member
+ * @param bounds bounds that hold for the whole mesh
  * @param log settings of the log
  */
 public record ControlSettings(
@@ -31,6 +33,7 @@
         Address administrationAddress,
         List<Peer> controls,
         boolean joins,
+        MeshBounds bounds,
         LogSettings log) {
     /**
      * A control of the mesh.
@@ -67,6 +70,7 @@
                                         new Peer(
                                                 peer.name("name"), peer.address("replicaAddress"))),
                         object.flag("joins", false),
+                        MeshBounds.read(object),
                         LogSettings.read(object));
         settings.requireDistinctAddresses(object);
         settings.requireListed(object);
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -3,10 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
@@ -23,16 +21,13 @@
  * commands and their log indexes, so that it is the same on each control. Not thread-safe.
  */
 public final class MeshState {
-    private static final int MAX_RETAINED_OUTCOMES = 10_000;
-    private static final int MAX_RETAINED_FAULTS = 100_000;
     private static final int MAX_HISTORY_ENTRIES = 1_000;
     private static final int MAX_KEY_CHARACTERS = 200;
 
-    private final Map<String, SubmissionOutcome> outcomes = new LinkedHashMap<>();
+    private final RetainedOutcomes outcomes = new RetainedOutcomes();
     private final Set<RolledBackVersion> rolledBackVersions = new LinkedHashSet<>();
     private final Deque<HistoryEntry> history = new ArrayDeque<>();
     private MeshConfiguration configuration;
-    private int retainedFaults;
 
     private MeshState(MeshStateImage image) {
         MeshDocument document =
@@ -50,7 +45,7 @@
                         image.documentText(),
                         image.rollouts(),
                         image.evacuatedDataCentres());
-        image.outcomes().forEach(entry -> retain(entry.key(), entry.outcome()));
+        image.outcomes().forEach(entry -> outcomes.retain(entry.key(), entry.outcome()));
         rolledBackVersions.addAll(image.rolledBackVersions());
         history.addAll(image.history());
     }
@@ -72,16 +67,13 @@
      * @return an immutable copy
      */
     public MeshStateImage image() {
-        List<MeshStateImage.RetainedOutcome> retained = new ArrayList<>();
-        outcomes.forEach(
-                (key, outcome) -> retained.add(new MeshStateImage.RetainedOutcome(key, outcome)));
         return new MeshStateImage(
                 configuration.version(),
                 configuration.documentVersion(),
                 configuration.documentText(),
                 configuration.rollouts(),
                 List.copyOf(rolledBackVersions),
-                retained,
+                outcomes.all(),
                 List.copyOf(history),
                 configuration.evacuatedDataCentres());
     }
@@ -111,7 +103,7 @@
      * @return the outcome, or empty if it is not retained
      */
     public Optional<SubmissionOutcome> previousOutcome(String key) {
-        return Optional.ofNullable(outcomes.get(key));
+        return outcomes.find(key);
     }
 
     /**
@@ -179,7 +171,7 @@
             return previous.get();
         }
         SubmissionOutcome outcome = evaluate(index, submission);
-        retain(submission.key(), outcome);
+        outcomes.retain(submission.key(), outcome);
         return outcome;
     }
 
@@ -379,23 +371,6 @@
                         step.reason());
     }
 
-    /** Retains an outcome and evicts the oldest beyond the limits on outcomes and their faults. */
-    private void retain(String key, SubmissionOutcome outcome) {
-        outcomes.put(key, outcome);
-        retainedFaults += countFaults(outcome);
-        while (outcomes.size() > MAX_RETAINED_OUTCOMES
-                || retainedFaults > MAX_RETAINED_FAULTS && outcomes.size() > 1) {
-            String oldest = outcomes.keySet().iterator().next();
-            retainedFaults -= countFaults(outcomes.remove(oldest));
-        }
-    }
-
-    private static int countFaults(SubmissionOutcome outcome) {
-        return outcome instanceof SubmissionOutcome.RefusedAsFaulty faulty
-                ? faulty.faults().size()
-                : 0;
-    }
-
     private void record(long index, long atMillis, String actor, String event) {
         history.add(new HistoryEntry(index, atMillis, actor, event));
         if (history.size() > MAX_HISTORY_ENTRIES) {
--- a/document/src/main/java/org/cuminreach/document/ApiKey.java
+++ b/document/src/main/java/org/cuminreach/document/ApiKey.java
@@ -46,6 +46,7 @@
      *
      * @param text the key
      * @return the SHA-256 hash, in hexadecimal digits
+     * @throws IllegalStateException if the platform lacks SHA-256, which each Java platform has
      */
     public static String digestOf(String text) {
         try {
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -8,6 +8,7 @@
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.CheckedObject;
 import org.cuminreach.settings.DistinctAddresses;
+import org.cuminreach.settings.MeshBounds;
 
 /**
  * Settings of a node process.
@@ -24,6 +25,7 @@
  *     milliseconds
  * @param shutdownTimeoutMillis maximum time that a graceful stop waits for calls in progress, in
  *     milliseconds
+ * @param bounds bounds that hold for the whole mesh
  * @param log settings of the log
  */
 public record NodeSettings(
@@ -37,6 +39,7 @@
         boolean costlyLinks,
         long shutdownDelayMillis,
         long shutdownTimeoutMillis,
+        MeshBounds bounds,
         LogSettings log) {
     private static final int MAX_SLOTS = 10_000;
     private static final long DEFAULT_SHUTDOWN_DELAY_MILLIS = 500;
@@ -116,6 +119,7 @@
                                 DEFAULT_SHUTDOWN_TIMEOUT_MILLIS,
                                 0,
                                 MAX_SHUTDOWN_MILLIS),
+                        MeshBounds.read(object),
                         LogSettings.read(object));
         settings.checkDistinctAddresses(object);
         return settings;
--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -30,6 +30,7 @@
 import org.cuminreach.runtime.log.LogLevel;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
+import org.cuminreach.settings.MeshBounds;
 import org.cuminreach.trial.mesh.FreeAddresses;
 import org.cuminreach.wire.ConfigurationCodec;
 
@@ -104,6 +105,7 @@
                         false,
                         SHUTDOWN_DELAY_MILLIS,
                         SHUTDOWN_TIMEOUT_MILLIS,
+                        MeshBounds.defaults(),
                         LOG_SETTINGS);
         settings.add(nodeSettings);
         nodes.add(NodeProcess.start(nodeSettings));
@@ -270,6 +272,7 @@
                 FreeAddresses.next(),
                 List.of(new ControlSettings.Peer("control", replica)),
                 false,
+                MeshBounds.defaults(),
                 LOG_SETTINGS);
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/ControlGroup.java
@@ -25,6 +25,7 @@
 import org.cuminreach.runtime.log.LogLevel;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
+import org.cuminreach.settings.MeshBounds;
 import org.cuminreach.trial.mesh.FreeAddresses;
 import org.cuminreach.wire.ConfigurationCodec;
 
@@ -187,6 +188,7 @@
                 FreeAddresses.next(),
                 List.of(),
                 false,
+                MeshBounds.defaults(),
                 LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
@@ -20,6 +20,7 @@
 import org.cuminreach.runtime.log.LogLevel;
 import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
+import org.cuminreach.settings.MeshBounds;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
 
@@ -49,6 +50,7 @@
                         false,
                         500,
                         1_000,
+                        MeshBounds.defaults(),
                         LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
         announcer = TargetAnnouncer.create(settings, incarnation);
         FrameEndpoints endpoints =
