Find the tenant of a call by its API key and pass its name on

Keys were passed on to targets and any key was served, since nothing read them.

The first node looks a key up by its digest in a hash map that is built once per configuration, removes it from the headers and sets the tenant's name in a header of the mesh, which targets on the platform get as their own. A call without a key that the document knows is refused with 401 before its body is looked at, unless its route is public; a node without a configuration answers 503 as before. Calls of targets carry no key: they go over public routes, since the node cannot tell them from other callers on its VM. The scan of all keys was ruled out; so was a second format for keys inside the mesh, since nothing behind the first node needs the key.

A tenant's priority goes before its route's. The admission queue has four ranks, so they are shared out among the tenants' priorities first.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/RouteMetadata.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/RouteMetadata.java
@@ -6,7 +6,8 @@
  * Route of a call, as sent in a header to the node of the target.
  *
  * @param route name of the route
- * @param priority its priority, 0 being the highest
+ * @param priority rank of the call, 0 being the highest; its route's priority unless its tenant's
+ *     goes before
  * @param objectiveMillis time left until the latency objective, in milliseconds; at most 0 when the
  *     call is late already, {@link #NO_OBJECTIVE} when the route has none
  */
@@ -20,15 +21,16 @@
      * Returns the route metadata of a call.
      *
      * @param route its route
+     * @param priority rank of the call, 0 being the highest
      * @param elapsedMillis time since the call arrived, in milliseconds
      * @return the metadata
      */
-    public static RouteMetadata of(Route route, long elapsedMillis) {
+    public static RouteMetadata of(Route route, int priority, long elapsedMillis) {
         int objective =
                 route.latencyObjectiveMillis() == 0
                         ? NO_OBJECTIVE
                         : (int) Math.max(0, route.latencyObjectiveMillis() - elapsedMillis);
-        return new RouteMetadata(route.name(), route.priority(), objective);
+        return new RouteMetadata(route.name(), priority, objective);
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.tenant.Freshness;
 import org.cuminreach.node.caller.CallDeduplicator;
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.CallerMetricsHandler;
@@ -25,6 +26,7 @@
 import org.cuminreach.node.target.TargetAnnouncer;
 import org.cuminreach.node.target.TargetClient;
 import org.cuminreach.node.target.TargetMetrics;
+import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
@@ -219,6 +221,7 @@
                         httpSender,
                         evidence,
                         deduplicator,
+                        TenantAuthenticator.create(Freshness::certain),
                         timer);
         HttpHandler inboundHandler =
                 call ->
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -8,6 +8,7 @@
 import org.cuminreach.decisions.routing.RouteMetadata;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.document.Route;
+import org.cuminreach.document.Tenant;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpCall;
 
@@ -20,7 +21,7 @@
     private final Route route;
     private final String service;
     private final String requestId;
-    private final String caller;
+    private final CallOrigin origin;
     private final boolean idempotent;
     private final long startMillis;
     private final long deadlineMillis;
@@ -37,7 +38,7 @@
             Route route,
             String service,
             String requestId,
-            String caller,
+            CallOrigin origin,
             boolean idempotent,
             long startMillis,
             long deadlineMillis,
@@ -47,7 +48,7 @@
         this.route = route;
         this.service = service;
         this.requestId = requestId;
-        this.caller = caller;
+        this.origin = origin;
         this.idempotent = idempotent;
         this.startMillis = startMillis;
         this.deadlineMillis = deadlineMillis;
@@ -73,7 +74,12 @@
     }
 
     String caller() {
-        return caller;
+        return origin.caller().text();
+    }
+
+    /** Tenant of the call; empty when it needs none. */
+    Optional<Tenant> tenant() {
+        return origin.tenant();
     }
 
     boolean idempotent() {
@@ -137,7 +143,7 @@
                         route,
                         service,
                         requestId,
-                        caller,
+                        origin,
                         true,
                         startMillis,
                         deadlineMillis,
@@ -156,7 +162,7 @@
     }
 
     private RouteMetadata routeMetadata(long nowMillis) {
-        return RouteMetadata.of(route, nowMillis - startMillis);
+        return RouteMetadata.of(route, origin.priority(), nowMillis - startMillis);
     }
 
     /** Returns the headers of the call for the node of a target, with the limit known for it. */
@@ -166,12 +172,14 @@
                         .remove(MeshHeaders.KEY_HOME)
                         .remove(MeshHeaders.TARGET_LIMIT)
                         .set(MeshHeaders.REQUEST_ID, requestId)
-                        .set(MeshHeaders.CALLER, caller)
+                        .set(MeshHeaders.CALLER, caller())
                         .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
                         .set(MeshHeaders.ROUTE, routeMetadata(nowMillis).text())
                         .set(MeshHeaders.ATTEMPTS, attempts)
                         .set(MeshHeaders.TARGET_NODE, target.node())
                         .set(MeshHeaders.TARGET_START, target.instance());
+        headers.remove(MeshHeaders.TENANT);
+        tenant().ifPresent(known -> headers.set(MeshHeaders.TENANT, known.name()));
         if (target.statistics().rateLimit() instanceof CallRateLimit.PerSecond limit) {
             headers.set(MeshHeaders.TARGET_LIMIT, limit.text());
         }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
@@ -31,6 +30,7 @@
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
+import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -44,7 +44,7 @@
     private static final int RETRY_MILLIS = 1_000;
 
     private final String dataCentre;
-    private final String ownHost;
+    private final CallEntrance entrance;
     private final MeshView view;
     private final HttpSender sender;
     private final EvidenceRecorder evidence;
@@ -64,9 +64,10 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
+            TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
         this.dataCentre = dataCentre;
-        this.ownHost = ownHost;
+        this.entrance = new CallEntrance(ownHost, authenticator);
         this.routes = new RouteTableCache(holder);
         this.view = view;
         this.sender = sender;
@@ -86,6 +87,7 @@
      * @param sender sends calls to other nodes
      * @param evidence records call results for rollouts
      * @param deduplicator runs calls with an idempotency key once
+     * @param authenticator finds the tenants of calls
      * @param timer schedules retries and hedged attempts
      * @return the handler
      */
@@ -97,52 +99,47 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
+            TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                dataCentre, ownHost, holder, view, sender, evidence, deduplicator, timer);
+                dataCentre,
+                ownHost,
+                holder,
+                view,
+                sender,
+                evidence,
+                deduplicator,
+                authenticator,
+                timer);
     }
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
         RouteTableCache.Entry current = routes.current();
-        Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
         String requestId =
                 call.header(
                         MeshHeaders.REQUEST_ID,
                         Long.toHexString(ThreadLocalRandom.current().nextLong()));
-        if (current.configuration().version() == 0) {
-            LOGGER.info("event=call_refused request={} reason=no_configuration", requestId);
-            return CompletableFuture.completedFuture(
-                    CallAnswers.notRun(503, "no_configuration", Optional.of((long) RETRY_MILLIS)));
-        }
-        if (route.isEmpty()) {
-            LOGGER.info(
-                    "event=call_refused request={} configuration={} reason=no_route host={}"
-                            + " path={}",
-                    requestId,
-                    current.configuration().version(),
-                    call.header("Host", ""),
-                    call.path());
-            return CompletableFuture.completedFuture(
-                    CallAnswers.notRun(404, "no_route", Optional.empty()));
-        }
-        Optional<HttpAnswer> refusal =
-                CallRules.refuseOversized(current.configuration().document().limits(), call);
-        if (refusal.isPresent()) {
-            LOGGER.info("event=call_refused request={} reason=too_long", requestId);
-            return CompletableFuture.completedFuture(refusal.get());
-        }
-        boolean idempotent = CallRules.isIdempotent(route.get(), call);
-        if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
-            return handleKeyed(call, route.get(), requestId, current, false);
-        }
-        String service = route.get().selectService(ThreadLocalRandom.current());
-        return start(
-                call, route.get(), service, requestId, callerOf(call), current.configuration());
+        return switch (entrance.check(call, requestId, current)) {
+            case CallEntrance.Outcome.Refused refused ->
+                    CompletableFuture.completedFuture(refused.answer());
+            case CallEntrance.Outcome.Accepted accepted ->
+                    route(call, requestId, accepted.route(), accepted.origin(), current);
+        };
     }
 
-    private Caller callerOf(HttpCall call) {
-        return Caller.identify(call.header(MeshHeaders.CALLER, ""), call.remoteHost(), ownHost);
+    private CompletableFuture<HttpAnswer> route(
+            HttpCall call,
+            String requestId,
+            Route route,
+            CallOrigin origin,
+            RouteTableCache.Entry current) {
+        boolean idempotent = CallRules.isIdempotent(route, call);
+        if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
+            return handleKeyed(call, route, requestId, origin, current, false);
+        }
+        String service = route.selectService(ThreadLocalRandom.current());
+        return start(call, route, service, requestId, origin, current.configuration());
     }
 
     /**
@@ -154,17 +151,21 @@
     public CompletableFuture<HttpAnswer> handleAsKeyHome(HttpCall call) {
         RouteTableCache.Entry current = routes.current();
         Optional<Route> route = current.table().match(call.header("Host", ""), call.path());
-        if (route.isEmpty()) {
-            return CompletableFuture.completedFuture(CallAnswers.mayHaveRun("no_route"));
+        Optional<CallOrigin> origin =
+                route.flatMap(known -> CallEntrance.originFromNode(call, known, current));
+        if (origin.isEmpty()) {
+            String reason = route.isEmpty() ? "no_route" : "unknown_tenant";
+            return CompletableFuture.completedFuture(CallAnswers.mayHaveRun(reason));
         }
-        return handleKeyed(
-                call, route.get(), call.header(MeshHeaders.REQUEST_ID, ""), current, true);
+        String requestId = call.header(MeshHeaders.REQUEST_ID, "");
+        return handleKeyed(call, route.get(), requestId, origin.get(), current, true);
     }
 
     private CompletableFuture<HttpAnswer> handleKeyed(
             HttpCall call,
             Route route,
             String requestId,
+            CallOrigin origin,
             RouteTableCache.Entry current,
             boolean fromNode) {
         Optional<IdempotencyKey> key =
@@ -174,12 +175,10 @@
                     CallAnswers.notRun(400, "malformed_idempotency_key", Optional.empty()));
         }
         long remaining = CallRules.timeoutMillis(route, call);
-        Caller caller =
-                fromNode ? Caller.parse(call.header(MeshHeaders.CALLER, "")) : callerOf(call);
         HttpHeaders headers =
                 MeshHeaders.endToEnd(call.headers())
                         .set(MeshHeaders.REQUEST_ID, requestId)
-                        .set(MeshHeaders.CALLER, caller.text())
+                        .set(MeshHeaders.CALLER, origin.caller().text())
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
         String service = route.selectService(ThreadLocalRandom.current());
         KeyedCall keyedCall =
@@ -191,7 +190,7 @@
                                 route,
                                 service,
                                 requestId,
-                                caller,
+                                origin,
                                 current.configuration());
         return fromNode
                 ? deduplicator.handleFromNode(keyedCall, run)
@@ -203,7 +202,7 @@
             Route route,
             String service,
             String requestId,
-            Caller caller,
+            CallOrigin origin,
             MeshConfiguration configuration) {
         budgets.forService(service).deposit();
         long nowMillis = ProcessClock.monotonicMillis();
@@ -213,7 +212,7 @@
                         route,
                         service,
                         requestId,
-                        caller.text(),
+                        origin,
                         CallRules.isIdempotent(route, call),
                         nowMillis,
                         nowMillis + CallRules.timeoutMillis(route, call),
--- a/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
@@ -6,6 +6,7 @@
 import java.security.MessageDigest;
 import org.cuminreach.decisions.configuration.Sha256;
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
+import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpCall;
 
 /**
@@ -32,7 +33,8 @@
     /** Hashes the credentials and body, which a repetition must share with the first call. */
     long fingerprint() {
         MessageDigest digest = Sha256.newDigest();
-        String credentials = call.header("Authorization", "") + '\n';
+        String credentials =
+                call.header("Authorization", "") + call.header(MeshHeaders.TENANT, "") + '\n';
         digest.update(credentials.getBytes(StandardCharsets.UTF_8));
         return ByteBuffer.wrap(digest.digest(call.body())).getLong();
     }
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -14,6 +14,12 @@
     /** Name of the caller. */
     public static final String CALLER = "X-Cuminreach-Caller";
 
+    /**
+     * Name of the tenant whose API key the caller sent; set by nodes only, and absent when the call
+     * has no tenant.
+     */
+    public static final String TENANT = "X-Cuminreach-Tenant";
+
     /** Time left until the caller's deadline, in milliseconds. */
     public static final String REMAINING_MILLIS = "X-Cuminreach-Remaining-Millis";
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -294,7 +294,8 @@
                         pending.requestId(),
                         pending.admissionRequest().caller(),
                         remainingMillis,
-                        pending.call().header(MeshHeaders.TARGET_START, instance));
+                        pending.call().header(MeshHeaders.TARGET_START, instance),
+                        Optional.ofNullable(pending.call().headers().get(MeshHeaders.TENANT)));
         notices.recordSent(instance, ProcessClock.monotonicMillis());
         return client.send(
                         current.get().address(),
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/tenant/TenantAuthenticator.java
@@ -0,0 +1,73 @@
+package org.cuminreach.node.tenant;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cuminreach.decisions.tenant.ApiKeyTable;
+import org.cuminreach.decisions.tenant.Freshness;
+import org.cuminreach.decisions.tenant.KeyCheck;
+import org.cuminreach.document.Tenant;
+import org.cuminreach.node.http.MeshHeaders;
+
+/**
+ * Finds the tenant of a call by its API key, which callers send as {@code Authorization: Token
+ * KEY}. The key ends here: it is removed from the headers, and the name of the tenant takes its
+ * place.
+ */
+public final class TenantAuthenticator {
+    private static final String SCHEME = "token ";
+
+    private final Supplier<Freshness> freshness;
+
+    private TenantAuthenticator(Supplier<Freshness> freshness) {
+        this.freshness = freshness;
+    }
+
+    /**
+     * Returns an authenticator.
+     *
+     * @param freshness tells how far the configuration is known to be current
+     * @return the authenticator
+     */
+    public static TenantAuthenticator create(Supplier<Freshness> freshness) {
+        return new TenantAuthenticator(freshness);
+    }
+
+    /**
+     * Checks the key of a caller's call. Without tenants the {@code Authorization} header is left
+     * to the target.
+     *
+     * @param headers headers of the call; the key is removed and the tenant's name is set
+     * @param isPublic whether the route needs no key
+     * @param keys keys of the configuration in force
+     * @return the outcome
+     */
+    public KeyCheck authenticate(HttpHeaders headers, boolean isPublic, ApiKeyTable keys) {
+        headers.remove(MeshHeaders.TENANT);
+        if (!keys.requiresKeys()) {
+            return new KeyCheck.Passed(Optional.empty());
+        }
+        KeyCheck check = KeyCheck.of(keys, isPublic, takeKey(headers), freshness.get());
+        if (check instanceof KeyCheck.Passed passed) {
+            passed.tenant()
+                    .map(Tenant::name)
+                    .ifPresent(name -> headers.set(MeshHeaders.TENANT, name));
+        }
+        return check;
+    }
+
+    private static Optional<String> takeKey(HttpHeaders headers) {
+        Optional<String> key =
+                headers.getAll(HttpHeaderNames.AUTHORIZATION).stream()
+                        .filter(TenantAuthenticator::isKey)
+                        .map(value -> value.strip().substring(SCHEME.length()).strip())
+                        .findFirst();
+        headers.remove(HttpHeaderNames.AUTHORIZATION);
+        return key;
+    }
+
+    private static boolean isKey(String value) {
+        return value.strip().regionMatches(true, 0, SCHEME, 0, SCHEME.length());
+    }
+}
