Keep calls to cold targets within what they withstand

Cause: a target that starts or turns cold withstands a stated number of calls a second, from all nodes together. The remaining cold time of its heartbeats was read and never used; a cold target got its usual calls after the slow start of each caller, which counts no calls of the others.

Ruled out: shares for callers, which are wrong after a cut or a restart; tokens alone, which exceed the bound of a second by their burst where there is no overage, and know nothing of the calls that started just before a cold time.

Change: the token bucket beside the target has two sources of one rate, the stated limit and the cold rate; the starts of the latest 1.1 s are counted besides. A token that is returned no longer exceeds what a pause saves up. The node presumes its target cold until it tells, after a refused connection and through an evacuation. Announcements, answers and calls carry the cold time, so that callers count a cold target for what it can sustain and a node that restarted learns it again. Without a cold limit in the document nothing of this takes effect.

--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -72,6 +72,16 @@
         capacity.setRateLimit(limit, nowMillis);
     }
 
+    /**
+     * Sets what the target withstands now. Calls that started before count towards it.
+     *
+     * @param limit limit while the target is cold, or empty when it is warm
+     * @param nowMillis current time
+     */
+    public void setColdLimit(Optional<ColdLimit> limit, long nowMillis) {
+        capacity.setColdLimit(limit, nowMillis);
+    }
+
     /**
      * Offers a call without an objective. It may displace another one, see {@link #takeRefused}.
      *
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/StartRate.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/StartRate.java
@@ -1,10 +1,12 @@
 package org.cuminreach.decisions.admission;
 
+import java.util.Optional;
 import org.cuminreach.decisions.routing.CallRateLimit;
 
 /**
- * Token bucket that keeps the starts of calls at a target within the rate that the target states,
- * and estimates the waits that follow from it. Not thread-safe.
+ * Token bucket that keeps the starts of calls at a target within the rate that the target states
+ * and within what it withstands while it is cold, and estimates the waits that follow. Not
+ * thread-safe.
  */
 final class StartRate {
     /**
@@ -21,32 +23,50 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private CallRateLimit limit = CallRateLimit.unlimited();
-    private double callsPerSecond;
+    private CallRateLimit stated = CallRateLimit.unlimited();
+    private Optional<ColdLimit> coldLimit = Optional.empty();
+    private final RecentStarts recentStarts = new RecentStarts();
+    private double callsPerSecond = Double.POSITIVE_INFINITY;
     private double tokens;
     private long refilledMillis;
     private final double[] arrivals = new double[AdmissionRequest.PRIORITIES];
     private final long[] arrivedMillis = new long[AdmissionRequest.PRIORITIES];
 
-    /** Sets the limit; one that is new in force begins without tokens. */
-    void setLimit(CallRateLimit stated, long nowMillis) {
+    /** Sets the limit that the target states. */
+    void setLimit(CallRateLimit limit, long nowMillis) {
+        stated = limit;
+        update(nowMillis);
+    }
+
+    /** Sets what the target withstands now, or empty when it is warm. */
+    void setColdLimit(Optional<ColdLimit> limit, long nowMillis) {
+        coldLimit = limit;
+        update(nowMillis);
+    }
+
+    /** Puts the lower rate in force; one that is new in force begins without tokens. */
+    private void update(long nowMillis) {
         boolean wasLimited = isLimited();
         refill(nowMillis);
-        limit = stated;
-        if (stated instanceof CallRateLimit.PerSecond perSecond) {
-            callsPerSecond = Math.max(MIN_CALLS_PER_SECOND, perSecond.callsPerSecond());
+        double statedRate =
+                stated instanceof CallRateLimit.PerSecond perSecond
+                        ? Math.max(MIN_CALLS_PER_SECOND, perSecond.callsPerSecond())
+                        : Double.POSITIVE_INFINITY;
+        double coldRate = coldLimit.map(ColdLimit::callsPerSecond).orElse(Double.POSITIVE_INFINITY);
+        callsPerSecond = Math.min(statedRate, coldRate);
+        if (isLimited()) {
             tokens = wasLimited ? Math.min(tokens, maxTokens()) : 0;
             refilledMillis = nowMillis;
         }
     }
 
     boolean isLimited() {
-        return limit instanceof CallRateLimit.PerSecond;
+        return callsPerSecond < Double.POSITIVE_INFINITY;
     }
 
     /** Returns the rate in force, or infinity without a limit. */
     double callsPerSecond() {
-        return isLimited() ? callsPerSecond : Double.POSITIVE_INFINITY;
+        return callsPerSecond;
     }
 
     void recordArrival(int priority, long nowMillis) {
@@ -58,17 +78,23 @@
 
     boolean allowsStart(long nowMillis) {
         refill(nowMillis);
-        return !isLimited() || tokens >= 1;
+        boolean isWithinBound =
+                coldLimit.isEmpty() || recentStarts.count(nowMillis) < coldLimit.get().maxCalls();
+        return !isLimited() || (tokens >= 1 && isWithinBound);
     }
 
     void recordStart(long nowMillis) {
         refill(nowMillis);
         tokens--;
+        recentStarts.record(nowMillis);
     }
 
-    /** Returns the token of a call that was not sent after all. */
+    /**
+     * Returns the token of a call that was not sent after all. The call still counts among the
+     * recent starts, as it is not known which of them it was.
+     */
     void cancelStart() {
-        tokens++;
+        tokens = isLimited() ? Math.min(maxTokens(), tokens + 1) : 0;
     }
 
     /**
@@ -85,7 +111,14 @@
         }
         refill(nowMillis);
         double missing = Math.max(0, ahead + 1 - tokens);
-        return missing / remainingPerSecond(priority, nowMillis) * MILLIS_PER_SECOND;
+        double tokenWait = missing / remainingPerSecond(priority, nowMillis) * MILLIS_PER_SECOND;
+        return Math.max(tokenWait, boundWaitMillis(nowMillis));
+    }
+
+    private double boundWaitMillis(long nowMillis) {
+        return coldLimit
+                .map(limit -> recentStarts.millisUntilBelow(limit.maxCalls(), nowMillis))
+                .orElse(0L);
     }
 
     private double remainingPerSecond(int priority, long nowMillis) {
@@ -93,7 +126,7 @@
         for (int urgent = 0; urgent < priority; urgent++) {
             remaining -= arrivalsPerSecond(urgent, nowMillis);
         }
-        return Math.max(MIN_CALLS_PER_SECOND, remaining);
+        return Math.max(Math.min(MIN_CALLS_PER_SECOND, callsPerSecond), remaining);
     }
 
     private double arrivalsPerSecond(int priority, long nowMillis) {
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
@@ -1,10 +1,11 @@
 package org.cuminreach.decisions.admission;
 
+import java.util.Optional;
 import org.cuminreach.decisions.routing.CallRateLimit;
 
 /**
  * Capacity of a target: its slots, of which fewer are used while that makes calls faster, and the
- * rate of calls that it states as its limit. Not thread-safe.
+ * rate of calls that it states as its limit or withstands while it is cold. Not thread-safe.
  */
 final class TargetCapacity {
     /** Weight of the latest call in the mean running time, which adapts within about ten calls. */
@@ -36,6 +37,10 @@
         rate.setLimit(limit, nowMillis);
     }
 
+    void setColdLimit(Optional<ColdLimit> limit, long nowMillis) {
+        rate.setColdLimit(limit, nowMillis);
+    }
+
     double meanRunMillis() {
         return meanRunMillis;
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/Announcement.java
@@ -16,6 +16,8 @@
  * @param slots calls that the target runs concurrently
  * @param phase lifecycle phase of the target
  * @param instance identity of this start of the target; a different one is a different target
+ * @param coldMillis time for which the target stays cold after the announcement, in milliseconds; 0
+ *     when it is warm
  */
 public record Announcement(
         String node,
@@ -27,7 +29,47 @@
         Address inbound,
         int slots,
         TargetPhase phase,
-        String instance) {
+        String instance,
+        long coldMillis) {
+    /**
+     * Creates the announcement of a warm target.
+     *
+     * @param node name of the node, unique in the mesh
+     * @param incarnation start time of the node's process in milliseconds since the epoch
+     * @param sequence number of the announcement, counted per process
+     * @param service name of the target's service
+     * @param version version of the target
+     * @param dataCentre data centre that it runs in
+     * @param inbound address on which the node accepts calls for the target
+     * @param slots calls that the target runs concurrently
+     * @param phase lifecycle phase of the target
+     * @param instance identity of this start of the target
+     */
+    public Announcement(
+            String node,
+            long incarnation,
+            long sequence,
+            String service,
+            String version,
+            String dataCentre,
+            Address inbound,
+            int slots,
+            TargetPhase phase,
+            String instance) {
+        this(
+                node,
+                incarnation,
+                sequence,
+                service,
+                version,
+                dataCentre,
+                inbound,
+                slots,
+                phase,
+                instance,
+                0);
+    }
+
     /**
      * Tells whether this announcement is later than another of the same node. The expiry of a lease
      * has the sequence number of the announcement that it replaces, so that it is later than that
@@ -85,6 +127,7 @@
                 inbound,
                 slots,
                 newPhase,
-                instance);
+                instance,
+                coldMillis);
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/membership/TargetHeartbeat.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/membership/TargetHeartbeat.java
@@ -1,5 +1,6 @@
 package org.cuminreach.decisions.membership;
 
+import java.util.OptionalLong;
 import org.cuminreach.settings.Address;
 
 /**
@@ -14,8 +15,8 @@
  * @param address address on which it listens
  * @param slots calls that it runs concurrently, at least 1
  * @param draining whether it accepts no new calls
- * @param warmUpRemainingMillis time for which it will still be slow after its start, in
- *     milliseconds
+ * @param coldRemainingMillis time for which it stays cold, in milliseconds; empty when it does not
+ *     say
  */
 public record TargetHeartbeat(
         String instance,
@@ -26,7 +27,7 @@
         Address address,
         int slots,
         boolean draining,
-        long warmUpRemainingMillis) {
+        OptionalLong coldRemainingMillis) {
     private static final char SEPARATOR = '/';
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -1,5 +1,7 @@
 package org.cuminreach.decisions.routing;
 
+import java.util.Optional;
+
 /**
  * Results of one node's own calls to one target, and the latest load report of the target as a hint
  * of the load from other nodes. Thread-safe.
@@ -49,6 +51,7 @@
     private long leavingUntilMillis = NEVER;
     private long nodeIncarnation;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
+    private final ColdShare coldShare = new ColdShare();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
         this.policy = policy;
@@ -147,6 +150,26 @@
         rateLimit = stated;
     }
 
+    /**
+     * Records what the node beside the target tells of its coldness.
+     *
+     * @param notice the cold time and rate, or empty when the target is warm
+     * @param nowMillis time at which it arrived
+     */
+    public synchronized void recordCold(Optional<ColdNotice> notice, long nowMillis) {
+        coldShare.record(notice, nowMillis);
+    }
+
+    /**
+     * Returns what is known of the coldness of the target.
+     *
+     * @param nowMillis current time
+     * @return the remaining cold time and the rate, or empty when the target is warm
+     */
+    public synchronized Optional<ColdNotice> coldNotice(long nowMillis) {
+        return coldShare.notice(nowMillis);
+    }
+
     /**
      * Records which process of its node announced the target. A later one accepts calls again after
      * the planned stop of an earlier one.
@@ -201,6 +224,7 @@
         limit = Math.min(slots, report.limit());
         reportedMillis = nowMillis;
         latestReport = report;
+        coldShare.recordRun(report.runMillis());
         sentSinceReport = 0;
         draining |= report.draining();
     }
@@ -216,10 +240,10 @@
      */
     public synchronized double expectedWaitMillis(
             int priority, double typicalRunMillis, long nowMillis) {
-        double capacity = limit * slowStartShare(nowMillis);
+        double capacity = limit * capacityShare(nowMillis);
         double runMillis = typicalRunMillis * meanSlowness;
         if (!usesReports(nowMillis)) {
-            return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * slowStartShare(nowMillis))
+            return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * capacityShare(nowMillis))
                     * runMillis
                     / capacity;
         }
@@ -245,7 +269,7 @@
             double age = nowMillis - reportedMillis;
             others = otherNodesCalls / (1 + age / REPORT_HALF_WEIGHT_MILLIS);
         }
-        double used = (outstanding + others + 1) / (capacity * slowStartShare(nowMillis));
+        double used = (outstanding + others + 1) / (capacity * capacityShare(nowMillis));
         return used + FAILURE_WEIGHT * failureRate * failureRate;
     }
 
@@ -258,7 +282,7 @@
      * @return the cost, at least 0
      */
     public synchronized double cost(long nowMillis) {
-        double own = OWN_CALLS_WEIGHT * outstanding / (slots * slowStartShare(nowMillis));
+        double own = OWN_CALLS_WEIGHT * outstanding / (slots * capacityShare(nowMillis));
         return (load(nowMillis) + own) * meanSlowness;
     }
 
@@ -317,6 +341,12 @@
         return rateLimit instanceof CallRateLimit.PerSecond;
     }
 
+    /** Returns the share of its capacity for which the target counts now. */
+    private double capacityShare(long nowMillis) {
+        return Math.min(
+                slowStartShare(nowMillis), coldShare.share(slots, maxCalls(nowMillis), nowMillis));
+    }
+
     private double slowStartShare(long nowMillis) {
         double warmed = (double) (nowMillis - slowStartSinceMillis) / policy.slowStartMillis();
         return Math.clamp(warmed, policy.initialShare(), 1);
--- a/decisions/src/test/java/org/cuminreach/decisions/membership/HeartbeatTrackerTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/membership/HeartbeatTrackerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -17,7 +18,7 @@
     private static TargetHeartbeat heartbeat(
             String instance, long start, long sequence, boolean draining) {
         return new TargetHeartbeat(
-                instance, start, sequence, "arkiv", "v1", ADDRESS, 9, draining, 0);
+                instance, start, sequence, "arkiv", "v1", ADDRESS, 9, draining, OptionalLong.of(0));
     }
 
     /** The latest heartbeat of the latest start counts, in any order of arrival. */
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -20,6 +20,7 @@
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.target.ColdSettings;
 import org.cuminreach.node.target.LocalTarget;
 import org.cuminreach.node.target.TargetAdmissionHandler;
 import org.cuminreach.node.target.TargetAnnouncer;
@@ -94,7 +95,13 @@
                         announcer::target,
                         targetClient,
                         protocolAdapter.targetProtocol(),
-                        TargetMetrics.register(registry));
+                        TargetMetrics.register(registry),
+                        new ColdSettings(
+                                configurationHolder::activeConfiguration,
+                                settings.dataCentre(),
+                                settings.bounds().cold()));
+        announcer.setColdMillis(
+                () -> admissionHandler.coldTarget().coldMillis(ProcessClock.monotonicMillis()));
         controlSession =
                 ControlSession.create(
                         settings,
@@ -109,9 +116,18 @@
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
         admissionHandler.setLeavingListener(
                 instance -> localTarget.recordLeaving(instance, ProcessClock.monotonicMillis()));
+        admissionHandler.setColdListener(controlSession::announce);
         deduplicator =
                 CallDeduplicator.create(
                         settings.name(), controlSession::isWelcomed, keyHomes, httpSender);
+        meshView.setColdRates(
+                service ->
+                        configurationHolder
+                                .activeConfiguration()
+                                .document()
+                                .service(service)
+                                .map(known -> known.coldStart().callsPerSecond())
+                                .orElse(0.0));
         meshView.setChangeListener(changes -> keyHomes.apply(changes, ProcessClock.wallMillis()));
     }
 
@@ -342,6 +358,16 @@
                 "cuminreach_node_target_limit_per_second",
                 "Calls per second that the target states as its limit, 0 without one",
                 admissionHandler::limitPerSecond);
+        Gauges.register(
+                registry,
+                "cuminreach_node_target_cold_limit_per_second",
+                "Calls per second that the target withstands while it is cold, 0 when it is warm",
+                admissionHandler.coldTarget()::callsPerSecond);
+        Gauges.register(
+                registry,
+                "cuminreach_node_cold_targets",
+                "Targets seen that are cold and have a limit",
+                () -> meshView.coldCount(ProcessClock.monotonicMillis()));
         Gauges.register(
                 registry,
                 "cuminreach_node_control_sent_bytes",
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -165,6 +165,7 @@
                 MeshHeaders.endToEnd(call.headers())
                         .remove(MeshHeaders.KEY_HOME)
                         .remove(MeshHeaders.TARGET_LIMIT)
+                        .remove(MeshHeaders.TARGET_COLD)
                         .set(MeshHeaders.REQUEST_ID, requestId)
                         .set(MeshHeaders.CALLER, caller)
                         .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
@@ -175,6 +176,9 @@
         if (target.statistics().rateLimit() instanceof CallRateLimit.PerSecond limit) {
             headers.set(MeshHeaders.TARGET_LIMIT, limit.text());
         }
+        target.statistics()
+                .coldNotice(nowMillis)
+                .ifPresent(cold -> headers.set(MeshHeaders.TARGET_COLD, cold.text()));
         return headers;
     }
 
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -42,6 +42,12 @@
      */
     public static final String TARGET_LIMIT = "X-Cuminreach-Target-Limit";
 
+    /**
+     * Cold time of a target: the milliseconds alone when the target sets it; between nodes with the
+     * calls per second that it withstands meanwhile, as known to the sender of a call or an answer.
+     */
+    public static final String TARGET_COLD = "X-Cuminreach-Target-Cold";
+
     /** Set to {@code true} by a target that is about to stop. */
     public static final String TARGET_LEAVING = "X-Cuminreach-Target-Leaving";
 
@@ -98,6 +104,7 @@
                     REACHED_TARGET,
                     TARGET_LIMIT,
                     TARGET_LEAVING,
+                    TARGET_COLD,
                     REASON,
                     RETRY_AFTER_MILLIS);
 
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -5,12 +5,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.EstablishedVersions;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.membership.TargetRegistry;
+import org.cuminreach.decisions.routing.ColdNotice;
 import org.cuminreach.decisions.routing.LoadBalancingPolicy;
 import org.cuminreach.decisions.routing.TargetStatistics;
 import org.cuminreach.decisions.routing.TargetView;
@@ -32,6 +35,7 @@
     private final EstablishedVersions establishedVersions = EstablishedVersions.empty();
     private final Map<NodeInstance, TargetStatistics> statistics = new HashMap<>();
     private Consumer<List<Announcement>> changeListener = changes -> {};
+    private volatile ToDoubleFunction<String> coldRates = service -> 0;
     private volatile Map<String, Map<String, List<TargetView>>> readyTargets = Map.of();
 
     private final LoadBalancingPolicy loadBalancingPolicy;
@@ -78,6 +82,15 @@
         changeListener = listener;
     }
 
+    /**
+     * Sets what cold targets withstand.
+     *
+     * @param rates returns the calls per second for the name of a service, 0 without a limit
+     */
+    public void setColdRates(ToDoubleFunction<String> rates) {
+        coldRates = rates;
+    }
+
     /**
      * Merges announcements.
      *
@@ -90,9 +103,39 @@
             changeListener.accept(changes);
             registry.removeGone(nowMillis, GONE_RETENTION_MILLIS);
             rebuild(nowMillis);
+            changes.forEach(announcement -> recordCold(announcement, nowMillis));
         }
     }
 
+    /** Adopts the cold time of a target whose service has a limit for cold targets. */
+    private void recordCold(Announcement announcement, long nowMillis) {
+        TargetStatistics known = statistics.get(nodeInstance(announcement));
+        double callsPerSecond = coldRates.applyAsDouble(announcement.service());
+        if (known == null || callsPerSecond <= 0) {
+            return;
+        }
+        Optional<ColdNotice> notice =
+                announcement.coldMillis() > 0
+                        ? Optional.of(new ColdNotice(announcement.coldMillis(), callsPerSecond))
+                        : Optional.empty();
+        known.recordCold(notice, nowMillis);
+    }
+
+    /**
+     * Returns the number of ready targets that are cold.
+     *
+     * @param nowMillis current time
+     * @return targets that are known to be cold and have a limit
+     */
+    public int coldCount(long nowMillis) {
+        return (int)
+                readyTargets.values().stream()
+                        .flatMap(versions -> versions.values().stream())
+                        .flatMap(List::stream)
+                        .filter(target -> target.statistics().coldNotice(nowMillis).isPresent())
+                        .count();
+    }
+
     /**
      * Merges a complete list of announcements and marks the targets that it lacks as gone.
      *
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.cuminreach.decisions.routing.CallRateLimit;
+import org.cuminreach.decisions.routing.ColdNotice;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetCallResult;
 import org.cuminreach.decisions.routing.TargetView;
@@ -54,6 +55,8 @@
         if (sent instanceof SendOutcome.Completed completed) {
             HttpHeaders headers = completed.answer().headers();
             CallRateLimit limit = removeLimit(headers);
+            Optional<ColdNotice> cold = ColdNotice.parse(headers.get(MeshHeaders.TARGET_COLD, ""));
+            headers.remove(MeshHeaders.TARGET_COLD);
             boolean leaving = headers.contains(MeshHeaders.TARGET_LEAVING);
             headers.remove(MeshHeaders.TARGET_LEAVING);
             if (leaving) {
@@ -61,6 +64,7 @@
             }
             if (report.isPresent() && result != TargetCallResult.UNREACHABLE) {
                 target.statistics().recordRateLimit(limit);
+                target.statistics().recordCold(cold, nowMillis);
             }
         }
         target.statistics().recordResult(result, slowness, nowMillis);
--- a/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
+++ b/node/src/main/java/org/cuminreach/node/target/LocalTarget.java
@@ -60,7 +60,11 @@
             TargetHeartbeat heartbeat, long nowMillis) {
         HeartbeatOutcome outcome = heartbeats.record(heartbeat);
         if (outcome instanceof HeartbeatOutcome.Accepted accepted) {
+            admissionHandler
+                    .coldTarget()
+                    .record(heartbeat.startIdentity(), heartbeat.coldRemainingMillis(), nowMillis);
             updateTarget(heartbeat, accepted.phase(), nowMillis);
+            admissionHandler.onTimer(nowMillis);
         } else {
             LOGGER.info(
                     "event=heartbeat_ignored instance={} outcome={}",
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -0,0 +1,63 @@
+package org.cuminreach.node.target;
+
+import java.util.concurrent.CompletableFuture;
+import org.cuminreach.decisions.admission.AdmissionRequest;
+import org.cuminreach.decisions.admission.Caller;
+import org.cuminreach.decisions.routing.RouteMetadata;
+import org.cuminreach.node.http.CallAnswers;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+
+/**
+ * A call to the target that has not been answered yet.
+ *
+ * @param call the call
+ * @param requestId identity of the call
+ * @param admissionRequest what its admission depends on
+ * @param arrivalNanos time at which it arrived
+ * @param answer completed with its answer
+ */
+record PendingCall(
+        HttpCall call,
+        String requestId,
+        AdmissionRequest admissionRequest,
+        long arrivalNanos,
+        CompletableFuture<HttpAnswer> answer) {
+    private static final int DEFAULT_REMAINING_MILLIS = 5_000;
+
+    /** Converts the remaining times of a call to times of this node's clock. */
+    static PendingCall of(
+            HttpCall call, RouteMetadata route, double typicalRunMillis, long nowMillis) {
+        long remaining =
+                CallAnswers.intHeader(call, MeshHeaders.REMAINING_MILLIS, DEFAULT_REMAINING_MILLIS);
+        long objective =
+                route.objectiveMillis() == RouteMetadata.NO_OBJECTIVE
+                        ? AdmissionRequest.NO_OBJECTIVE
+                        : nowMillis + route.objectiveMillis();
+        AdmissionRequest request =
+                new AdmissionRequest(
+                        Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
+                        route.route(),
+                        route.priority(),
+                        nowMillis,
+                        objective,
+                        nowMillis + remaining,
+                        typicalRunMillis);
+        return new PendingCall(
+                call,
+                call.header(MeshHeaders.REQUEST_ID, ""),
+                request,
+                System.nanoTime(),
+                new CompletableFuture<>());
+    }
+
+    String caller() {
+        return admissionRequest.caller().text();
+    }
+
+    /** Start of the target that the call is for, or empty when its sender named none. */
+    String targetStart() {
+        return call.header(MeshHeaders.TARGET_START, "");
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -7,8 +7,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
-import org.cuminreach.decisions.admission.AdmissionRequest;
-import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
 import org.cuminreach.decisions.admission.RunTimes;
@@ -32,27 +30,9 @@
  */
 public final class TargetAdmissionHandler implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(TargetAdmissionHandler.class);
-    private static final int DEFAULT_REMAINING_MILLIS = 5_000;
     private static final long DRAINING_RETRY_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1_000_000;
 
-    /** A call that has not been answered yet. */
-    private record PendingCall(
-            HttpCall call,
-            String requestId,
-            AdmissionRequest admissionRequest,
-            long arrivalNanos,
-            CompletableFuture<HttpAnswer> answer) {
-        private String caller() {
-            return admissionRequest.caller().text();
-        }
-
-        /** Start of the target that the call is for, or empty when its sender named none. */
-        private String targetStart() {
-            return call.header(MeshHeaders.TARGET_START, "");
-        }
-    }
-
     private final String node;
     private final Supplier<Optional<TargetDescription>> target;
     private final TargetClient client;
@@ -60,9 +40,11 @@
     private final FairQueue<PendingCall> queue = FairQueue.ofSlots(1);
     private final TargetMetrics metrics;
     private final RunTimes runTimes = RunTimes.empty();
-    private final TargetNotices notices = new TargetNotices();
+    private final ColdTarget coldTarget;
+    private final TargetNotices notices;
     private int slots = 1;
     private volatile Consumer<String> leavingListener = instance -> {};
+    private volatile Runnable coldListener = () -> {};
     private volatile String drainingInstance = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
 
@@ -71,12 +53,15 @@
             Supplier<Optional<TargetDescription>> target,
             TargetClient client,
             TargetProtocol protocol,
-            TargetMetrics metrics) {
+            TargetMetrics metrics,
+            ColdSettings coldSettings) {
         this.node = node;
         this.target = target;
         this.client = client;
         this.protocol = protocol;
         this.metrics = metrics;
+        coldTarget = new ColdTarget(coldSettings);
+        notices = new TargetNotices(coldTarget);
     }
 
     /**
@@ -87,6 +72,7 @@
      * @param client sends calls to it
      * @param protocol its header conventions
      * @param metrics metrics of its calls
+     * @param coldSettings what is known of cold targets
      * @return the handler
      */
     public static TargetAdmissionHandler create(
@@ -94,21 +80,20 @@
             Supplier<Optional<TargetDescription>> target,
             TargetClient client,
             TargetProtocol protocol,
-            TargetMetrics metrics) {
-        return new TargetAdmissionHandler(node, target, client, protocol, metrics);
+            TargetMetrics metrics,
+            ColdSettings coldSettings) {
+        return new TargetAdmissionHandler(node, target, client, protocol, metrics, coldSettings);
     }
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
         long nowMillis = ProcessClock.monotonicMillis();
         RouteMetadata route = RouteMetadata.parse(call.header(MeshHeaders.ROUTE, ""));
-        PendingCall pending =
-                new PendingCall(
-                        call,
-                        call.header(MeshHeaders.REQUEST_ID, ""),
-                        admissionRequest(call, route, nowMillis),
-                        System.nanoTime(),
-                        new CompletableFuture<>());
+        double typicalRunMillis;
+        synchronized (queue) {
+            typicalRunMillis = runTimes.typicalRunMillis(route.route());
+        }
+        PendingCall pending = PendingCall.of(call, route, typicalRunMillis, nowMillis);
         Optional<String> refusal = refusalReason(call, nowMillis);
         if (refusal.isPresent()) {
             refuse(pending, refusal.get(), DRAINING_RETRY_MILLIS);
@@ -134,28 +119,6 @@
         return pending.answer();
     }
 
-    /** Converts the remaining times of a call to times of this node's clock. */
-    private AdmissionRequest admissionRequest(HttpCall call, RouteMetadata route, long nowMillis) {
-        long remaining =
-                CallAnswers.intHeader(call, MeshHeaders.REMAINING_MILLIS, DEFAULT_REMAINING_MILLIS);
-        long objective =
-                route.objectiveMillis() == RouteMetadata.NO_OBJECTIVE
-                        ? AdmissionRequest.NO_OBJECTIVE
-                        : nowMillis + route.objectiveMillis();
-        double typicalRunMillis;
-        synchronized (queue) {
-            typicalRunMillis = runTimes.typicalRunMillis(route.route());
-        }
-        return new AdmissionRequest(
-                Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
-                route.route(),
-                route.priority(),
-                nowMillis,
-                objective,
-                nowMillis + remaining,
-                typicalRunMillis);
-    }
-
     /** Returns why the current target cannot take a call, or empty when it can. */
     private Optional<String> refusalReason(HttpCall call, long nowMillis) {
         Optional<TargetDescription> current = target.get();
@@ -174,6 +137,7 @@
         }
         notices.adoptLimit(
                 instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
+        coldTarget.adopt(call.headers(), nowMillis);
         applyDescription(current.get(), nowMillis);
         return Optional.empty();
     }
@@ -181,11 +145,15 @@
     private void applyDescription(TargetDescription current, long nowMillis) {
         synchronized (queue) {
             queue.setRateLimit(notices.limit(current.instance()), nowMillis);
+            queue.setColdLimit(coldTarget.limit(current, nowMillis), nowMillis);
             if (slots != current.slots()) {
                 slots = current.slots();
                 queue.resize(slots);
             }
         }
+        if (coldTarget.takeChange()) {
+            coldListener.run();
+        }
     }
 
     /**
@@ -197,6 +165,15 @@
         leavingListener = listener;
     }
 
+    /**
+     * Sets the listener for changes between cold and warm.
+     *
+     * @param listener called after each change
+     */
+    public void setColdListener(Runnable listener) {
+        coldListener = listener;
+    }
+
     /**
      * Starts the waiting calls for which there is room, and refuses those that can no longer start
      * in time, or all while the target drains.
@@ -206,6 +183,7 @@
     public void onTimer(long nowMillis) {
         List<RefusedCall<PendingCall>> expired;
         List<PendingCall> started;
+        target.get().ifPresent(current -> applyDescription(current, nowMillis));
         synchronized (queue) {
             expired =
                     nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
@@ -263,6 +241,15 @@
         return notices.limitPerSecond();
     }
 
+    /**
+     * Returns what is known of the coldness of the target.
+     *
+     * @return knowledge that is kept up to date
+     */
+    public ColdTarget coldTarget() {
+        return coldTarget;
+    }
+
     private void run(PendingCall pending) {
         long startNanos = System.nanoTime();
         metrics.recordStart(startNanos - pending.arrivalNanos());
@@ -287,7 +274,8 @@
                 MeshHeaders.endToEnd(pending.call().headers())
                         .remove(MeshHeaders.TARGET_NODE)
                         .remove(MeshHeaders.TARGET_START)
-                        .remove(MeshHeaders.TARGET_LIMIT);
+                        .remove(MeshHeaders.TARGET_LIMIT)
+                        .remove(MeshHeaders.TARGET_COLD);
         String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
@@ -306,6 +294,10 @@
     }
 
     private SendOutcome read(SendOutcome sent, String instance) {
+        if (sent instanceof SendOutcome.NotSent notSent
+                && notSent.reason().equals(TargetClient.CANNOT_CONNECT)) {
+            coldTarget.recordUnreachable(ProcessClock.monotonicMillis());
+        }
         if (!(sent instanceof SendOutcome.Completed completed)) {
             return sent;
         }
@@ -316,10 +308,12 @@
     }
 
     private void recordNotice(String instance, TargetNotice notice) {
+        long nowMillis = ProcessClock.monotonicMillis();
         boolean isFirstLeaving = notices.record(instance, notice);
-        synchronized (queue) {
-            queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
+        if (notice.coldMillis().isPresent()) {
+            coldTarget.record(instance, notice.coldMillis(), nowMillis);
         }
+        target.get().ifPresent(current -> applyDescription(current, nowMillis));
         if (isFirstLeaving) {
             leavingListener.accept(instance);
         }
--- a/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAnnouncer.java
@@ -1,6 +1,7 @@
 package org.cuminreach.node.target;
 
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.settings.NodeSettings;
@@ -12,6 +13,7 @@
     private Optional<TargetDescription> target;
     private long incarnation;
     private long sequence;
+    private LongSupplier coldMillis = () -> 0;
 
     private TargetAnnouncer(
             NodeSettings settings, Optional<TargetDescription> target, long incarnation) {
@@ -63,6 +65,15 @@
         return differs;
     }
 
+    /**
+     * Sets the source of the cold time of the target.
+     *
+     * @param source supplies the time for which the target stays cold, in milliseconds
+     */
+    public synchronized void setColdMillis(LongSupplier source) {
+        coldMillis = source;
+    }
+
     /**
      * Sets the phase of the target for the next announcement.
      *
@@ -102,6 +113,7 @@
                 settings.inboundAddress(),
                 description.slots(),
                 description.phase(),
-                description.instance());
+                description.instance(),
+                coldMillis.getAsLong());
     }
 }
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -36,6 +36,9 @@
      */
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** Reason of a call that was not sent because no connection could be made. */
+    static final String CANNOT_CONNECT = "cannot_connect";
+
     /** Maximum size of the headers of an answer: twice as much as callers may send. */
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
@@ -139,7 +142,7 @@
                                 "event=target_unreachable address={} reason=\"{}\"",
                                 address,
                                 String.valueOf(done.cause().getMessage()));
-                        exchange.complete(new SendOutcome.NotSent("cannot_connect"));
+                        exchange.complete(new SendOutcome.NotSent(CANNOT_CONNECT));
                     }
                 });
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -2,6 +2,7 @@
 
 import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,6 +15,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(TargetNotices.class);
     private static final long REPORT_INTERVAL_MILLIS = 1_000;
 
+    private final ColdTarget coldTarget;
     private String instance = "";
     private CallRateLimit limit = CallRateLimit.unlimited();
     private boolean leaving;
@@ -21,6 +23,10 @@
     private int sentSinceReport;
     private long reportedMillis;
 
+    TargetNotices(ColdTarget coldTarget) {
+        this.coldTarget = coldTarget;
+    }
+
     /**
      * Records the notice in an answer.
      *
@@ -115,6 +121,7 @@
         if (leaving) {
             answer.setHeader(MeshHeaders.TARGET_LEAVING, "true");
         }
+        coldTarget.addTo(answer, ProcessClock.monotonicMillis());
         return answer;
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -83,7 +83,8 @@
             public TargetNotice readNotice(HttpHeaders headers) {
                 return new TargetNotice(
                         CallRateLimit.parse(headers.get(MeshHeaders.TARGET_LIMIT, "")),
-                        Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")));
+                        Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")),
+                        TargetNotice.coldMillis(headers.get(MeshHeaders.TARGET_COLD, "")));
             }
         };
     }
--- a/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
+++ b/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
@@ -9,6 +9,7 @@
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetStatus;
 import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
 
 class MeshViewTest {
@@ -48,6 +49,34 @@
         assertThat(target().statistics().status(0)).isEqualTo(TargetStatus.USABLE);
     }
 
+    @Example
+    void coldTimeOfAnnouncementIsTakenUpOnlyWhereServiceHasLimit() {
+        view.merge(List.of(cold(1, 4_000)));
+        assertThat(view.coldCount(ProcessClock.monotonicMillis())).isEqualTo(0);
+
+        view.setColdRates(service -> 9.1);
+        view.merge(List.of(cold(2, 60_000)));
+        assertThat(view.coldCount(ProcessClock.monotonicMillis())).isEqualTo(1);
+
+        view.merge(List.of(cold(3, 0)));
+        assertThat(view.coldCount(ProcessClock.monotonicMillis())).isEqualTo(0);
+    }
+
+    private static Announcement cold(long sequence, long coldMillis) {
+        return new Announcement(
+                "node-1",
+                1,
+                sequence,
+                "arkiv",
+                "1",
+                "nidaros",
+                new Address("127.0.0.1", 7_000),
+                4,
+                TargetPhase.READY,
+                START,
+                coldMillis);
+    }
+
     private TargetView target() {
         return view.targets("arkiv", "1").getFirst();
     }
--- a/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
@@ -60,7 +60,8 @@
                             () -> Optional.of(description),
                             client,
                             TargetProtocol.passThrough(),
-                            TargetMetrics.register(new PrometheusRegistry()));
+                            TargetMetrics.register(new PrometheusRegistry()),
+                            ColdSettings.none());
             timer.scheduleWithFixedDelay(
                     () -> handler.onTimer(ProcessClock.monotonicMillis()),
                     20,
@@ -116,7 +117,8 @@
                             () -> Optional.of(description),
                             client,
                             TargetProtocol.passThrough(),
-                            TargetMetrics.register(new PrometheusRegistry()));
+                            TargetMetrics.register(new PrometheusRegistry()),
+                            ColdSettings.none());
             for (int call = 0; call < SLOTS; call++) {
                 HttpCall sent = call("call-" + call, "a");
                 sent.headers()
--- a/wire/src/main/java/org/cuminreach/wire/AnnouncementCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/AnnouncementCodec.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.decisions.membership.TargetWarmth;
 import org.cuminreach.wire.generated.AnnouncementBatch;
 import org.cuminreach.wire.generated.AnnouncementStruct;
 import org.cuminreach.wire.generated.Frame;
@@ -65,6 +66,9 @@
                         announcement.inbound().toString(),
                         announcement.slots(),
                         announcement.phase().ordinal());
+        if (announcement.coldMillis() > 0) {
+            struct.setColdMillis(announcement.coldMillis());
+        }
         return struct.setInstance(announcement.instance());
     }
 
@@ -88,6 +92,9 @@
                 RaftCodec.toAddress(struct.getInbound()),
                 struct.getSlots(),
                 phases[struct.getPhase()],
-                struct.isSetInstance() ? struct.getInstance() : struct.getNode());
+                struct.isSetInstance() ? struct.getInstance() : struct.getNode(),
+                struct.isSetColdMillis()
+                        ? Math.clamp(struct.getColdMillis(), 0, TargetWarmth.MAX_COLD_MILLIS)
+                        : 0);
     }
 }
