Start, end and list evacuations through the operators' interfaces

The replicated state knew evacuated data centres, but no operator could name one: both calls of the platform were answered 404. An order now passes to the leader like a document and is acknowledged once a majority has it on disk. It is idempotent, so a resend to any control is acknowledged again; an end without a start changes nothing and is logged as unchanged. A data centre that neither the settings nor an announcement name is a fault. Weighed: an idempotency key for each order; a resend then needs the key, and the platform sends none.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cuminreach.control.evacuation.EvacuationOrders;
+import org.cuminreach.control.evacuation.EvacuationReporter;
 import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.NodeSessionManager;
 import org.cuminreach.control.operator.OperatorGateway;
@@ -69,6 +71,8 @@
     private final PeerConnections peers;
     private final RolloutController rolloutController;
     private final RolloutReporter rolloutReporter;
+    private final EvacuationReporter evacuationReporter;
+    private final EvacuationOrders evacuations;
     private final EvidenceForwarder evidenceForwarder;
     private final NodeSessionManager sessions;
     private final OperatorView view;
@@ -95,6 +99,8 @@
         rolloutController = RolloutController.create(replica);
         rolloutReporter = RolloutReporter.create(replica.configuration());
         replica.addListener(rolloutReporter);
+        evacuationReporter = EvacuationReporter.create(replica.configuration());
+        replica.addListener(evacuationReporter);
         evidenceForwarder = EvidenceForwarder.create(replica, peers, rolloutController);
         sessions =
                 NodeSessionManager.create(
@@ -113,6 +119,12 @@
                                 .map(ControlSettings.Peer::replicaAddress)
                                 .toList(),
                         ProcessClock.monotonicMillis());
+        evacuations =
+                EvacuationOrders.create(
+                        replica::configuration,
+                        command -> peers.submit(command, ProcessClock.monotonicMillis()),
+                        settings.bounds().regions().keySet(),
+                        sessions::announcements);
         view = OperatorView.create(settings.name(), replica, sessions);
     }
 
@@ -177,7 +189,9 @@
                         OperatorHandler.create(
                                 peers,
                                 view,
-                                ConsoleHandler.create(settings.name(), replica, peers, sessions)))
+                                evacuations,
+                                ConsoleHandler.create(
+                                        settings.name(), replica, peers, sessions, evacuations)))
                 .join();
         HttpServer.listen(
                         settings.administrationAddress(),
@@ -243,7 +257,7 @@
      * @return the gateway
      */
     public OperatorGateway operatorGateway() {
-        return OperatorGateway.create(replica, peers, sessions::announcements);
+        return OperatorGateway.create(replica, peers, sessions::announcements, evacuations);
     }
 
     /**
@@ -263,6 +277,7 @@
     private PrometheusRegistry metrics() {
         PrometheusRegistry registry = new PrometheusRegistry();
         rolloutReporter.register(registry);
+        evacuationReporter.register(registry);
         Gauges.register(
                 registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
         Gauges.register(
--- a/control/src/main/java/org/cuminreach/control/command/ControlMain.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlMain.java
@@ -22,6 +22,7 @@
                                 new CheckCommand(),
                                 new SubmitCommand(),
                                 new MembersCommand(),
+                                new EvacuationsCommand(),
                                 ReadCommand.status(),
                                 new WatchCommand(),
                                 new TraceCommand(),
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorGateway.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorGateway.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.replica.PeerConnections;
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.control.replica.SubmitResult;
@@ -16,14 +17,17 @@
     private final ReplicaDriver replica;
     private final PeerConnections peers;
     private final Supplier<List<Announcement>> announcements;
+    private final EvacuationOrders evacuations;
 
     private OperatorGateway(
             ReplicaDriver replica,
             PeerConnections peers,
-            Supplier<List<Announcement>> announcements) {
+            Supplier<List<Announcement>> announcements,
+            EvacuationOrders evacuations) {
         this.replica = replica;
         this.peers = peers;
         this.announcements = announcements;
+        this.evacuations = evacuations;
     }
 
     /**
@@ -32,13 +36,15 @@
      * @param replica its replica
      * @param peers its connections to other controls
      * @param announcements supplies the latest announcement of each target
+     * @param evacuations orders to evacuate data centres
      * @return the gateway
      */
     public static OperatorGateway create(
             ReplicaDriver replica,
             PeerConnections peers,
-            Supplier<List<Announcement>> announcements) {
-        return new OperatorGateway(replica, peers, announcements);
+            Supplier<List<Announcement>> announcements,
+            EvacuationOrders evacuations) {
+        return new OperatorGateway(replica, peers, announcements, evacuations);
     }
 
     /**
@@ -53,6 +59,19 @@
         return peers.submit(submission, nowMillis);
     }
 
+    /**
+     * Starts or ends the evacuation of a data centre.
+     *
+     * @param operator name of the operator, for the history
+     * @param dataCentre name of the data centre
+     * @param evacuate true to start the evacuation, false to end it
+     * @return completes once the order is durable, or with the reason why it is not
+     */
+    public CompletableFuture<SubmitResult> setEvacuation(
+            String operator, String dataCentre, boolean evacuate) {
+        return evacuations.submit(operator, dataCentre, evacuate);
+    }
+
     /**
      * Reads the configuration after a majority has confirmed that no newer one is committed, which
      * makes the read linearizable.
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.operator.console.ConsoleHandler;
 import org.cuminreach.control.replica.PeerConnections;
 import org.cuminreach.control.replica.SubmitResult;
@@ -29,12 +30,18 @@
     private final PeerConnections peers;
     private final OperatorView view;
     private final MembersHandler members;
+    private final EvacuationsHandler evacuations;
     private final ConsoleHandler console;
 
-    private OperatorHandler(PeerConnections peers, OperatorView view, ConsoleHandler console) {
+    private OperatorHandler(
+            PeerConnections peers,
+            OperatorView view,
+            EvacuationOrders evacuations,
+            ConsoleHandler console) {
         this.peers = peers;
         this.view = view;
         this.members = new MembersHandler(view.replica());
+        this.evacuations = new EvacuationsHandler(evacuations);
         this.console = console;
     }
 
@@ -43,12 +50,16 @@
      *
      * @param peers connections that forward submissions to the leader
      * @param view answers reads
+     * @param evacuations orders to evacuate data centres
      * @param console handles all other paths
      * @return the handler
      */
     public static OperatorHandler create(
-            PeerConnections peers, OperatorView view, ConsoleHandler console) {
-        return new OperatorHandler(peers, view, console);
+            PeerConnections peers,
+            OperatorView view,
+            EvacuationOrders evacuations,
+            ConsoleHandler console) {
+        return new OperatorHandler(peers, view, evacuations, console);
     }
 
     @Override
@@ -58,6 +69,7 @@
             case "GET /documents/current" -> completed(view.currentDocument());
             case "GET /status" -> completed(view.status());
             case "GET /members", "POST /members" -> members.handle(call);
+            case "GET /evacuations", "POST /evacuations" -> evacuations.handle(call);
             case "GET /convergence" -> completed(convergence(call));
             case "GET /history" -> completed(view.history());
             default -> console.handle(call);
@@ -112,7 +124,7 @@
         }
     }
 
-    private static HttpAnswer toAnswer(SubmitResult result) {
+    static HttpAnswer toAnswer(SubmitResult result) {
         return switch (result) {
             case SubmitResult.Decided decided -> toAnswer(decided.outcome());
             case SubmitResult.NotRun notRun ->
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
@@ -67,6 +67,7 @@
         putLagging(status.putArray("lagging"), convergence);
         putMembers(status.putArray("members"));
         putRollouts(status.putArray("rollouts"), configuration);
+        configuration.evacuatedDataCentres().forEach(status.putArray("evacuated")::add);
         putTargets(status.putArray("targets"));
         putNodes(status.putArray("nodes"), configuration.version());
         return status.toPrettyString() + "\n";
--- a/control/src/main/java/org/cuminreach/control/operator/console/ConsoleHandler.java
+++ b/control/src/main/java/org/cuminreach/control/operator/console/ConsoleHandler.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.node.NodeSessionManager;
 import org.cuminreach.control.replica.PeerConnections;
 import org.cuminreach.control.replica.ReplicaDriver;
@@ -37,11 +38,17 @@
     private final ReplicaDriver replica;
     private final PeerConnections peers;
     private final OverviewPage overview;
+    private final EvacuationPages evacuations;
 
-    private ConsoleHandler(ReplicaDriver replica, PeerConnections peers, OverviewPage overview) {
+    private ConsoleHandler(
+            ReplicaDriver replica,
+            PeerConnections peers,
+            OverviewPage overview,
+            EvacuationPages evacuations) {
         this.replica = replica;
         this.peers = peers;
         this.overview = overview;
+        this.evacuations = evacuations;
     }
 
     /**
@@ -51,14 +58,20 @@
      * @param replica holds the committed configuration
      * @param peers connections that forward submissions to the leader
      * @param sessions sessions of the nodes
+     * @param evacuations orders to evacuate data centres
      * @return the console
      */
     public static ConsoleHandler create(
             String control,
             ReplicaDriver replica,
             PeerConnections peers,
-            NodeSessionManager sessions) {
-        return new ConsoleHandler(replica, peers, new OverviewPage(control, replica, sessions));
+            NodeSessionManager sessions,
+            EvacuationOrders evacuations) {
+        return new ConsoleHandler(
+                replica,
+                peers,
+                new OverviewPage(control, replica, sessions),
+                new EvacuationPages(evacuations));
     }
 
     @Override
@@ -68,6 +81,8 @@
             case "GET /console/document" -> completed(documentEditor());
             case "POST /console/preview" -> completed(preview(formFields(call)));
             case "POST /console/submit" -> submit(call);
+            case "GET /console/evacuations" -> completed(evacuations.list());
+            case "POST /console/evacuations" -> orderEvacuation(call);
             case "GET /console/history" -> completed(history());
             case "GET /console/style.css" -> completed(STYLE_SHEET.toAnswer());
             default ->
@@ -77,6 +92,14 @@
         };
     }
 
+    private CompletableFuture<HttpAnswer> orderEvacuation(HttpCall call) {
+        Map<String, List<String>> form = formFields(call);
+        return evacuations.order(
+                "console at " + call.remoteHost(),
+                firstValue(form, EvacuationPages.DATA_CENTRE),
+                firstValue(form, EvacuationPages.EVACUATE));
+    }
+
     private HttpAnswer documentEditor() {
         MeshConfiguration configuration = replica.configuration();
         if (!DocumentDraft.canRepresent(configuration.document())) {
--- a/control/src/main/java/org/cuminreach/control/operator/console/OverviewPage.java
+++ b/control/src/main/java/org/cuminreach/control/operator/console/OverviewPage.java
@@ -52,6 +52,10 @@
                         p("This control has no quorum: what it shows may be old, and it accepts"
                                         + " nothing.")
                                 .withClass("warning")),
+                iff(
+                        !configuration.evacuatedDataCentres().isEmpty(),
+                        p("Evacuated: " + String.join(", ", configuration.evacuatedDataCentres()))
+                                .withClass("warning")),
                 controls(),
                 h2("Configuration " + configuration.version()),
                 convergence(configuration.version()),
