Send no calls to targets in evacuated data centres

Nodes held the evacuated data centres in their configuration and sent calls there as before. A node now leaves them out before it chooses a version and a target, at each attempt and by its newest configuration, so that a retry or a hedge of a call that was routed earlier obeys too. The node beside a target refuses new and waiting calls as not run, since it may know first; the call then avoids that data centre in its later attempts. When nothing else may run the call it is refused at once with reason=evacuated.

Weighed: leaving the targets out of MeshView; a call of the node beside a target that is out of touch would still have to be refused, and the reason would be lost.

--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -15,6 +15,7 @@
 import org.cuminreach.node.caller.CallerMetricsHandler;
 import org.cuminreach.node.caller.EvidenceRecorder;
 import org.cuminreach.node.caller.KeyHomeTable;
+import org.cuminreach.node.caller.TargetPermissions;
 import org.cuminreach.node.control.ControlSession;
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
@@ -107,6 +108,8 @@
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
+        admissionHandler.setEvacuationCheck(
+                () -> configurationHolder.activeConfiguration().isEvacuated(settings.dataCentre()));
         admissionHandler.setLeavingListener(
                 instance -> localTarget.recordLeaving(instance, ProcessClock.monotonicMillis()));
         deduplicator =
@@ -212,7 +215,11 @@
     private void listen() {
         CallerHandler callerHandler =
                 CallerHandler.create(
-                        settings.dataCentre(),
+                        TargetPermissions.create(
+                                settings.dataCentre(),
+                                settings.bounds().regions(),
+                                configurationHolder,
+                                meshView),
                         settings.callerAddress().host(),
                         configurationHolder,
                         meshView,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -43,7 +43,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerHandler.class);
     private static final int RETRY_MILLIS = 1_000;
 
-    private final String dataCentre;
+    private final TargetPermissions permissions;
     private final String ownHost;
     private final MeshView view;
     private final HttpSender sender;
@@ -57,7 +57,7 @@
     private final HedgeScheduler hedges;
 
     private CallerHandler(
-            String dataCentre,
+            TargetPermissions permissions,
             String ownHost,
             ConfigurationHolder holder,
             MeshView view,
@@ -65,7 +65,7 @@
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
             ScheduledExecutorService timer) {
-        this.dataCentre = dataCentre;
+        this.permissions = permissions;
         this.ownHost = ownHost;
         this.routes = new RouteTableCache(holder);
         this.view = view;
@@ -79,7 +79,7 @@
     /**
      * Creates the handler for a node's callers.
      *
-     * @param dataCentre data centre of the node
+     * @param permissions the targets that calls may be sent to
      * @param ownHost IP address of its VM
      * @param holder holds the current configuration
      * @param view targets known to the node
@@ -90,7 +90,7 @@
      * @return the handler
      */
     public static CallerHandler create(
-            String dataCentre,
+            TargetPermissions permissions,
             String ownHost,
             ConfigurationHolder holder,
             MeshView view,
@@ -99,7 +99,7 @@
             CallDeduplicator deduplicator,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                dataCentre, ownHost, holder, view, sender, evidence, deduplicator, timer);
+                permissions, ownHost, holder, view, sender, evidence, deduplicator, timer);
     }
 
     @Override
@@ -231,25 +231,28 @@
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
+        PermittedTargets permitted = permissions.forCall(attempts.route(), List.of());
         String version =
                 VersionChooser.choose(
                         configuration,
                         service,
-                        RolloutObserver.availability(service.name(), attempts, view, evidence),
+                        RolloutObserver.availability(service.name(), attempts, permitted, evidence),
                         ThreadLocalRandom.current());
-        List<TargetView> targets = view.targets(service.name(), version);
         TargetChoice choice =
                 TargetChooser.choose(
-                        targets,
+                        permitted.targets(service.name(), version),
                         attempts.triedNodes(),
                         routeStatistics.requirements(attempts, nowMillis),
-                        dataCentre,
+                        permissions.dataCentre(),
                         view.loadBalancingPolicy(),
                         nowMillis,
                         ThreadLocalRandom.current());
         return switch (choice) {
             case TargetChoice.NoTarget none ->
-                    refuse(attempts, none.reason(), attempts.retryAfterMillis(RETRY_MILLIS));
+                    refuse(
+                            attempts,
+                            permitted.reason(none, service.name(), version),
+                            attempts.retryAfterMillis(RETRY_MILLIS));
             case TargetChoice.Chosen chosen ->
                     send(attempts, configuration, version, chosen.target(), chosen.reason());
         };
@@ -320,6 +323,7 @@
         Optional<LoadReport> report = TargetFeedback.removeLoadReport(sent);
         double slowness = routeStatistics.record(attempts, sent, report, micros);
         TargetFeedback.record(target, sent, report, slowness, nowMillis);
+        permissions.recordRefusal(attempts, version, target, sent);
         if (!poisonFilter.record(attempts.call(), target.node(), outcome, nowMillis)) {
             RolloutObserver.record(
                     attempts, configuration, version, target, outcome, micros, view, evidence);
--- a/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
+++ b/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
@@ -21,11 +21,14 @@
     private RolloutObserver() {}
 
     static VersionAvailability availability(
-            String service, CallAttempts attempts, MeshView view, EvidenceRecorder evidence) {
+            String service,
+            CallAttempts attempts,
+            PermittedTargets targets,
+            EvidenceRecorder evidence) {
         return new VersionAvailability() {
             @Override
             public boolean isReady(String version) {
-                return view.targets(service, version).stream()
+                return targets.targets(service, version).stream()
                         .anyMatch(target -> !attempts.triedNodes().contains(target.node()));
             }
 
@@ -41,7 +44,7 @@
 
             @Override
             public String establishedVersion() {
-                return view.establishedVersion(service);
+                return targets.establishedVersion(service);
             }
         };
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -1,9 +1,9 @@
 package org.cuminreach.node.target;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
@@ -15,6 +15,7 @@
 import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.RouteMetadata;
+import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
@@ -36,23 +37,6 @@
     private static final long DRAINING_RETRY_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1_000_000;
 
-    /** A call that has not been answered yet. */
-    private record PendingCall(
-            HttpCall call,
-            String requestId,
-            AdmissionRequest admissionRequest,
-            long arrivalNanos,
-            CompletableFuture<HttpAnswer> answer) {
-        private String caller() {
-            return admissionRequest.caller().text();
-        }
-
-        /** Start of the target that the call is for, or empty when its sender named none. */
-        private String targetStart() {
-            return call.header(MeshHeaders.TARGET_START, "");
-        }
-    }
-
     private final String node;
     private final Supplier<Optional<TargetDescription>> target;
     private final TargetClient client;
@@ -63,6 +47,7 @@
     private final TargetNotices notices = new TargetNotices();
     private int slots = 1;
     private volatile Consumer<String> leavingListener = instance -> {};
+    private volatile BooleanSupplier evacuationCheck = () -> false;
     private volatile String drainingInstance = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
 
@@ -169,8 +154,9 @@
         if (!call.header(MeshHeaders.TARGET_START, instance).equals(instance)) {
             return Optional.of(MeshHeaders.OTHER_TARGET);
         }
-        if (drainingInstance.equals(instance) && nowMillis >= drainFromMillis) {
-            return Optional.of("draining");
+        Optional<String> closed = reasonToRefuseAll(nowMillis);
+        if (closed.isPresent()) {
+            return closed;
         }
         notices.adoptLimit(
                 instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
@@ -197,9 +183,18 @@
         leavingListener = listener;
     }
 
+    /**
+     * Sets what tells whether the data centre of the target is evacuated.
+     *
+     * @param check true while the target must get no calls
+     */
+    public void setEvacuationCheck(BooleanSupplier check) {
+        evacuationCheck = check;
+    }
+
     /**
      * Starts the waiting calls for which there is room, and refuses those that can no longer start
-     * in time, or all while the target drains.
+     * in time, or all while the target drains or its data centre is evacuated.
      *
      * @param nowMillis current time
      */
@@ -208,15 +203,25 @@
         List<PendingCall> started;
         synchronized (queue) {
             expired =
-                    nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
-                            ? queue.refuseAll("draining", nowMillis)
-                            : queue.expire(nowMillis);
+                    reasonToRefuseAll(nowMillis)
+                            .map(reason -> queue.refuseAll(reason, nowMillis))
+                            .orElseGet(() -> queue.expire(nowMillis));
             started = queue.startWaiting(nowMillis);
         }
         expired.forEach(this::refuse);
         started.forEach(this::run);
     }
 
+    /** Returns why the current target takes no calls at all, or empty when it does. */
+    private Optional<String> reasonToRefuseAll(long nowMillis) {
+        if (evacuationCheck.getAsBoolean()) {
+            return Optional.of(TargetFilter.EVACUATED);
+        }
+        return nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
+                ? Optional.of("draining")
+                : Optional.empty();
+    }
+
     private boolean isCurrentInstance(String instance) {
         return target.get().map(TargetDescription::instance).equals(Optional.of(instance));
     }
@@ -283,11 +288,6 @@
         if (current.isEmpty() || remainingMillis <= 0) {
             return CompletableFuture.completedFuture(new SendOutcome.NotSent("deadline_passed"));
         }
-        HttpHeaders headers =
-                MeshHeaders.endToEnd(pending.call().headers())
-                        .remove(MeshHeaders.TARGET_NODE)
-                        .remove(MeshHeaders.TARGET_START)
-                        .remove(MeshHeaders.TARGET_LIMIT);
         String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
@@ -299,7 +299,7 @@
         return client.send(
                         current.get().address(),
                         pending.call(),
-                        protocol.requestHeaders(headers, metadata),
+                        protocol.requestHeaders(pending.headersForTarget(), metadata),
                         answer -> protocol.isAnswerTo(answer, pending.requestId()),
                         remainingMillis)
                 .thenApply(sent -> read(sent, instance));
--- a/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import org.cuminreach.decisions.membership.TargetPhase;
@@ -136,6 +137,59 @@
         }
     }
 
+    @Example
+    void evacuationRefusesWaitingAndNewCallsUntilItEnds() throws Exception {
+        Address address = freeAddress();
+        HttpServer target = HttpServer.listen(address, eventLoops, this::runAtTarget).join();
+        TargetDescription description =
+                new TargetDescription("node", "service", "1", address, SLOTS, TargetPhase.READY);
+        TargetClient client = TargetClient.create(eventLoops);
+        AtomicBoolean evacuated = new AtomicBoolean();
+        try {
+            TargetAdmissionHandler handler =
+                    TargetAdmissionHandler.create(
+                            "node",
+                            () -> Optional.of(description),
+                            client,
+                            TargetProtocol.passThrough(),
+                            TargetMetrics.register(new PrometheusRegistry()));
+            handler.setEvacuationCheck(evacuated::get);
+            List<CompletableFuture<HttpAnswer>> answers = new ArrayList<>();
+            for (int call = 0; call < 2 * SLOTS; call++) {
+                answers.add(handler.handle(call("call-" + call, "a")));
+            }
+            evacuated.set(true);
+            int waiting = handler.waiting();
+            handler.onTimer(ProcessClock.monotonicMillis());
+            answers.add(handler.handle(call("late", "a")));
+            int refused = 0;
+            for (CompletableFuture<HttpAnswer> answer : answers) {
+                HttpAnswer done = answer.get(WAIT_SECONDS, TimeUnit.SECONDS);
+                if (done.status() == 503) {
+                    assertThat(done.headers().get(MeshHeaders.OUTCOME))
+                            .isEqualTo(MeshHeaders.NOT_RUN);
+                    refused += "evacuated".equals(done.headers().get(MeshHeaders.REASON)) ? 1 : 0;
+                }
+            }
+
+            assertThat(waiting).isGreaterThan(0);
+            assertThat(refused).isAtLeast(waiting);
+            assertThat(ran).doesNotContain("late");
+            assertThat(handler.waiting()).isEqualTo(0);
+            evacuated.set(false);
+            assertThat(
+                            handler.handle(call("after", "a"))
+                                    .get(WAIT_SECONDS, TimeUnit.SECONDS)
+                                    .status())
+                    .isEqualTo(200);
+        } finally {
+            client.closeIdle();
+            target.close();
+            timer.shutdownNow();
+            EventLoops.stop(eventLoops);
+        }
+    }
+
     private CompletableFuture<HttpAnswer> runAtTarget(HttpCall call) {
         String number = call.header("X-Number", "");
         assertThat(ran.add(number)).isTrue();
--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -40,6 +41,7 @@
     public static final String HOST = "parts.test";
 
     private static final String SERVICE = "parts";
+    private static final String DATA_CENTRE = "here";
     private static final String VERSION = "1";
     private static final int SLOTS = 16;
     private static final long SHUTDOWN_DELAY_MILLIS = 500;
@@ -50,14 +52,16 @@
 
     private final ControlProcess control;
     private final Address controlAddress;
+    private final Address operatorAddress;
     private final List<NodeSettings> settings = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final EventLoopGroup eventLoops = EventLoops.start(1);
     private final HttpSender sender = HttpSender.create(eventLoops);
 
-    private InProcessMesh(ControlProcess control, Address controlAddress) {
+    private InProcessMesh(ControlProcess control, Address controlAddress, Address operatorAddress) {
         this.control = control;
         this.controlAddress = controlAddress;
+        this.operatorAddress = operatorAddress;
     }
 
     /**
@@ -72,13 +76,35 @@
      */
     public static InProcessMesh start(Path folder, List<Address> targets, int timeoutMillis)
             throws IOException, InterruptedException {
+        List<String> dataCentres = Collections.nCopies(targets.size(), DATA_CENTRE);
+        return start(folder, targets, dataCentres, timeoutMillis);
+    }
+
+    /**
+     * Starts a mesh in several data centres and waits until every node has a configuration and
+     * every target is ready on it.
+     *
+     * @param folder an empty folder for the control
+     * @param targets addresses of the targets
+     * @param dataCentres data centre of each target and of the node next to it
+     * @param timeoutMillis timeout of the route
+     * @return the running mesh
+     * @throws IOException if the folder cannot be used
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public static InProcessMesh start(
+            Path folder, List<Address> targets, List<String> dataCentres, int timeoutMillis)
+            throws IOException, InterruptedException {
         ControlSettings settings = controlSettings(folder);
         initialise(settings);
         InProcessMesh mesh =
-                new InProcessMesh(ControlProcess.start(settings), settings.nodeAddress());
+                new InProcessMesh(
+                        ControlProcess.start(settings),
+                        settings.nodeAddress(),
+                        settings.operatorAddress());
         mesh.submit(settings.operatorAddress(), timeoutMillis);
-        for (Address target : targets) {
-            mesh.startNode(target);
+        for (int target = 0; target < targets.size(); target++) {
+            mesh.startNode(targets.get(target), dataCentres.get(target));
         }
         for (int node = 0; node < targets.size(); node++) {
             mesh.awaitRoutes(node);
@@ -93,10 +119,14 @@
      * @throws IOException if there is no free port
      */
     public void startNode(Address target) throws IOException {
+        startNode(target, DATA_CENTRE);
+    }
+
+    private void startNode(Address target, String dataCentre) throws IOException {
         NodeSettings nodeSettings =
                 new NodeSettings(
                         "node-" + settings.size(),
-                        "here",
+                        dataCentre,
                         FreeAddresses.next(),
                         FreeAddresses.next(),
                         FreeAddresses.next(),
@@ -130,6 +160,21 @@
         nodes.set(node, NodeProcess.start(settings.get(node)));
     }
 
+    /**
+     * Starts or ends the evacuation of a data centre.
+     *
+     * @param dataCentre name of the data centre
+     * @param evacuate true to start, false to end
+     * @return HTTP status of the answer of the control, 0 without one
+     */
+    public int setEvacuation(String dataCentre, boolean evacuate) {
+        String uri = "/evacuations?" + (evacuate ? "start=" : "end=") + dataCentre;
+        HttpHeaders headers = new DefaultHttpHeaders().set("Host", HOST);
+        HttpCall call = new HttpCall("POST", uri, headers, new byte[0], "127.0.0.1");
+        SendOutcome sent = sender.send(operatorAddress, call, headers, MAX_WAIT_MILLIS).join();
+        return sent instanceof SendOutcome.Completed completed ? completed.answer().status() : 0;
+    }
+
     /**
      * Returns the settings of a node.
      *
@@ -264,7 +309,7 @@
         Address replica = FreeAddresses.next();
         return new ControlSettings(
                 "control",
-                "here",
+                DATA_CENTRE,
                 folder.resolve("control"),
                 replica,
                 FreeAddresses.next(),
