--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -16,6 +16,7 @@
 import org.cuminreach.node.caller.CallerMetricsHandler;
 import org.cuminreach.node.caller.EvidenceRecorder;
 import org.cuminreach.node.caller.KeyHomeTable;
+import org.cuminreach.node.caller.TargetPermissions;
 import org.cuminreach.node.control.ControlSession;
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
@@ -116,6 +117,8 @@
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
+        admissionHandler.setEvacuationCheck(
+                () -> configurationHolder.activeConfiguration().isEvacuated(settings.dataCentre()));
         admissionHandler.setLeavingListener(
                 instance -> localTarget.recordLeaving(instance, ProcessClock.monotonicMillis()));
         admissionHandler.setColdListener(controlSession::announce);
@@ -230,7 +233,11 @@
     private void listen() {
         CallerHandler callerHandler =
                 CallerHandler.create(
-                        settings.dataCentre(),
+                        TargetPermissions.create(
+                                settings.dataCentre(),
+                                settings.bounds().regions(),
+                                configurationHolder,
+                                meshView),
                         settings.callerAddress().host(),
                         configurationHolder,
                         meshView,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -43,7 +43,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(CallerHandler.class);
     private static final int RETRY_MILLIS = 1_000;
 
-    private final String dataCentre;
+    private final TargetPermissions permissions;
     private final CallEntrance entrance;
     private final MeshView view;
     private final HttpSender sender;
@@ -57,7 +57,7 @@
     private final HedgeScheduler hedges;
 
     private CallerHandler(
-            String dataCentre,
+            TargetPermissions permissions,
             String ownHost,
             ConfigurationHolder holder,
             MeshView view,
@@ -66,7 +66,7 @@
             CallDeduplicator deduplicator,
             TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
-        this.dataCentre = dataCentre;
+        this.permissions = permissions;
         this.entrance = new CallEntrance(ownHost, authenticator);
         this.routes = new RouteTableCache(holder);
         this.view = view;
@@ -80,7 +80,7 @@
     /**
      * Creates the handler for a node's callers.
      *
-     * @param dataCentre data centre of the node
+     * @param permissions the targets that calls may be sent to
      * @param ownHost IP address of its VM
      * @param holder holds the current configuration
      * @param view targets known to the node
@@ -92,7 +92,7 @@
      * @return the handler
      */
     public static CallerHandler create(
-            String dataCentre,
+            TargetPermissions permissions,
             String ownHost,
             ConfigurationHolder holder,
             MeshView view,
@@ -102,7 +102,7 @@
             TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                dataCentre,
+                permissions,
                 ownHost,
                 holder,
                 view,
@@ -230,25 +230,28 @@
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
+        PermittedTargets permitted = permissions.forCall(attempts.route(), List.of());
         String version =
                 VersionChooser.choose(
                         configuration,
                         service,
-                        RolloutObserver.availability(service.name(), attempts, view, evidence),
+                        RolloutObserver.availability(service.name(), attempts, permitted, evidence),
                         ThreadLocalRandom.current());
-        List<TargetView> targets = view.targets(service.name(), version);
         TargetChoice choice =
                 TargetChooser.choose(
-                        targets,
+                        permitted.targets(service.name(), version),
                         attempts.triedNodes(),
                         routeStatistics.requirements(attempts, nowMillis),
-                        dataCentre,
+                        permissions.dataCentre(),
                         view.loadBalancingPolicy(),
                         nowMillis,
                         ThreadLocalRandom.current());
         return switch (choice) {
             case TargetChoice.NoTarget none ->
-                    refuse(attempts, none.reason(), attempts.retryAfterMillis(RETRY_MILLIS));
+                    refuse(
+                            attempts,
+                            permitted.reason(none, service.name(), version),
+                            attempts.retryAfterMillis(RETRY_MILLIS));
             case TargetChoice.Chosen chosen ->
                     send(attempts, configuration, version, chosen.target(), chosen.reason());
         };
@@ -319,6 +322,7 @@
         Optional<LoadReport> report = TargetFeedback.removeLoadReport(sent);
         double slowness = routeStatistics.record(attempts, sent, report, micros);
         TargetFeedback.record(target, sent, report, slowness, nowMillis);
+        permissions.recordRefusal(attempts, version, target, sent);
         if (!poisonFilter.record(attempts.call(), target.node(), outcome, nowMillis)) {
             RolloutObserver.record(
                     attempts, configuration, version, target, outcome, micros, view, evidence);
--- a/node/src/main/java/org/cuminreach/node/target/PendingCall.java
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -1,5 +1,6 @@
 package org.cuminreach.node.target;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.Caller;
@@ -10,13 +11,13 @@
 import org.cuminreach.runtime.http.HttpCall;
 
 /**
- * A call to the target that has not been answered yet.
+ * A call to the target next to the node that has not been answered yet.
  *
  * @param call the call
- * @param requestId identity of the call
- * @param admissionRequest what its admission depends on
- * @param arrivalNanos time at which it arrived
- * @param answer completed with its answer
+ * @param requestId its request ID
+ * @param admissionRequest its properties that decide its admission
+ * @param arrivalNanos time at which it arrived, by {@link System#nanoTime()}
+ * @param answer completes with its answer
  */
 record PendingCall(
         HttpCall call,
@@ -56,6 +57,15 @@
         return admissionRequest.caller().text();
     }
 
+    /** Headers of the call without those that are for this node only. */
+    HttpHeaders headersForTarget() {
+        return MeshHeaders.endToEnd(call.headers())
+                .remove(MeshHeaders.TARGET_NODE)
+                .remove(MeshHeaders.TARGET_START)
+                .remove(MeshHeaders.TARGET_LIMIT)
+                .remove(MeshHeaders.TARGET_COLD);
+    }
+
     /** Start of the target that the call is for, or empty when its sender named none. */
     String targetStart() {
         return call.header(MeshHeaders.TARGET_START, "");
