Read the load that targets state, and choose by the pace of their VMs

Cause: targets state running and waiting calls, slots and, some of them, how long work takes on their VM now. Nothing read it; a VM that others slow for fractions of a second got calls as before, and its slow answers counted as lasting slowness of its target.

Ruled out: a further field at the end of the load report, which nodes of the build before would read as a wait. The pace stands behind the state, where they ignore it.

The change: StatedLoad reads three or four figures; malformed, cut or out-of-range ones are logged once for each start and ignored. The node beside the target passes the pace on with its age while it is younger than half a second, and it fades linearly. The cost and the expected wait of a target are multiplied by it, and the lasting slowness is learnt from what it does not explain. event=call_routed names pace and age.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/LoadReport.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/LoadReport.java
@@ -15,6 +15,7 @@
  *     milliseconds; 0 when it did not run
  * @param waitMillis time that a new call would wait, in milliseconds, by priority from the highest
  *     on; empty when no call waits
+ * @param pace time that work takes on the VM of the target now; empty when it states none
  */
 public record LoadReport(
         int running,
@@ -22,8 +23,13 @@
         int limit,
         boolean draining,
         int runMillis,
-        List<Integer> waitMillis) {
+        List<Integer> waitMillis,
+        Optional<WorkPace> pace) {
     private static final char SEPARATOR = '/';
+
+    /** Separates the pace from the state, where nodes without knowledge of it ignore it. */
+    private static final char PACE_SEPARATOR = ':';
+
     private static final String DRAINING = "draining";
     private static final int MAX_COUNT = 1_000_000;
     private static final int MAX_WAITS = 16;
@@ -45,6 +51,26 @@
         this(running, waiting, limit, draining, 0, List.of());
     }
 
+    /**
+     * Creates a report of a target that does not state the pace of its VM.
+     *
+     * @param running calls that run at the target
+     * @param waiting calls that wait for it
+     * @param limit calls that may run concurrently, at least 1
+     * @param draining true when the target accepts no new calls
+     * @param runMillis running time of the answered call, in milliseconds
+     * @param waitMillis waits by priority, in milliseconds
+     */
+    public LoadReport(
+            int running,
+            int waiting,
+            int limit,
+            boolean draining,
+            int runMillis,
+            List<Integer> waitMillis) {
+        this(running, waiting, limit, draining, runMillis, waitMillis, Optional.empty());
+    }
+
     /**
      * Returns how long a new call would wait.
      *
@@ -60,7 +86,8 @@
     /**
      * Returns the header value.
      *
-     * @return the value, for example {@code 9/4/9/ready/120/0,0,80,80}
+     * @return the value, for example {@code 9/4/9/ready:250:40/120/0,0,80,80} with work that takes
+     *     250% of the usual time, as stated 40 ms ago
      */
     public String text() {
         StringBuilder text =
@@ -72,6 +99,12 @@
                         .append(limit)
                         .append(SEPARATOR)
                         .append(draining ? DRAINING : "ready");
+        pace.ifPresent(
+                stated ->
+                        text.append(PACE_SEPARATOR)
+                                .append(stated.percent())
+                                .append(PACE_SEPARATOR)
+                                .append(stated.ageMillis()));
         if (runMillis > 0 || !waitMillis.isEmpty()) {
             text.append(SEPARATOR).append(runMillis);
         }
@@ -107,7 +140,28 @@
                 fourth < text.length() ? Math.max(0, parseCount(text, fourth + 1, fifth)) : 0;
         return Optional.of(
                 new LoadReport(
-                        running, waiting, limit, draining, runMillis, parseWaits(text, fifth + 1)));
+                        running,
+                        waiting,
+                        limit,
+                        draining,
+                        runMillis,
+                        parseWaits(text, fifth + 1),
+                        parsePace(text.substring(third + 1, fourth))));
+    }
+
+    private static Optional<WorkPace> parsePace(String state) {
+        int first = state.indexOf(PACE_SEPARATOR);
+        int second = state.indexOf(PACE_SEPARATOR, first + 1);
+        if (first < 0 || second < 0) {
+            return Optional.empty();
+        }
+        int percent = parseCount(state, first + 1, second);
+        int ageMillis = parseCount(state, second + 1, state.length());
+        boolean isValid =
+                percent >= StatedLoad.MIN_WORK_PERCENT
+                        && percent <= StatedLoad.MAX_WORK_PERCENT
+                        && ageMillis >= 0;
+        return isValid ? Optional.of(new WorkPace(percent, ageMillis)) : Optional.empty();
     }
 
     private static List<Integer> parseWaits(String text, int from) {
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -1,5 +1,7 @@
 package org.cuminreach.decisions.routing;
 
+import java.util.Optional;
+
 /**
  * Results of one node's own calls to one target, and the latest load report of the target as a hint
  * of the load from other nodes. Thread-safe.
@@ -49,6 +51,7 @@
     private long leavingUntilMillis = NEVER;
     private long nodeIncarnation;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
+    private Optional<WorkPace> pace = Optional.empty();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
         this.policy = policy;
@@ -201,6 +204,7 @@
         limit = Math.min(slots, report.limit());
         reportedMillis = nowMillis;
         latestReport = report;
+        pace = report.pace();
         sentSinceReport = 0;
         draining |= report.draining();
     }
@@ -217,7 +221,7 @@
     public synchronized double expectedWaitMillis(
             int priority, double typicalRunMillis, long nowMillis) {
         double capacity = limit * slowStartShare(nowMillis);
-        double runMillis = typicalRunMillis * meanSlowness;
+        double runMillis = typicalRunMillis * meanSlowness * paceFactor(nowMillis);
         if (!usesReports(nowMillis)) {
             return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * slowStartShare(nowMillis))
                     * runMillis
@@ -250,16 +254,31 @@
     }
 
     /**
-     * Returns the cost by which targets are compared: the load times the mean slowness. Calls of
-     * this node have more weight in it, since their number is known while a report may be
-     * misleading.
+     * Returns the cost by which targets are compared: the load times the mean slowness and the time
+     * that work takes on the target's VM now. Calls of this node have more weight in it, since
+     * their number is known while a report may be misleading.
      *
      * @param nowMillis current time
      * @return the cost, at least 0
      */
     public synchronized double cost(long nowMillis) {
         double own = OWN_CALLS_WEIGHT * outstanding / (slots * slowStartShare(nowMillis));
-        return (load(nowMillis) + own) * meanSlowness;
+        return (load(nowMillis) + own) * meanSlowness * paceFactor(nowMillis);
+    }
+
+    /**
+     * Returns the pace of the target's VM as last reported.
+     *
+     * @param nowMillis current time
+     * @return the pace with its age; empty when none is known that still counts
+     */
+    public synchronized Optional<WorkPace> pace(long nowMillis) {
+        return pace.map(stated -> stated.after(nowMillis - reportedMillis))
+                .filter(WorkPace::isFresh);
+    }
+
+    private double paceFactor(long nowMillis) {
+        return pace(nowMillis).map(WorkPace::factor).orElse(1.0);
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -23,6 +23,7 @@
 import org.cuminreach.decisions.routing.TargetChooser;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.decisions.routing.VersionChooser;
+import org.cuminreach.decisions.routing.WorkPace;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
 import org.cuminreach.node.http.CallAnswers;
@@ -276,14 +277,15 @@
         attempts.recordAttempt(target.node());
         LOGGER.info(
                 "event=call_routed request={} configuration={} route={} version={} node={}"
-                        + " attempt={} reason={}",
+                        + " attempt={} reason={} pace={}",
                 attempts.requestId(),
                 attempts.configurationVersion(),
                 attempts.route().name(),
                 version,
                 target.node(),
                 attempts.attempts(),
-                reason);
+                reason,
+                WorkPace.logText(target.statistics().pace(startMillis)));
         long remaining = attempts.remainingMillis(startMillis);
         if (remaining <= 0) {
             return answerOrRetry(
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -45,6 +45,12 @@
     /** Set to {@code true} by a target that is about to stop. */
     public static final String TARGET_LEAVING = "X-Cuminreach-Target-Leaving";
 
+    /**
+     * Load that a target states: its running and waiting calls, its slots and, if it knows, the
+     * time that work takes on its VM now in percent of the usual one, separated by commas.
+     */
+    public static final String TARGET_LOAD = "X-Cuminreach-Target-Load";
+
     /** Reason code of a refused or lost call. */
     public static final String REASON = "X-Cuminreach-Reason";
 
@@ -98,6 +104,7 @@
                     REACHED_TARGET,
                     TARGET_LIMIT,
                     TARGET_LEAVING,
+                    TARGET_LOAD,
                     REASON,
                     RETRY_AFTER_MILLIS);
 
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -7,6 +7,7 @@
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetCallResult;
 import org.cuminreach.decisions.routing.TargetView;
+import org.cuminreach.decisions.routing.WorkPace;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
@@ -36,7 +37,8 @@
     }
 
     /**
-     * Records the outcome of a call in the statistics of its target.
+     * Records the outcome of a call in the statistics of its target. The lasting slowness of the
+     * target is what the pace of its VM at the moment does not explain.
      *
      * @param target the target
      * @param sent outcome of the call
@@ -63,7 +65,8 @@
                 target.statistics().recordRateLimit(limit);
             }
         }
-        target.statistics().recordResult(result, slowness, nowMillis);
+        double pace = report.flatMap(LoadReport::pace).map(WorkPace::factor).orElse(1.0);
+        target.statistics().recordResult(result, slowness / pace, nowMillis);
         report.ifPresent(load -> target.statistics().recordLoadReport(load, nowMillis));
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -316,9 +316,10 @@
     }
 
     private void recordNotice(String instance, TargetNotice notice) {
-        boolean isFirstLeaving = notices.record(instance, notice);
+        long nowMillis = ProcessClock.monotonicMillis();
+        boolean isFirstLeaving = notices.record(instance, notice, nowMillis);
         synchronized (queue) {
-            queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
+            queue.setRateLimit(notices.limit(instance), nowMillis);
         }
         if (isFirstLeaving) {
             leavingListener.accept(instance);
@@ -365,15 +366,9 @@
     }
 
     private LoadReport loadReport(int runMillis) {
-        long nowMillis = ProcessClock.monotonicMillis();
+        boolean draining = !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance);
         synchronized (queue) {
-            return new LoadReport(
-                    queue.running(),
-                    queue.waiting(),
-                    queue.limit(),
-                    !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance),
-                    runMillis,
-                    queue.hasWaits(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of());
+            return notices.report(queue, draining, runMillis, ProcessClock.monotonicMillis());
         }
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetNotices.java
@@ -1,6 +1,11 @@
 package org.cuminreach.node.target;
 
+import java.util.List;
+import java.util.Optional;
+import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.routing.CallRateLimit;
+import org.cuminreach.decisions.routing.LoadReport;
+import org.cuminreach.decisions.routing.WorkPace;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.slf4j.Logger;
@@ -18,6 +23,7 @@
     private CallRateLimit limit = CallRateLimit.unlimited();
     private boolean leaving;
     private boolean hasAnswered;
+    private final TargetPace pace = new TargetPace();
     private int sentSinceReport;
     private long reportedMillis;
 
@@ -26,11 +32,13 @@
      *
      * @param answeringInstance start of the target that answered
      * @param notice the notice
+     * @param nowMillis current time
      * @return whether it states for the first time that this start is about to stop
      */
-    synchronized boolean record(String answeringInstance, TargetNotice notice) {
+    synchronized boolean record(String answeringInstance, TargetNotice notice, long nowMillis) {
         resetForNewStart(answeringInstance);
         hasAnswered = true;
+        pace.record(instance, notice.load(), nowMillis);
         switch (notice.limit()) {
             case CallRateLimit.Unreadable unreadable ->
                     LOGGER.warn(
@@ -118,6 +126,23 @@
         return answer;
     }
 
+    /** Returns the time that work takes on the target's VM, or empty without a recent statement. */
+    synchronized Optional<WorkPace> pace(long nowMillis) {
+        return pace.at(nowMillis);
+    }
+
+    /** Returns the load of the target, as its queue and its latest statement tell it. */
+    LoadReport report(FairQueue<?> queue, boolean draining, int runMillis, long nowMillis) {
+        return new LoadReport(
+                queue.running(),
+                queue.waiting(),
+                queue.limit(),
+                draining,
+                runMillis,
+                queue.hasWaits(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of(),
+                pace(nowMillis));
+    }
+
     /** Returns the stated limit in calls per second, or 0 when there is none. */
     synchronized double limitPerSecond() {
         return limit instanceof CallRateLimit.PerSecond stated ? stated.callsPerSecond() : 0;
@@ -129,6 +154,7 @@
             limit = CallRateLimit.unlimited();
             leaving = false;
             hasAnswered = false;
+            pace.reset();
         }
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.cuminreach.decisions.routing.CallRateLimit;
+import org.cuminreach.decisions.routing.StatedLoad;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -83,7 +84,8 @@
             public TargetNotice readNotice(HttpHeaders headers) {
                 return new TargetNotice(
                         CallRateLimit.parse(headers.get(MeshHeaders.TARGET_LIMIT, "")),
-                        Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")));
+                        Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")),
+                        StatedLoad.parse(headers.get(MeshHeaders.TARGET_LOAD, "")));
             }
         };
     }
