--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.cuminreach.decisions.routing.CallRateLimit;
+import org.cuminreach.decisions.routing.StatedLoad;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -84,6 +85,7 @@
                 return new TargetNotice(
                         CallRateLimit.parse(headers.get(MeshHeaders.TARGET_LIMIT, "")),
                         Boolean.parseBoolean(headers.get(MeshHeaders.TARGET_LEAVING, "")),
+                        StatedLoad.parse(headers.get(MeshHeaders.TARGET_LOAD, "")),
                         TargetNotice.coldMillis(headers.get(MeshHeaders.TARGET_COLD, "")));
             }
         };
--- a/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetAdmissionHandlerTest.java
@@ -154,7 +154,8 @@
                             () -> Optional.of(description),
                             client,
                             TargetProtocol.passThrough(),
-                            TargetMetrics.register(new PrometheusRegistry()));
+                            TargetMetrics.register(new PrometheusRegistry()),
+                            ColdSettings.none());
             handler.setEvacuationCheck(evacuated::get);
             List<CompletableFuture<HttpAnswer>> answers = new ArrayList<>();
             for (int call = 0; call < 2 * SLOTS; call++) {
