Let keys pass only while the node's configuration is known to be current

A key that a configuration had taken away ran on at nodes out of touch, since a node believed its configuration for as long as it was alone with it.

Each heartbeat of a node now asks a control whether its configuration is current; the control answers with the version that a majority has confirmed after the question arrived. The steady clock stops while a machine is suspended and the time of day may be set, so the larger of both times counts, and a difference between them ends every proof and open question. Without a proof calls with a key are refused with 503, not run; public routes go on. The proof is checked on arrival, before each attempt, and with the time left beside the target after its queue.

Waiting for all nodes before the acknowledgement was ruled out: one node out of touch would hold up each change for the whole bound.

Texts and nested values of a document no longer show in its faults.

--- a/control/src/main/java/org/cuminreach/control/node/ConfirmationBatcher.java
+++ b/control/src/main/java/org/cuminreach/control/node/ConfirmationBatcher.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cuminreach.runtime.ProcessClock;
 
 /**
  * Combines the quorum confirmations of many nodes. A node waits for a confirmation that was started
@@ -11,15 +13,25 @@
  */
 final class ConfirmationBatcher {
     private final Supplier<CompletableFuture<Long>> confirm;
+    private final long minIntervalMillis;
     private List<CompletableFuture<Long>> waiting = new ArrayList<>();
+    private long startedMillis;
     private boolean inProgress;
 
-    private ConfirmationBatcher(Supplier<CompletableFuture<Long>> confirm) {
+    private ConfirmationBatcher(Supplier<CompletableFuture<Long>> confirm, long minIntervalMillis) {
         this.confirm = confirm;
+        this.minIntervalMillis = minIntervalMillis;
+        this.startedMillis = ProcessClock.monotonicMillis() - minIntervalMillis;
     }
 
     static ConfirmationBatcher of(Supplier<CompletableFuture<Long>> confirm) {
-        return new ConfirmationBatcher(confirm);
+        return new ConfirmationBatcher(confirm, 0);
+    }
+
+    /** Returns a batcher that leaves a time between the starts of two confirmations. */
+    static ConfirmationBatcher spaced(
+            Supplier<CompletableFuture<Long>> confirm, long minIntervalMillis) {
+        return new ConfirmationBatcher(confirm, minIntervalMillis);
     }
 
     CompletableFuture<Long> request() {
@@ -32,12 +44,25 @@
     }
 
     private void startIfIdle() {
-        List<CompletableFuture<Long>> batch;
         synchronized (this) {
             if (inProgress || waiting.isEmpty()) {
                 return;
             }
             inProgress = true;
+            long waitMillis = startedMillis + minIntervalMillis - ProcessClock.monotonicMillis();
+            if (waitMillis > 0) {
+                CompletableFuture.delayedExecutor(waitMillis, TimeUnit.MILLISECONDS, Runnable::run)
+                        .execute(this::start);
+                return;
+            }
+        }
+        start();
+    }
+
+    private void start() {
+        List<CompletableFuture<Long>> batch;
+        synchronized (this) {
+            startedMillis = ProcessClock.monotonicMillis();
             batch = waiting;
             waiting = new ArrayList<>();
         }
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -23,6 +23,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(NodeSession.class);
 
     private final NodeSessionManager sessions;
+    private final FreshnessResponder freshness;
     private volatile FrameConnection connection;
     private volatile String node = "";
     private volatile String dataCentre = "";
@@ -36,6 +37,7 @@
 
     NodeSession(NodeSessionManager sessions) {
         this.sessions = sessions;
+        this.freshness = new FreshnessResponder(sessions::confirmedVersion);
     }
 
     String node() {
@@ -178,7 +180,7 @@
 
     private void onHeartbeat(FrameConnection from, Frame heartbeat) {
         acceptsRedirect = heartbeat.getHeartbeat().isMayMove();
-        from.send(heartbeat);
+        freshness.answer(heartbeat.getHeartbeat(), reply -> from.send(Frame.heartbeat(reply)));
     }
 
     private void onHello(NodeHello hello) throws MalformedFrameException {
--- a/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.cuminreach.control.replica.PeerConnections;
@@ -32,7 +31,6 @@
 /** Manages the sessions of the nodes connected to this control, and sends them updates. */
 public final class NodeSessionManager {
     private static final Logger LOGGER = LoggerFactory.getLogger(NodeSessionManager.class);
-    private static final long CONFIRMATION_TIMEOUT_MILLIS = 2_000;
     private static final long HOLDINGS_REFRESH_INTERVAL_MILLIS = 5_000;
 
     private final String controlName;
@@ -48,7 +46,7 @@
     private final Set<NodeSession> sessions = ConcurrentHashMap.newKeySet();
     private final NodeRedirector redirector;
     private final SessionMaintenance maintenance;
-    private final ConfirmationBatcher confirmations;
+    private final QuorumConfirmations confirmations;
     private final ConfigurationHistory history;
     private volatile SyncFrames frames;
     private long holdingsRefreshedMillis;
@@ -68,7 +66,7 @@
         this.forwardEvidence = evidence;
         this.redirector = new NodeRedirector(dataCentre, sessions, peerLoads);
         this.maintenance = new SessionMaintenance(this, redirector, replica, sessions, peerLoads);
-        this.confirmations = ConfirmationBatcher.of(this::confirm);
+        this.confirmations = new QuorumConfirmations(replica);
         this.history = ConfigurationHistory.of(replica.configuration());
         this.frames = SyncFrames.of(registry, history, 0, history.current().version(), false);
     }
@@ -273,6 +271,11 @@
         broadcastAnnouncements(changed);
     }
 
+    /** Completes with the version that a quorum has confirmed after this call. */
+    CompletableFuture<Long> confirmedVersion() {
+        return confirmations.requestVersion();
+    }
+
     void forwardEvidence(List<Evidence> evidence) {
         forwardEvidence.accept(evidence);
     }
@@ -309,11 +312,6 @@
         sendUpdates(session);
     }
 
-    private CompletableFuture<Long> confirm() {
-        return replica.confirm(ProcessClock.monotonicMillis())
-                .orTimeout(CONFIRMATION_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private void broadcastHoldings(long nowMillis) {
         List<NodeHolding> reported = holdings.drainUnsent();
         if (nowMillis - holdingsRefreshedMillis >= HOLDINGS_REFRESH_INTERVAL_MILLIS) {
--- a/document/src/main/java/org/cuminreach/settings/CheckedJson.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedJson.java
@@ -12,11 +12,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 
 /** Parses JSON with comments and passes it to a reader that validates each field. */
 public final class CheckedJson {
     private static final int MAX_NESTING_DEPTH = 32;
 
+    /** A token of more than one character in a message of the parser. */
+    private static final Pattern QUOTED_TOKEN = Pattern.compile("'[^']{2,}'");
+
     private static final JsonMapper MAPPER =
             JsonMapper.builder(
                             JsonFactory.builder()
@@ -80,6 +84,11 @@
         return new ParseResult.Valid<>(value);
     }
 
+    /** Returns what is wrong without the tokens that are quoted, which may be secret. */
+    private static String withoutTokens(JsonProcessingException malformed) {
+        return QUOTED_TOKEN.matcher(malformed.getOriginalMessage()).replaceAll("'...'");
+    }
+
     private static String describe(JsonProcessingException malformed) {
         String location = "";
         if (malformed.getLocation() != null) {
@@ -89,6 +98,6 @@
                             + ", column "
                             + malformed.getLocation().getColumnNr();
         }
-        return "is not valid JSON" + location + ": " + malformed.getOriginalMessage();
+        return "is not valid JSON" + location + ": " + withoutTokens(malformed);
     }
 }
--- a/document/src/main/java/org/cuminreach/settings/CheckedObject.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedObject.java
@@ -151,7 +151,7 @@
                         && value.longValue() >= min
                         && value.longValue() <= max;
         if (!inRange) {
-            addFault(field, "is " + value + allowed);
+            addFault(field, "is " + describe(value) + allowed);
             return min;
         }
         return value.longValue();
@@ -213,7 +213,7 @@
         }
         JsonNode value = node.get(field);
         if (!value.isBoolean()) {
-            addFault(field, "is " + value + "; allowed are true and false");
+            addFault(field, "is " + describe(value) + "; allowed are true and false");
             return defaultValue;
         }
         return value.booleanValue();
@@ -320,7 +320,7 @@
     private <T> Optional<T> readObject(
             String field, JsonNode value, Function<CheckedObject, T> reader) {
         if (!value.isObject()) {
-            addFault(field, "is " + value + "; an object is needed");
+            addFault(field, "is " + describe(value) + "; an object is needed");
             return Optional.empty();
         }
         CheckedObject child = new CheckedObject(path + field + ".", value, faults);
@@ -329,13 +329,24 @@
         return Optional.of(result);
     }
 
+    /** Describes a value of the wrong type. Texts and what is nested may be secret. */
+    private static String describe(JsonNode value) {
+        if (value.isTextual()) {
+            return "a text";
+        }
+        if (value.isArray()) {
+            return "a list";
+        }
+        return value.isObject() ? "an object" : value.toString();
+    }
+
     private JsonNode array(String field) {
         if (!has(field)) {
             return JsonNodeFactory.instance.arrayNode();
         }
         JsonNode value = node.get(field);
         if (!value.isArray()) {
-            addFault(field, "is " + value + "; a list is needed");
+            addFault(field, "is " + describe(value) + "; a list is needed");
             return JsonNodeFactory.instance.arrayNode();
         }
         return value;
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
-import org.cuminreach.decisions.tenant.Freshness;
 import org.cuminreach.node.caller.CallDeduplicator;
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.CallerMetricsHandler;
@@ -26,6 +25,8 @@
 import org.cuminreach.node.target.TargetAnnouncer;
 import org.cuminreach.node.target.TargetClient;
 import org.cuminreach.node.target.TargetMetrics;
+import org.cuminreach.node.tenant.KeyFreshness;
+import org.cuminreach.node.tenant.NodeClocks;
 import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
@@ -75,6 +76,7 @@
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
     private final NodeProtocolAdapter protocolAdapter;
     private final LocalTarget localTarget;
+    private final KeyFreshness keyFreshness;
     private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetAdmissionHandler admissionHandler;
@@ -97,10 +99,16 @@
                         targetClient,
                         protocolAdapter.targetProtocol(),
                         TargetMetrics.register(registry));
+        keyFreshness =
+                KeyFreshness.create(
+                        configurationHolder,
+                        settings.bounds().revocationMillis(),
+                        NodeClocks::read);
         controlSession =
                 ControlSession.create(
                         settings,
                         configurationHolder,
+                        keyFreshness,
                         meshView,
                         evidence,
                         announcer,
@@ -221,7 +229,7 @@
                         httpSender,
                         evidence,
                         deduplicator,
-                        TenantAuthenticator.create(Freshness::certain),
+                        TenantAuthenticator.create(keyFreshness),
                         timer);
         HttpHandler inboundHandler =
                 call ->
@@ -355,6 +363,11 @@
                 "cuminreach_node_control_received_bytes",
                 "Bytes received from controls",
                 controlTraffic::receivedBytes);
+        Gauges.register(
+                registry,
+                "cuminreach_node_key_lease_millis",
+                "Time for which API keys may pass, 0 without a lease, -1 without a bound",
+                () -> keyFreshness.remainingMillis().orElse(-1));
         return registry;
     }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -178,7 +178,7 @@
                         .set(MeshHeaders.ATTEMPTS, attempts)
                         .set(MeshHeaders.TARGET_NODE, target.node())
                         .set(MeshHeaders.TARGET_START, target.instance());
-        headers.remove(MeshHeaders.TENANT);
+        headers.remove(MeshHeaders.TENANT).remove(MeshHeaders.KEY_VALID_MILLIS);
         tenant().ifPresent(known -> headers.set(MeshHeaders.TENANT, known.name()));
         if (target.statistics().rateLimit() instanceof CallRateLimit.PerSecond limit) {
             headers.set(MeshHeaders.TARGET_LIMIT, limit.text());
--- a/node/src/main/java/org/cuminreach/node/caller/CallEntrance.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallEntrance.java
@@ -21,7 +21,7 @@
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 1_000;
 
     /** Time in which a node that is connected to a control gets its next proof, in milliseconds. */
-    private static final long UNPROVEN_RETRY_MILLIS = 400;
+    static final long UNPROVEN_RETRY_MILLIS = 400;
 
     /** Outcome of the checks. */
     sealed interface Outcome {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -44,6 +44,7 @@
     private static final int RETRY_MILLIS = 1_000;
 
     private final String dataCentre;
+    private final TenantAuthenticator authenticator;
     private final CallEntrance entrance;
     private final MeshView view;
     private final HttpSender sender;
@@ -67,6 +68,7 @@
             TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
         this.dataCentre = dataCentre;
+        this.authenticator = authenticator;
         this.entrance = new CallEntrance(ownHost, authenticator);
         this.routes = new RouteTableCache(holder);
         this.view = view;
@@ -229,6 +231,9 @@
         if (refused.isPresent()) {
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
+        if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
+            return refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
+        }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         String version =
                 VersionChooser.choose(
@@ -289,7 +294,8 @@
                     attempts, configuration, version, new SendOutcome.NotSent("deadline_passed"));
         }
         target.statistics().recordSent(startMillis);
-        HttpHeaders headers = attempts.headers(target, remaining, startMillis);
+        HttpHeaders headers =
+                authenticator.addValidity(attempts.headers(target, remaining, startMillis));
         HttpCall call = attempts.mayHedge() ? attempts.call().abandonableCopy() : attempts.call();
         CompletableFuture<HttpAnswer> answer =
                 sender.send(target.inbound(), call, headers, remaining)
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -16,6 +16,7 @@
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.TargetAnnouncer;
+import org.cuminreach.node.tenant.KeyFreshness;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
 import org.cuminreach.settings.Fault;
@@ -55,6 +56,7 @@
 
     private final NodeSettings settings;
     private final ConfigurationHolder configurationHolder;
+    private final KeyFreshness keyFreshness;
     private final MeshView meshView;
     private final EvidenceRecorder evidence;
     private final TargetAnnouncer announcer;
@@ -85,6 +87,7 @@
     private ControlSession(
             NodeSettings settings,
             ConfigurationHolder configurationHolder,
+            KeyFreshness keyFreshness,
             MeshView meshView,
             EvidenceRecorder evidence,
             TargetAnnouncer announcer,
@@ -93,6 +96,7 @@
             RandomGenerator random) {
         this.settings = settings;
         this.configurationHolder = configurationHolder;
+        this.keyFreshness = keyFreshness;
         this.meshView = meshView;
         this.evidence = evidence;
         this.announcer = announcer;
@@ -109,6 +113,7 @@
      *
      * @param settings settings of the node
      * @param configurationHolder receives configurations
+     * @param keyFreshness asks for proofs that the configuration is current
      * @param meshView receives announcements of targets
      * @param evidence collects the outcomes of the node's calls
      * @param announcer makes the announcements of the node's target
@@ -120,6 +125,7 @@
     public static ControlSession create(
             NodeSettings settings,
             ConfigurationHolder configurationHolder,
+            KeyFreshness keyFreshness,
             MeshView meshView,
             EvidenceRecorder evidence,
             TargetAnnouncer announcer,
@@ -129,6 +135,7 @@
         return new ControlSession(
                 settings,
                 configurationHolder,
+                keyFreshness,
                 meshView,
                 evidence,
                 announcer,
@@ -184,10 +191,11 @@
         }
         open.send(
                 Frame.heartbeat(
-                        new Heartbeat(wallMillis)
-                                .setMayMove(
-                                        redirectPolicy.mayRedirect(
-                                                ProcessClock.monotonicMillis()))));
+                        keyFreshness.addQuestion(
+                                new Heartbeat(wallMillis)
+                                        .setMayMove(
+                                                redirectPolicy.mayRedirect(
+                                                        ProcessClock.monotonicMillis())))));
         if (welcomed) {
             List<Evidence> taken = evidence.drain(wallMillis);
             if (!taken.isEmpty()) {
@@ -243,7 +251,7 @@
             case ANNOUNCEMENTS -> mergeAnnouncements(frame.getAnnouncements());
             case CONFIGURATION_DELTA ->
                     applyDelta(from, DeltaCodec.toDelta(frame.getConfigurationDelta()));
-            case HEARTBEAT -> LOGGER.trace("event=control_alive");
+            case HEARTBEAT -> keyFreshness.recordAnswer(frame.getHeartbeat());
             default -> throw new MalformedFrameException("no control sends " + frame.getSetField());
         }
     }
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -20,6 +20,12 @@
      */
     public static final String TENANT = "X-Cuminreach-Tenant";
 
+    /**
+     * Time for which the API key of a call counts as proven, in milliseconds; between nodes only,
+     * and absent when nothing bounds it.
+     */
+    public static final String KEY_VALID_MILLIS = "X-Cuminreach-Key-Valid-Millis";
+
     /** Time left until the caller's deadline, in milliseconds. */
     public static final String REMAINING_MILLIS = "X-Cuminreach-Remaining-Millis";
 
@@ -120,8 +126,24 @@
                     "content-length",
                     "expect");
 
+    /** Request headers that the node beside a target reads and does not pass on. */
+    private static final List<String> FOR_TARGET_NODE =
+            List.of(TARGET_NODE, TARGET_START, TARGET_LIMIT, KEY_VALID_MILLIS);
+
     private MeshHeaders() {}
 
+    /**
+     * Copies the headers of a call for its target.
+     *
+     * @param headers headers of the call
+     * @return a copy without hop-by-hop headers and those for the node beside the target
+     */
+    public static HttpHeaders forTarget(HttpHeaders headers) {
+        HttpHeaders copy = endToEnd(headers);
+        FOR_TARGET_NODE.forEach(copy::remove);
+        return copy;
+    }
+
     /**
      * Copies the headers of a target's answer without those reserved for nodes.
      *
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -42,6 +42,7 @@
             String requestId,
             AdmissionRequest admissionRequest,
             long arrivalNanos,
+            KeyValidity keyValidity,
             CompletableFuture<HttpAnswer> answer) {
         private String caller() {
             return admissionRequest.caller().text();
@@ -108,6 +109,7 @@
                         call.header(MeshHeaders.REQUEST_ID, ""),
                         admissionRequest(call, route, nowMillis),
                         System.nanoTime(),
+                        KeyValidity.of(call.headers()),
                         new CompletableFuture<>());
         Optional<String> refusal = refusalReason(call, nowMillis);
         if (refusal.isPresent()) {
@@ -280,14 +282,12 @@
 
     private CompletableFuture<SendOutcome> send(PendingCall pending, long remainingMillis) {
         Optional<TargetDescription> current = target.get();
-        if (current.isEmpty() || remainingMillis <= 0) {
-            return CompletableFuture.completedFuture(new SendOutcome.NotSent("deadline_passed"));
+        boolean keyHolds = pending.keyValidity().holdsNow();
+        if (current.isEmpty() || remainingMillis <= 0 || !keyHolds) {
+            String reason = keyHolds ? "deadline_passed" : "no_lease";
+            return CompletableFuture.completedFuture(new SendOutcome.NotSent(reason));
         }
-        HttpHeaders headers =
-                MeshHeaders.endToEnd(pending.call().headers())
-                        .remove(MeshHeaders.TARGET_NODE)
-                        .remove(MeshHeaders.TARGET_START)
-                        .remove(MeshHeaders.TARGET_LIMIT);
+        HttpHeaders headers = MeshHeaders.forTarget(pending.call().headers());
         String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
--- a/node/src/main/java/org/cuminreach/node/tenant/TenantAuthenticator.java
+++ b/node/src/main/java/org/cuminreach/node/tenant/TenantAuthenticator.java
@@ -3,9 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import java.util.function.Supplier;
 import org.cuminreach.decisions.tenant.ApiKeyTable;
-import org.cuminreach.decisions.tenant.Freshness;
 import org.cuminreach.decisions.tenant.KeyCheck;
 import org.cuminreach.document.Tenant;
 import org.cuminreach.node.http.MeshHeaders;
@@ -18,9 +16,9 @@
 public final class TenantAuthenticator {
     private static final String SCHEME = "token ";
 
-    private final Supplier<Freshness> freshness;
+    private final KeyFreshness freshness;
 
-    private TenantAuthenticator(Supplier<Freshness> freshness) {
+    private TenantAuthenticator(KeyFreshness freshness) {
         this.freshness = freshness;
     }
 
@@ -30,7 +28,7 @@
      * @param freshness tells how far the configuration is known to be current
      * @return the authenticator
      */
-    public static TenantAuthenticator create(Supplier<Freshness> freshness) {
+    public static TenantAuthenticator create(KeyFreshness freshness) {
         return new TenantAuthenticator(freshness);
     }
 
@@ -48,7 +46,7 @@
         if (!keys.requiresKeys()) {
             return new KeyCheck.Passed(Optional.empty());
         }
-        KeyCheck check = KeyCheck.of(keys, isPublic, takeKey(headers), freshness.get());
+        KeyCheck check = KeyCheck.of(keys, isPublic, takeKey(headers), freshness.current());
         if (check instanceof KeyCheck.Passed passed) {
             passed.tenant()
                     .map(Tenant::name)
@@ -57,6 +55,31 @@
         return check;
     }
 
+    /**
+     * Tells whether calls with a key may be sent now.
+     *
+     * @return true while the configuration is known to be current, or need not be
+     */
+    public boolean allowsKeys() {
+        return freshness.current().allowsKeys();
+    }
+
+    /**
+     * Adds to a call of a tenant for how long its key counts as proven from now on.
+     *
+     * @param headers headers of the call for the node beside the target
+     * @return the same headers
+     */
+    public HttpHeaders addValidity(HttpHeaders headers) {
+        headers.remove(MeshHeaders.KEY_VALID_MILLIS);
+        if (headers.contains(MeshHeaders.TENANT)) {
+            freshness
+                    .remainingMillis()
+                    .ifPresent(millis -> headers.set(MeshHeaders.KEY_VALID_MILLIS, millis));
+        }
+        return headers;
+    }
+
     private static Optional<String> takeKey(HttpHeaders headers) {
         Optional<String> key =
                 headers.getAll(HttpHeaderNames.AUTHORIZATION).stream()
--- a/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -14,6 +15,8 @@
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.TargetAnnouncer;
+import org.cuminreach.node.tenant.KeyFreshness;
+import org.cuminreach.node.tenant.NodeClocks;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.log.LogFormat;
@@ -59,6 +62,7 @@
                 ControlSession.create(
                         settings,
                         holder,
+                        KeyFreshness.create(holder, OptionalLong.empty(), NodeClocks::read),
                         view,
                         EvidenceRecorder.empty(),
                         announcer,
