--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -45,6 +45,7 @@
     private static final int RETRY_MILLIS = 1_000;
 
     private final TargetPermissions permissions;
+    private final TenantAuthenticator authenticator;
     private final CallEntrance entrance;
     private final MeshView view;
     private final HttpSender sender;
@@ -68,6 +69,7 @@
             TenantAuthenticator authenticator,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
+        this.authenticator = authenticator;
         this.entrance = new CallEntrance(ownHost, authenticator);
         this.routes = new RouteTableCache(holder);
         this.view = view;
@@ -230,6 +232,9 @@
         if (refused.isPresent()) {
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
+        if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
+            return refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
+        }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         PermittedTargets permitted = permissions.forCall(attempts.route(), List.of());
         String version =
@@ -294,7 +299,8 @@
                     attempts, configuration, version, new SendOutcome.NotSent("deadline_passed"));
         }
         target.statistics().recordSent(startMillis);
-        HttpHeaders headers = attempts.headers(target, remaining, startMillis);
+        HttpHeaders headers =
+                authenticator.addValidity(attempts.headers(target, remaining, startMillis));
         HttpCall call = attempts.mayHedge() ? attempts.call().abandonableCopy() : attempts.call();
         CompletableFuture<HttpAnswer> answer =
                 sender.send(target.inbound(), call, headers, remaining)
--- a/node/src/main/java/org/cuminreach/node/target/PendingCall.java
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -17,6 +17,7 @@
  * @param requestId its request ID
  * @param admissionRequest its properties that decide its admission
  * @param arrivalNanos time at which it arrived, by {@link System#nanoTime()}
+ * @param keyValidity how long the API key of its caller counts as proven
  * @param answer completes with its answer
  */
 record PendingCall(
@@ -24,6 +25,7 @@
         String requestId,
         AdmissionRequest admissionRequest,
         long arrivalNanos,
+        KeyValidity keyValidity,
         CompletableFuture<HttpAnswer> answer) {
     private static final int DEFAULT_REMAINING_MILLIS = 5_000;
 
@@ -50,6 +52,7 @@
                 call.header(MeshHeaders.REQUEST_ID, ""),
                 request,
                 System.nanoTime(),
+                KeyValidity.of(call.headers()),
                 new CompletableFuture<>());
     }
 
@@ -59,11 +62,7 @@
 
     /** Headers of the call without those that are for this node only. */
     HttpHeaders headersForTarget() {
-        return MeshHeaders.endToEnd(call.headers())
-                .remove(MeshHeaders.TARGET_NODE)
-                .remove(MeshHeaders.TARGET_START)
-                .remove(MeshHeaders.TARGET_LIMIT)
-                .remove(MeshHeaders.TARGET_COLD);
+        return MeshHeaders.forTarget(call.headers());
     }
 
     /** Start of the target that the call is for, or empty when its sender named none. */
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -289,8 +289,10 @@
 
     private CompletableFuture<SendOutcome> send(PendingCall pending, long remainingMillis) {
         Optional<TargetDescription> current = target.get();
-        if (current.isEmpty() || remainingMillis <= 0) {
-            return CompletableFuture.completedFuture(new SendOutcome.NotSent("deadline_passed"));
+        boolean keyHolds = pending.keyValidity().holdsNow();
+        if (current.isEmpty() || remainingMillis <= 0 || !keyHolds) {
+            String reason = keyHolds ? "deadline_passed" : "no_lease";
+            return CompletableFuture.completedFuture(new SendOutcome.NotSent(reason));
         }
         String instance = current.get().instance();
         TargetCallMetadata metadata =
