Keep calls and their bodies in their home regions

Documents could name home regions that no node read. Targets outside the homes of a call are left out by the same filter as evacuated ones; a tenant's homes are a second argument of the filter, empty until tenants are resolved. The home node of an idempotency key gets the body too, so it is chosen among the nodes in the homes of the route. A route whose homes change moves the homes of its keys: a key from before the change is answered as may have run. A data centre that the settings don't list is outside all homes. Controls warn of a home region that no data centre is in; refusing the document was ruled out, since the replicated state must not depend on the settings of a control.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.evacuation.EvacuationReporter;
+import org.cuminreach.control.homes.HomeRegionReporter;
 import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.NodeSessionManager;
 import org.cuminreach.control.operator.OperatorGateway;
@@ -101,6 +102,7 @@
         replica.addListener(rolloutReporter);
         evacuationReporter = EvacuationReporter.create(replica.configuration());
         replica.addListener(evacuationReporter);
+        replica.addListener(HomeRegionReporter.create(settings.bounds().regions().values()));
         evidenceForwarder = EvidenceForwarder.create(replica, peers, rolloutController);
         sessions =
                 NodeSessionManager.create(
--- /dev/null
+++ b/control/src/main/java/org/cuminreach/control/homes/package-info.java
@@ -0,0 +1,2 @@
+/** Reports of home regions that cannot be served. */
+package org.cuminreach.control.homes;
--- a/decisions/src/main/java/org/cuminreach/decisions/idempotency/KeyHomes.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/idempotency/KeyHomes.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Home nodes of idempotency keys in one service, and since when each is the home. The home of a key
@@ -16,8 +18,8 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
-    /** Set of nodes and the time from which it was valid. */
-    private record Change(long atMillis, List<String> nodes) {}
+    /** Data centre of each node and the time from which this was valid. */
+    private record Change(long atMillis, Map<String, String> dataCentres) {}
 
     private final Deque<Change> changes = new ArrayDeque<>();
 
@@ -39,7 +41,19 @@
      * @param nowMillis current time
      */
     public void updateNodes(Collection<String> nodes, long nowMillis) {
-        changes.addFirst(new Change(nowMillis, List.copyOf(nodes)));
+        Map<String, String> dataCentres = new HashMap<>();
+        nodes.forEach(node -> dataCentres.put(node, ""));
+        updateNodes(dataCentres, nowMillis);
+    }
+
+    /**
+     * Replaces the nodes of the service.
+     *
+     * @param dataCentres data centre of each of its nodes, by name of the node
+     * @param nowMillis current time
+     */
+    public void updateNodes(Map<String, String> dataCentres, long nowMillis) {
+        changes.addFirst(new Change(nowMillis, Map.copyOf(dataCentres)));
         if (changes.size() > MAX_CHANGES) {
             changes.removeLast();
         }
@@ -52,7 +66,18 @@
      * @return name of the node, or empty when the service has none
      */
     public Optional<String> home(String key) {
-        return changes.isEmpty() ? Optional.empty() : home(key, changes.getFirst().nodes());
+        return home(key, dataCentre -> true);
+    }
+
+    /**
+     * Returns the home of a key that must stay in certain data centres.
+     *
+     * @param key the key
+     * @param allowed tells whether the home may be in a data centre
+     * @return name of the node, or empty when the service has none there
+     */
+    public Optional<String> home(String key, Predicate<String> allowed) {
+        return changes.isEmpty() ? Optional.empty() : home(key, changes.getFirst(), allowed);
     }
 
     /**
@@ -63,10 +88,23 @@
      * @return the time; changes of nodes that are no longer stored count as changes of the home
      */
     public long homeSince(String key, long nowMillis) {
-        Optional<String> current = home(key);
+        return homeSince(key, dataCentre -> true, nowMillis);
+    }
+
+    /**
+     * Returns the time since which the home of a key that must stay in certain data centres has not
+     * changed.
+     *
+     * @param key the key
+     * @param allowed tells whether the home may be in a data centre
+     * @param nowMillis current time
+     * @return the time; changes of nodes that are no longer stored count as changes of the home
+     */
+    public long homeSince(String key, Predicate<String> allowed, long nowMillis) {
+        Optional<String> current = home(key, allowed);
         long since = nowMillis;
         for (Change change : changes) {
-            if (!home(key, change.nodes()).equals(current)) {
+            if (!home(key, change, allowed).equals(current)) {
                 return since;
             }
             since = change.atMillis();
@@ -74,10 +112,14 @@
         return since;
     }
 
-    private static Optional<String> home(String key, List<String> nodes) {
+    private static Optional<String> home(String key, Change change, Predicate<String> allowed) {
         String home = null;
         long highest = 0;
-        for (String node : nodes) {
+        for (Map.Entry<String, String> entry : change.dataCentres().entrySet()) {
+            if (!allowed.test(entry.getValue())) {
+                continue;
+            }
+            String node = entry.getKey();
             long weight = weight(key, node);
             boolean isHigher =
                     home == null
--- a/node/src/main/java/org/cuminreach/node/caller/CallDeduplicator.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallDeduplicator.java
@@ -93,6 +93,10 @@
             KeyedCall keyed, Supplier<CompletableFuture<HttpAnswer>> run) {
         Optional<KeyHomeTable.Home> home = home(keyed);
         if (home.isEmpty()) {
+            LOGGER.info(
+                    "event=key_has_no_home request={} service={}",
+                    keyed.headers().get(MeshHeaders.REQUEST_ID),
+                    keyed.service());
             return mayHaveRun("no_key_home");
         }
         if (home.get().node().equals(node)) {
@@ -120,14 +124,18 @@
     }
 
     private Optional<KeyHomeTable.Home> home(KeyedCall keyed) {
-        return homes.home(keyed.service(), keyed.key().text(), ProcessClock.wallMillis());
+        return homes.home(
+                keyed.service(), keyed.key().text(), keyed.filter(), ProcessClock.wallMillis());
     }
 
     private CompletableFuture<HttpAnswer> handleAtHome(
             KeyedCall keyed, KeyHomeTable.Home home, Supplier<CompletableFuture<HttpAnswer>> run) {
         long nowMillis = ProcessClock.wallMillis();
         recordDisconnection(nowMillis);
-        long sinceMillis = Math.max(home.sinceMillis(), lastDisconnectedMillis);
+        long sinceMillis =
+                Math.max(
+                        Math.max(home.sinceMillis(), keyed.filterSinceMillis()),
+                        lastDisconnectedMillis);
         FirstCall first = new FirstCall();
         IdempotencyKeyStore<FirstCall> shard = shard(keyed);
         KeyDecision<FirstCall> decision;
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -183,7 +183,7 @@
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
         String service = route.selectService(ThreadLocalRandom.current());
         KeyedCall keyedCall =
-                new KeyedCall(call, service, KeyedCall.scoped(key.get(), call), headers, remaining);
+                permissions.keyedCall(call, route, service, key.get(), headers, remaining);
         Supplier<CompletableFuture<HttpAnswer>> run =
                 () ->
                         start(
--- a/node/src/main/java/org/cuminreach/node/caller/KeyHomeTable.java
+++ b/node/src/main/java/org/cuminreach/node/caller/KeyHomeTable.java
@@ -8,6 +8,7 @@
 import org.cuminreach.decisions.idempotency.KeyHomes;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.membership.TargetPhase;
+import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.settings.Address;
 
 /** Home nodes of idempotency keys, updated by target announcements. Thread-safe. */
@@ -21,10 +22,18 @@
      */
     record Home(String node, Address inbound, long sinceMillis) {}
 
+    private record ReadyNode(Address inbound, String dataCentre) {}
+
     /** Ready nodes of one service. */
     private static final class ServiceNodes {
-        private final Map<String, Address> readyNodes = new TreeMap<>();
+        private final Map<String, ReadyNode> readyNodes = new TreeMap<>();
         private final KeyHomes homes = KeyHomes.empty();
+
+        private void update(long wallMillis) {
+            Map<String, String> dataCentres = new HashMap<>();
+            readyNodes.forEach((name, node) -> dataCentres.put(name, node.dataCentre()));
+            homes.updateNodes(dataCentres, wallMillis);
+        }
     }
 
     private final Map<String, ServiceNodes> services = new HashMap<>();
@@ -60,29 +69,34 @@
                         services.computeIfAbsent(
                                 announcement.service(), name -> new ServiceNodes());
                 boolean joined =
-                        nodes.readyNodes.put(announcement.node(), announcement.inbound()) == null;
+                        nodes.readyNodes.put(
+                                        announcement.node(),
+                                        new ReadyNode(
+                                                announcement.inbound(), announcement.dataCentre()))
+                                == null;
                 if (joined) {
-                    nodes.homes.updateNodes(nodes.readyNodes.keySet(), wallMillis);
+                    nodes.update(wallMillis);
                 }
             }
         }
     }
 
-    /** Returns the home node of a key. */
-    synchronized Optional<Home> home(String service, String key, long wallMillis) {
+    /** Returns the home node of a key, among those that its call and body may be sent to. */
+    synchronized Optional<Home> home(
+            String service, String key, TargetFilter filter, long wallMillis) {
         ServiceNodes nodes = services.get(service);
         if (nodes == null) {
             return Optional.empty();
         }
-        long sinceMillis = nodes.homes.homeSince(key, wallMillis);
+        long sinceMillis = nodes.homes.homeSince(key, filter::isHome, wallMillis);
         return nodes.homes
-                .home(key)
-                .map(node -> new Home(node, nodes.readyNodes.get(node), sinceMillis));
+                .home(key, filter::isHome)
+                .map(node -> new Home(node, nodes.readyNodes.get(node).inbound(), sinceMillis));
     }
 
     private static void remove(ServiceNodes nodes, String node, long wallMillis) {
         if (nodes.readyNodes.remove(node) != null) {
-            nodes.homes.updateNodes(nodes.readyNodes.keySet(), wallMillis);
+            nodes.update(wallMillis);
         }
     }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
@@ -6,6 +6,7 @@
 import java.security.MessageDigest;
 import org.cuminreach.decisions.configuration.Sha256;
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
+import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.runtime.http.HttpCall;
 
 /**
@@ -15,6 +16,8 @@
  * @param service name of the called service
  * @param key its key, scoped to its method, host and path
  * @param headers headers to forward it with
+ * @param filter decides which nodes may be the home of the key
+ * @param filterSinceMillis wall-clock time since which the filter has not changed
  * @param remainingMillis time left until its deadline, in milliseconds
  */
 record KeyedCall(
@@ -22,6 +25,8 @@
         String service,
         IdempotencyKey key,
         HttpHeaders headers,
+        TargetFilter filter,
+        long filterSinceMillis,
         long remainingMillis) {
     /** Scopes a key to the method, host and path of its call. */
     static IdempotencyKey scoped(IdempotencyKey key, HttpCall call) {
--- a/node/src/main/java/org/cuminreach/node/caller/TargetPermissions.java
+++ b/node/src/main/java/org/cuminreach/node/caller/TargetPermissions.java
@@ -1,14 +1,18 @@
 package org.cuminreach.node.caller;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Map;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.decisions.idempotency.IdempotencyKey;
 import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.document.Route;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpCall;
 
 /**
  * The targets that calls from this node may be sent to. Evacuations are those of the newest
@@ -19,6 +23,7 @@
     private final Map<String, String> regions;
     private final ConfigurationHolder holder;
     private final MeshView view;
+    private final HomeChanges homeChanges = new HomeChanges();
 
     private TargetPermissions(
             String dataCentre,
@@ -67,6 +72,24 @@
                 tenantHomes);
     }
 
+    /** Returns a call with an idempotency key whose home node must be in the homes of the call. */
+    KeyedCall keyedCall(
+            HttpCall call,
+            Route route,
+            String service,
+            IdempotencyKey key,
+            HttpHeaders headers,
+            long remainingMillis) {
+        return new KeyedCall(
+                call,
+                service,
+                KeyedCall.scoped(key, call),
+                headers,
+                filter(route, List.of()),
+                homeChanges.since(holder.activeConfiguration(), route, ProcessClock.wallMillis()),
+                remainingMillis);
+    }
+
     /**
      * Avoids a data centre in the later attempts of a call when the node beside its target has
      * refused the call because of an evacuation that is not known here yet.
--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
@@ -50,18 +51,56 @@
     private static final long POLL_MILLIS = 20;
     private static final LogSettings LOG_SETTINGS = LogSettings.of(LogLevel.WARN, LogFormat.TEXT);
 
+    /**
+     * Where the targets of a mesh are, and where its calls may go.
+     *
+     * @param dataCentres data centre of each target and of the node next to it
+     * @param regions region of each data centre; empty when the settings list none
+     * @param homes home regions of the route; empty when it has none
+     */
+    public record Layout(
+            List<String> dataCentres, Map<String, String> regions, List<String> homes) {
+        /**
+         * Returns a layout without regions.
+         *
+         * @param dataCentres data centre of each target
+         * @return the layout
+         */
+        public static Layout of(List<String> dataCentres) {
+            return new Layout(dataCentres, Map.of(), List.of());
+        }
+
+        private MeshBounds bounds() {
+            MeshBounds defaults = MeshBounds.defaults();
+            return new MeshBounds(
+                    regions, defaults.revocationMillis(), defaults.quota(), defaults.cold());
+        }
+
+        private String homesField() {
+            return homes.isEmpty()
+                    ? ""
+                    : ", \"homeRegions\": [\"" + String.join("\", \"", homes) + "\"]";
+        }
+    }
+
     private final ControlProcess control;
     private final Address controlAddress;
     private final Address operatorAddress;
+    private final Layout layout;
     private final List<NodeSettings> settings = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final EventLoopGroup eventLoops = EventLoops.start(1);
     private final HttpSender sender = HttpSender.create(eventLoops);
 
-    private InProcessMesh(ControlProcess control, Address controlAddress, Address operatorAddress) {
+    private InProcessMesh(
+            ControlProcess control,
+            Address controlAddress,
+            Address operatorAddress,
+            Layout layout) {
         this.control = control;
         this.controlAddress = controlAddress;
         this.operatorAddress = operatorAddress;
+        this.layout = layout;
     }
 
     /**
@@ -77,7 +116,7 @@
     public static InProcessMesh start(Path folder, List<Address> targets, int timeoutMillis)
             throws IOException, InterruptedException {
         List<String> dataCentres = Collections.nCopies(targets.size(), DATA_CENTRE);
-        return start(folder, targets, dataCentres, timeoutMillis);
+        return start(folder, targets, Layout.of(dataCentres), timeoutMillis);
     }
 
     /**
@@ -86,14 +125,14 @@
      *
      * @param folder an empty folder for the control
      * @param targets addresses of the targets
-     * @param dataCentres data centre of each target and of the node next to it
+     * @param layout its data centres
      * @param timeoutMillis timeout of the route
      * @return the running mesh
      * @throws IOException if the folder cannot be used
      * @throws InterruptedException if interrupted while waiting
      */
     public static InProcessMesh start(
-            Path folder, List<Address> targets, List<String> dataCentres, int timeoutMillis)
+            Path folder, List<Address> targets, Layout layout, int timeoutMillis)
             throws IOException, InterruptedException {
         ControlSettings settings = controlSettings(folder);
         initialise(settings);
@@ -101,10 +140,11 @@
                 new InProcessMesh(
                         ControlProcess.start(settings),
                         settings.nodeAddress(),
-                        settings.operatorAddress());
+                        settings.operatorAddress(),
+                        layout);
         mesh.submit(settings.operatorAddress(), timeoutMillis);
         for (int target = 0; target < targets.size(); target++) {
-            mesh.startNode(targets.get(target), dataCentres.get(target));
+            mesh.startNode(targets.get(target), layout.dataCentres().get(target));
         }
         for (int node = 0; node < targets.size(); node++) {
             mesh.awaitRoutes(node);
@@ -135,7 +175,7 @@
                         false,
                         SHUTDOWN_DELAY_MILLIS,
                         SHUTDOWN_TIMEOUT_MILLIS,
-                        MeshBounds.defaults(),
+                        layout.bounds(),
                         LOG_SETTINGS);
         settings.add(nodeSettings);
         nodes.add(NodeProcess.start(nodeSettings));
@@ -287,9 +327,16 @@
         String document =
                 """
                 {"services": [{"name": "%s", "version": "%s"}],
-                 "routes": [{"name": "%s", "host": "%s", "service": "%s", "timeoutMillis": %d}]}
+                 "routes": [{"name": "%s", "host": "%s", "service": "%s", "timeoutMillis": %d%s}]}
                 """
-                        .formatted(SERVICE, VERSION, SERVICE, HOST, SERVICE, timeoutMillis);
+                        .formatted(
+                                SERVICE,
+                                VERSION,
+                                SERVICE,
+                                HOST,
+                                SERVICE,
+                                timeoutMillis,
+                                layout.homesField());
         HttpHeaders headers = new DefaultHttpHeaders().set("Idempotency-Key", "first");
         HttpCall call =
                 new HttpCall(
--- a/trial/src/test/java/org/cuminreach/trial/once/EvacuationOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/EvacuationOnNodesTest.java
@@ -123,7 +123,7 @@
                 InProcessMesh.start(
                         Files.createTempDirectory("evacuation"),
                         addresses,
-                        DATA_CENTRES,
+                        InProcessMesh.Layout.of(DATA_CENTRES),
                         TIMEOUT_MILLIS);
     }
 
