Refuse an edit with a range outside the document instead of stopping the controls

Applying such an edit threw an exception inside the replicated state, so that each control that applied it stopped, also after a restart. It is refused as faulty now, the same on every control, and a resend gets the same outcome. Seen red first: DocumentEditTest.

--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/DocumentEdit.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/DocumentEdit.java
@@ -80,6 +80,17 @@
         return new DocumentEdit(parts);
     }
 
+    /**
+     * Tells whether the edit can be applied to a text.
+     *
+     * @param earlier the text
+     * @return true when every kept range lies inside the text
+     */
+    public boolean fits(String earlier) {
+        return parts.stream()
+                .allMatch(part -> !(part instanceof Part.Kept kept) || isInside(kept, earlier));
+    }
+
     /**
      * Applies the edit.
      *
@@ -99,17 +110,19 @@
     }
 
     private static String extract(String earlier, Part.Kept kept) {
-        boolean inBounds =
-                kept.from() >= 0
-                        && kept.length() >= 0
-                        && kept.from() <= earlier.length() - kept.length();
-        if (!inBounds) {
+        if (!isInside(kept, earlier)) {
             throw new IllegalStateException(
                     "edit range " + kept + " exceeds text of " + earlier.length() + " characters");
         }
         return earlier.substring(kept.from(), kept.from() + kept.length());
     }
 
+    private static boolean isInside(Part.Kept kept, String earlier) {
+        return kept.from() >= 0
+                && kept.length() >= 0
+                && kept.from() <= earlier.length() - kept.length();
+    }
+
     /** Returns the index of a block of the later text in the earlier one, or -1 if not found. */
     private static int findBlock(
             String earlier, String later, int at, int expected, Map<String, Integer> blocks) {
--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshState.java
@@ -141,7 +141,7 @@
     public Optional<SubmissionOutcome> apply(long index, MeshCommand command) {
         return switch (command) {
             case MeshCommand.SubmitDocument submission -> Optional.of(submit(index, submission));
-            case MeshCommand.EditDocument edit -> Optional.of(submit(index, toSubmission(edit)));
+            case MeshCommand.EditDocument edit -> Optional.of(edit(index, edit));
             case MeshCommand.StepRollout step -> {
                 stepRollout(index, step);
                 yield Optional.empty();
@@ -151,6 +151,22 @@
         };
     }
 
+    private SubmissionOutcome edit(long index, MeshCommand.EditDocument edit) {
+        boolean applies =
+                edit.basedOn() != configuration.documentVersion()
+                        || edit.edit().fits(configuration.documentText());
+        return applies
+                ? submit(index, toSubmission(edit))
+                : previousOutcome(edit).orElseGet(() -> refuseUnfit(edit));
+    }
+
+    private SubmissionOutcome refuseUnfit(MeshCommand.EditDocument edit) {
+        Fault fault = new Fault("edit", "keeps a range outside the document in force");
+        SubmissionOutcome outcome = new SubmissionOutcome.RefusedAsFaulty(List.of(fault));
+        outcomes.retain(edit.key(), outcome);
+        return outcome;
+    }
+
     /**
      * Converts an edit to a full submission. The text stays empty if the edit is not based on the
      * current document, since it is then refused as stale.
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/DocumentEditTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/DocumentEditTest.java
@@ -72,6 +72,29 @@
         assertThat(state.configuration().documentText()).isEqualTo(base);
     }
 
+    /** Guards against an exception in the replicated state, which stops every control. */
+    @Example
+    void editWithRangeOutsideTheTextIsRefusedAsFaulty() {
+        for (DocumentEdit.Part.Kept kept :
+                List.of(
+                        new DocumentEdit.Part.Kept(0, 1_000),
+                        new DocumentEdit.Part.Kept(-1, 1),
+                        new DocumentEdit.Part.Kept(1, -1),
+                        new DocumentEdit.Part.Kept(Integer.MAX_VALUE, Integer.MAX_VALUE))) {
+            MeshState state = MeshState.of(MeshStateImage.empty());
+            state.apply(1, new MeshCommand.SubmitDocument("test", "a", 0, "{}", 1));
+            MeshCommand edit =
+                    new MeshCommand.EditDocument(
+                            "test", "b", 1, new DocumentEdit(List.of(kept)), 1);
+
+            SubmissionOutcome outcome = state.apply(2, edit).orElseThrow();
+
+            assertThat(outcome).isInstanceOf(SubmissionOutcome.RefusedAsFaulty.class);
+            assertThat(state.configuration().documentVersion()).isEqualTo(1);
+            assertThat(state.apply(3, edit)).hasValue(outcome);
+        }
+    }
+
     @Example
     void resentEditGetsPreviousOutcome() {
         MeshState state = MeshState.of(MeshStateImage.empty());
