Keep open circuits when a node records more than 256 new versions

The recorder dropped the state of every version to make room, so that calls went on to a version whose circuit had just opened. Only versions with a closed circuit make room now. Seen red first: EvidenceRecorderTest.

--- a/node/src/main/java/org/cuminreach/node/caller/EvidenceRecorder.java
+++ b/node/src/main/java/org/cuminreach/node/caller/EvidenceRecorder.java
@@ -74,7 +74,7 @@
         }
         NewVersion newVersion = new NewVersion(key.service(), rollout.version());
         if (versionStates.size() >= MAX_NEW_VERSIONS && !versionStates.containsKey(newVersion)) {
-            versionStates.clear();
+            removeClosed(nowMillis);
         }
         boolean ofNewVersion = key.version().equals(rollout.version());
         VersionState state =
@@ -154,6 +154,14 @@
         return drained;
     }
 
+    /** Makes room; versions with an open circuit stay, since the next call would reach them. */
+    private void removeClosed(long nowMillis) {
+        versionStates
+                .keySet()
+                .removeIf(
+                        version -> !isCircuitOpen(version.service(), version.version(), nowMillis));
+    }
+
     private static CallCounter count(CallCounter known, CallResult result, long micros) {
         CallCounter counter = known == null ? CallCounter.zero() : known;
         counter.record(result, micros);
