Count the log lines that a full queue drops

Only the rate limit counted what it dropped. The queue drops lines in a class of its own, one at a time, and the report names reason=queue_full. Seen red first: LogFloodTest, which compares the count with the lines that were written.

--- a/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/log/LogSetup.java
@@ -1,6 +1,5 @@
 package org.cuminreach.runtime.log;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
@@ -11,6 +10,7 @@
 import ch.qos.logback.core.encoder.Encoder;
 import ch.qos.logback.core.encoder.EncoderBase;
 import ch.qos.logback.core.joran.spi.ConsoleTarget;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +28,8 @@
 
     private static volatile EventRateFilter rateFilter = new EventRateFilter(Integer.MAX_VALUE);
 
+    private static volatile Optional<LogQueue> logQueue = Optional.empty();
+
     private LogSetup() {}
 
     /**
@@ -39,14 +41,12 @@
     public static void apply(LogSettings settings) {
         LoggerContext context = context();
         rateFilter = new EventRateFilter(settings.linesPerSecond());
-        AsyncAppender queue = new AsyncAppender();
+        LogQueue queue = new LogQueue(MAX_QUEUED_LINES, RESERVED_LINES);
         queue.setContext(context);
-        queue.setNeverBlock(true);
-        queue.setQueueSize(MAX_QUEUED_LINES);
-        queue.setDiscardingThreshold(RESERVED_LINES);
         queue.addFilter(rateFilter);
         queue.addAppender(console(context, settings.format(), ConsoleTarget.SystemOut));
         queue.start();
+        logQueue = Optional.of(queue);
         setRootAppender(context, queue);
         context.getLogger("org.cuminreach").setLevel(Level.valueOf(settings.level().name()));
     }
@@ -62,12 +62,16 @@
         ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
     }
 
-    /** Logs how many lines the rate limit has dropped since the last report, if any. */
+    /** Logs how many lines the rate limit or a full queue has dropped since the last report. */
     public static void reportDroppedLines() {
         long lines = rateFilter.drainDroppedLines();
         if (lines > 0) {
             LOGGER.warn("event=log_lines_dropped lines={} reason=event_rate_limit", lines);
         }
+        long queueLines = logQueue.map(LogQueue::drainDroppedLines).orElse(0L);
+        if (queueLines > 0) {
+            LOGGER.warn("event=log_lines_dropped lines={} reason=queue_full", queueLines);
+        }
     }
 
     private static LoggerContext context() {
--- a/runtime/src/test/java/org/cuminreach/runtime/log/LogFloodTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/log/LogFloodTest.java
@@ -21,6 +21,7 @@
         private final CountDownLatch opened = new CountDownLatch(1);
         private final AtomicInteger warnings = new AtomicInteger();
         private final AtomicInteger lines = new AtomicInteger();
+        private final StringBuffer text = new StringBuffer();
 
         @Override
         public void write(int one) {
@@ -34,10 +35,11 @@
             } catch (InterruptedException interrupted) {
                 Thread.currentThread().interrupt();
             }
-            String text =
+            String written =
                     new String(bytes, offset, length, java.nio.charset.StandardCharsets.UTF_8);
-            lines.addAndGet((int) text.chars().filter(character -> character == '\n').count());
-            warnings.addAndGet(text.split(" WARN ", -1).length - 1);
+            text.append(written);
+            lines.addAndGet((int) written.chars().filter(character -> character == '\n').count());
+            warnings.addAndGet(written.split(" WARN ", -1).length - 1);
         }
     }
 
@@ -68,6 +70,13 @@
             }
             assertThat(blocked.warnings.get()).isEqualTo(1);
             assertThat(blocked.lines.get()).isLessThan(LINES);
+            int written = blocked.lines.get();
+            LogSetup.reportDroppedLines();
+            while (blocked.text.indexOf("reason=queue_full") < 0 && System.nanoTime() < deadline) {
+                Thread.sleep(10);
+            }
+            assertThat(blocked.text.toString())
+                    .contains("lines=" + (LINES + 1 - written) + " reason=queue_full");
         } finally {
             blocked.opened.countDown();
             System.setOut(original);
