Test that a refused HEAD request gets no body

The HTTP codec leaves the body out, also for a request that is refused as malformed, so that the reported fault did not show: the test passed before this change. The placeholder of a refused request now carries its method, so that the handler does not depend on the codec for it.

--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -110,7 +110,8 @@
 
     private void answerAndClose(
             ChannelHandlerContext context, FullHttpRequest request, HttpAnswer answer) {
-        HttpCall placeholder = new HttpCall("GET", "/", request.headers(), new byte[0], "");
+        HttpCall placeholder =
+                new HttpCall(request.method().name(), "/", request.headers(), new byte[0], "");
         PendingCall last = new PendingCall(placeholder, false);
         last.answer = answer;
         pendingCalls.add(last);
--- a/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
@@ -59,6 +59,23 @@
         assertThat(firstLine("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n")).contains(" 500 ");
     }
 
+    @Example
+    void refusedHeadRequestGetsNoBody() throws IOException {
+        String answer = wholeAnswer("HEAD / HTTP/1.1\r\nHost: h\r\nBad Header\r\n\r\n");
+
+        assertThat(answer).contains(" 400 ");
+        assertThat(answer).endsWith("\r\n\r\n");
+    }
+
+    private static String wholeAnswer(String request) throws IOException {
+        try (Socket socket = new Socket(address.host(), address.port())) {
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     private static CompletableFuture<HttpAnswer> echoPath(HttpCall call) {
         return switch (call.path()) {
             case "/fail" -> CompletableFuture.failedFuture(new IOException("for the test"));
