--- a/control/src/main/java/org/cuminreach/control/command/TraceCommand.java
+++ b/control/src/main/java/org/cuminreach/control/command/TraceCommand.java
@@ -71,12 +71,24 @@
     }
 
     /**
-     * Tells whether the text contains the token followed by a space or the end of the line, so that
-     * an id does not match longer ids that begin with it.
+     * Tells whether the text contains the token as a word, so that an id does not match longer ids
+     * that begin with it, nor a field whose name ends with the token's.
      */
     private static boolean containsToken(String text, String token) {
         int start = text.indexOf(token);
-        int end = start + token.length();
-        return start >= 0 && (end == text.length() || text.charAt(end) == ' ');
+        while (start >= 0) {
+            int end = start + token.length();
+            boolean begins = start == 0 || isDelimiter(text.charAt(start - 1));
+            if (begins && (end == text.length() || isDelimiter(text.charAt(end)))) {
+                return true;
+            }
+            start = text.indexOf(token, end);
+        }
+        return false;
+    }
+
+    /** Tells whether a word ends at a character; quotes delimit messages in the JSON format. */
+    private static boolean isDelimiter(char character) {
+        return character == ' ' || character == '"';
     }
 }
--- a/control/src/test/java/org/cuminreach/control/command/TraceCommandTest.java
+++ b/control/src/test/java/org/cuminreach/control/command/TraceCommandTest.java
@@ -55,6 +55,22 @@
         assertThat(printed.indexOf("call_refused")).isLessThan(printed.indexOf("call_given_up"));
     }
 
+    @Example
+    void findsRequestThatIsNotTheFirstOfItsLine() throws IOException {
+        Path log = Files.createTempFile("node", ".log");
+        Files.writeString(
+                log,
+                """
+                2026-12-04T10:00:00.100Z INFO  X event=call_joined request=abc first_request=ab
+                2026-12-04T10:00:00.200Z INFO  X event=call_joined request=abc request=ab node=b
+                2026-12-04T10:00:00.300Z INFO  X event=call_joined request=abc request=abd
+                """);
+
+        assertThat(run("ab", log)).isEqualTo(ExitCode.DONE);
+        assertThat(out.toString(StandardCharsets.UTF_8).lines().count()).isEqualTo(1);
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("10:00:00.200Z");
+    }
+
     @Example
     void reportsUnknownRequestAndUnreadableFile() throws IOException {
         Path empty = Files.createTempFile("node", ".log");
