--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -151,10 +151,12 @@
 
     /** Stops the control. */
     public void stop() {
+        LOGGER.info("event=control_stopping name={} leads={}", settings.name(), replica.isLeader());
         timers.shutdownNow();
         extraServers.forEach(HttpServer::close);
         closeReplica();
         EventLoops.stop(eventLoops);
+        LOGGER.info("event=control_stopped name={}", settings.name());
     }
 
     private void closeReplica() {
