Say of calls that reached nobody that they have not run

Cause: 207 answers of 502 or 504 went to requests that had reached no target. Three ways led there: a call whose time ran out while its connection to another node was opened counted as lost; a call that waited beside a target was refused up to one timer interval before its deadline or after it, so that its sender had timed out by then; and a call that had been refused was sent on with so little time that it could only time out.

Ruled out: a longer timeout between nodes, since the client has left by then.

The change: the sender of calls between nodes records when a call is written, and reports one that failed before as not sent; it is then never written. A waiting call leaves 150 ms before its deadline, or a tenth of its time if that is less. A call that was sent before is refused, not sent again, when less than half of its running time is left.

Not shown: how many of the 207 answers each of the three explains.

--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -25,6 +25,15 @@
     /** Bounds every wait: callers without a deadline are better off elsewhere after a second. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
+    /**
+     * Time before its caller's deadline that a waiting call leaves for its refusal, so that the
+     * caller hears of it while it still waits, in milliseconds.
+     */
+    private static final long MAX_REFUSAL_MARGIN_MILLIS = 150;
+
+    /** The same as a share of the time that the call had left when it arrived. */
+    private static final double REFUSAL_MARGIN_SHARE = 0.1;
+
     private static final String DEADLINE = "deadline_cannot_be_met";
     private static final String OBJECTIVE = "objective_cannot_be_met";
     private static final String QUEUE_FULL = "queue_full";
@@ -136,6 +145,7 @@
                 waitingCalls.hasLessUrgentCalls(request, nowMillis)
                         ? latestStart(request, nowMillis)
                         : latest;
+        waitsUntil = Math.min(waitsUntil, latestRefusal(request, nowMillis));
         band.add(request.caller(), new SourceQueue.QueuedCall<>(call, runMillis, waitsUntil));
         return new AdmissionOutcome.Queued();
     }
@@ -154,6 +164,12 @@
         return Math.min(latestStart(request, nowMillis), request.latestStartMillis());
     }
 
+    /** Returns the latest time at which the refusal of a call still arrives within its deadline. */
+    private static long latestRefusal(AdmissionRequest request, long nowMillis) {
+        double margin = REFUSAL_MARGIN_SHARE * (request.deadlineMillis() - nowMillis);
+        return request.deadlineMillis() - Math.min(MAX_REFUSAL_MARGIN_MILLIS, Math.round(margin));
+    }
+
     /** Returns the latest time at which a call can start and still end within its deadline. */
     private long latestStart(AdmissionRequest request, long nowMillis) {
         double runMillis = Math.max(capacity.minRunMillis(), request.typicalRunMillis());
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -231,6 +231,9 @@
         if (refused.isPresent()) {
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
+        if (!routeStatistics.hasTimeToRun(attempts, nowMillis)) {
+            return refuse(attempts, "deadline_cannot_be_met", attempts.retryAfterMillis(1));
+        }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         String version =
                 VersionChooser.choose(
--- a/node/src/main/java/org/cuminreach/node/caller/RouteStatistics.java
+++ b/node/src/main/java/org/cuminreach/node/caller/RouteStatistics.java
@@ -17,6 +17,9 @@
 final class RouteStatistics {
     private static final double MICROS_PER_MILLI = 1_000;
 
+    /** Share of the typical running time below which hardly any call ends. */
+    private static final double MIN_RUN_SHARE = 0.5;
+
     private final RunTimes runTimes = RunTimes.empty();
     private final CallSizes sizes = CallSizes.empty();
 
@@ -44,6 +47,17 @@
         return runTimes.slowness(route, runMillis);
     }
 
+    /**
+     * Tells whether a call has time for an attempt. One that was sent before and whose deadline can
+     * hardly be met leaves with the outcome of its earlier attempts; an attempt that ends with the
+     * deadline would hide that it has not run.
+     */
+    synchronized boolean hasTimeToRun(CallAttempts attempts, long nowMillis) {
+        double runMillis = runTimes.typicalRunMillis(attempts.route().name());
+        return attempts.triedNodes().isEmpty()
+                || attempts.remainingMillis(nowMillis) > MIN_RUN_SHARE * runMillis;
+    }
+
     /** Returns the requirements of a call for the choice of its target. */
     synchronized CallRequirements requirements(CallAttempts attempts, long nowMillis) {
         double runMillis = runTimes.typicalRunMillis(attempts.route().name());
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -108,10 +108,12 @@
 
     private CompletableFuture<SendOutcome> execute(Address to, HttpCall call, Request request) {
         long startMillis = ProcessClock.monotonicMillis();
-        ListenableFuture<Response> sending = client.executeRequest(request);
+        SendProgress progress = new SendProgress();
+        ListenableFuture<Response> sending = client.executeRequest(request, progress);
         call.abandoned().thenRun(() -> sending.cancel(true));
         return sending.toCompletableFuture()
                 .handle((response, failure) -> toOutcome(call, response, failure))
+                .thenApply(progress::correct)
                 .whenComplete((outcome, error) -> closeStaleConnections(to, outcome, startMillis));
     }
 
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -6,8 +6,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -45,6 +48,24 @@
                 .isInstanceOf(SendOutcome.NotSent.class);
     }
 
+    /** The peer accepts no connection, so that the time of the call runs out before it is sent. */
+    @Example
+    void callWhoseTimeEndsWhileItsConnectionOpensIsReportedAsNotSent() throws Exception {
+        try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                SocketChannel first = SocketChannel.open();
+                SocketChannel second = SocketChannel.open();
+                SocketChannel third = SocketChannel.open()) {
+            for (SocketChannel filler : List.of(first, second, third)) {
+                filler.configureBlocking(false);
+                filler.connect(peer.getLocalSocketAddress());
+            }
+            Address address = new Address("127.0.0.1", peer.getLocalPort());
+
+            assertThat(send(address, call(), 150))
+                    .isEqualTo(new SendOutcome.NotSent("timeout_before_sending"));
+        }
+    }
+
     @Example
     void connectionClosedAfterTheRequestIsLost() throws Exception {
         assertLost((head, body, socket) -> socket.close());
