--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -1,6 +1,7 @@
 package org.cuminreach.node.caller;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -82,6 +83,11 @@
         return origin.tenant();
     }
 
+    /** Regions that the tenant's calls must not leave; empty when they may go anywhere. */
+    List<String> homeRegions() {
+        return tenant().map(Tenant::homeRegions).orElse(List.of());
+    }
+
     boolean idempotent() {
         return idempotent;
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -235,8 +235,11 @@
         if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
             return refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
         }
+        if (!routeStatistics.hasTimeToRun(attempts, nowMillis)) {
+            return refuse(attempts, "deadline_cannot_be_met", attempts.retryAfterMillis(1));
+        }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
-        PermittedTargets permitted = permissions.forCall(attempts.route(), List.of());
+        PermittedTargets permitted = permissions.forCall(attempts.route(), attempts.homeRegions());
         String version =
                 VersionChooser.choose(
                         configuration,
