--- a/document/src/main/java/org/cuminreach/settings/CheckedObject.java
+++ b/document/src/main/java/org/cuminreach/settings/CheckedObject.java
@@ -56,7 +56,7 @@
         }
         JsonNode value = node.get(field);
         if (!value.isTextual()) {
-            addFault(field, "is " + value + "; a text is needed");
+            addFault(field, "is " + describe(value) + "; a text is needed");
             return "";
         }
         return value.textValue();
@@ -174,7 +174,9 @@
         boolean inRange =
                 value.isNumber() && value.doubleValue() >= min && value.doubleValue() <= max;
         if (!inRange) {
-            addFault(field, "is " + value + "; allowed is a number from " + min + " to " + max);
+            addFault(
+                    field,
+                    "is " + describe(value) + "; allowed is a number from " + min + " to " + max);
             return min;
         }
         return value.doubleValue();
--- a/document/src/test/java/org/cuminreach/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/cuminreach/document/DocumentReaderTest.java
@@ -77,4 +77,84 @@
     private static List<Fault> faults(String text) {
         return ((ParseResult.Invalid<MeshDocument>) DocumentReader.read(text)).faults();
     }
+
+    private static String withTenants(String tenants) {
+        return "{\"services\": [], \"routes\": [], \"tenants\": " + tenants + "}";
+    }
+
+    @Example
+    void readsTenants() {
+        MeshDocument document =
+                parsed(
+                        withTenants(
+                                """
+                                [{"name": "huon", "keys": ["k-1", "k-2"], "priority": 2,
+                                  "ratePerSecond": 12.5, "burst": 30, "homeRegions": ["south"]},
+                                 {"name": "esk", "keys": []}]
+                                """));
+
+        Tenant huon = document.tenants().getFirst();
+        assertThat(document.requiresKeys()).isTrue();
+        assertThat(huon.keys()).containsExactly(ApiKey.ofText("k-1"), ApiKey.ofText("k-2"));
+        assertThat(huon.priority()).isEqualTo(2);
+        assertThat(huon.ratePerSecond()).isEqualTo(12.5);
+        assertThat(huon.burst()).isEqualTo(30);
+        assertThat(huon.homeRegions()).containsExactly("south");
+        assertThat(document.tenants().get(1).isLimited()).isFalse();
+        assertThat(parsed(VALID_DOCUMENT).requiresKeys()).isFalse();
+    }
+
+    @Example
+    void findsAllFaultsOfTenantsAtOnce() {
+        List<Fault> faults =
+                faults(
+                        withTenants(
+                                """
+                                [{"name": "huon", "keys": ["secret-1", "", 7], "priority": -1},
+                                 {"name": "huon", "keys": ["secret-1", "secret-2", "secret-2"],
+                                  "ratePerSecond": -1, "burst": -1},
+                                 {"keys": "secret-3", "colour": "red", "priority": "secret-4",
+                                  "ratePerSecond": ["secret-5"]},
+                                 "secret-6"]
+                                """));
+
+        assertThat(faults.stream().map(Fault::path).toList())
+                .containsExactly(
+                        "tenants[0].keys[2]",
+                        "tenants[0].keys[1]",
+                        "tenants[0].priority",
+                        "tenants[1].name",
+                        "tenants[1].keys[0]",
+                        "tenants[1].keys[2]",
+                        "tenants[1].ratePerSecond",
+                        "tenants[1].burst",
+                        "tenants[2].name",
+                        "tenants[2].keys",
+                        "tenants[2].colour",
+                        "tenants[2].priority",
+                        "tenants[2].ratePerSecond",
+                        "tenants[3]");
+        assertThat(faults.toString()).doesNotContain("secret");
+    }
+
+    @Example
+    void faultsOfMalformedTenantsQuoteNoKey() {
+        for (String tenants :
+                List.of(
+                        "{\"name\": \"huon\", \"keys\": [\"secret-1\"]}",
+                        "[{\"name\": [\"secret-1\"], \"keys\": {\"a\": \"secret-1\"}}]",
+                        "[{\"name\": \"huon\", \"keys\": [secret1]}]",
+                        "[{\"name\": \"huon\", \"keys\": [\"secret-1")) {
+            assertThat(faults(withTenants(tenants)).toString()).doesNotContain("secret");
+        }
+    }
+
+    @Example
+    void keysShowInNoTextOfTheDocument() {
+        MeshDocument document =
+                parsed(withTenants("[{\"name\": \"huon\", \"keys\": [\"secret-1\"]}]"));
+
+        assertThat(document.toString()).doesNotContain("secret");
+        assertThat(ApiKey.ofText("secret-1").shortDigest()).hasLength(8);
+    }
 }
