--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -0,0 +1,73 @@
+package org.cuminreach.node.target;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.concurrent.CompletableFuture;
+import org.cuminreach.decisions.admission.AdmissionRequest;
+import org.cuminreach.decisions.admission.Caller;
+import org.cuminreach.decisions.routing.RouteMetadata;
+import org.cuminreach.node.http.CallAnswers;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+
+/**
+ * A call to the target next to the node that has not been answered yet.
+ *
+ * @param call the call
+ * @param requestId its request ID
+ * @param admissionRequest its properties that decide its admission
+ * @param arrivalNanos time at which it arrived, by {@link System#nanoTime()}
+ * @param answer completes with its answer
+ */
+record PendingCall(
+        HttpCall call,
+        String requestId,
+        AdmissionRequest admissionRequest,
+        long arrivalNanos,
+        CompletableFuture<HttpAnswer> answer) {
+    private static final int DEFAULT_REMAINING_MILLIS = 5_000;
+
+    /** Converts the remaining times of a call to times of this node's clock. */
+    static PendingCall of(
+            HttpCall call, RouteMetadata route, double typicalRunMillis, long nowMillis) {
+        long remaining =
+                CallAnswers.intHeader(call, MeshHeaders.REMAINING_MILLIS, DEFAULT_REMAINING_MILLIS);
+        long objective =
+                route.objectiveMillis() == RouteMetadata.NO_OBJECTIVE
+                        ? AdmissionRequest.NO_OBJECTIVE
+                        : nowMillis + route.objectiveMillis();
+        AdmissionRequest request =
+                new AdmissionRequest(
+                        Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
+                        route.route(),
+                        route.priority(),
+                        nowMillis,
+                        objective,
+                        nowMillis + remaining,
+                        typicalRunMillis);
+        return new PendingCall(
+                call,
+                call.header(MeshHeaders.REQUEST_ID, ""),
+                request,
+                System.nanoTime(),
+                new CompletableFuture<>());
+    }
+
+    String caller() {
+        return admissionRequest.caller().text();
+    }
+
+    /** Headers of the call without those that are for this node only. */
+    HttpHeaders headersForTarget() {
+        return MeshHeaders.endToEnd(call.headers())
+                .remove(MeshHeaders.TARGET_NODE)
+                .remove(MeshHeaders.TARGET_START)
+                .remove(MeshHeaders.TARGET_LIMIT)
+                .remove(MeshHeaders.TARGET_COLD);
+    }
+
+    /** Start of the target that the call is for, or empty when its sender named none. */
+    String targetStart() {
+        return call.header(MeshHeaders.TARGET_START, "");
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -1,20 +1,19 @@
 package org.cuminreach.node.target;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
-import org.cuminreach.decisions.admission.AdmissionRequest;
-import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
 import org.cuminreach.decisions.admission.RunTimes;
 import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.RouteMetadata;
+import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
@@ -32,27 +31,9 @@
  */
 public final class TargetAdmissionHandler implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(TargetAdmissionHandler.class);
-    private static final int DEFAULT_REMAINING_MILLIS = 5_000;
     private static final long DRAINING_RETRY_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1_000_000;
 
-    /** A call that has not been answered yet. */
-    private record PendingCall(
-            HttpCall call,
-            String requestId,
-            AdmissionRequest admissionRequest,
-            long arrivalNanos,
-            CompletableFuture<HttpAnswer> answer) {
-        private String caller() {
-            return admissionRequest.caller().text();
-        }
-
-        /** Start of the target that the call is for, or empty when its sender named none. */
-        private String targetStart() {
-            return call.header(MeshHeaders.TARGET_START, "");
-        }
-    }
-
     private final String node;
     private final Supplier<Optional<TargetDescription>> target;
     private final TargetClient client;
@@ -60,9 +41,12 @@
     private final FairQueue<PendingCall> queue = FairQueue.ofSlots(1);
     private final TargetMetrics metrics;
     private final RunTimes runTimes = RunTimes.empty();
-    private final TargetNotices notices = new TargetNotices();
+    private final ColdTarget coldTarget;
+    private final TargetNotices notices;
     private int slots = 1;
     private volatile Consumer<String> leavingListener = instance -> {};
+    private volatile Runnable coldListener = () -> {};
+    private volatile BooleanSupplier evacuationCheck = () -> false;
     private volatile String drainingInstance = "";
     private volatile long drainFromMillis = Long.MAX_VALUE;
 
@@ -71,12 +55,15 @@
             Supplier<Optional<TargetDescription>> target,
             TargetClient client,
             TargetProtocol protocol,
-            TargetMetrics metrics) {
+            TargetMetrics metrics,
+            ColdSettings coldSettings) {
         this.node = node;
         this.target = target;
         this.client = client;
         this.protocol = protocol;
         this.metrics = metrics;
+        coldTarget = new ColdTarget(coldSettings);
+        notices = new TargetNotices(coldTarget);
     }
 
     /**
@@ -87,6 +74,7 @@
      * @param client sends calls to it
      * @param protocol its header conventions
      * @param metrics metrics of its calls
+     * @param coldSettings what is known of cold targets
      * @return the handler
      */
     public static TargetAdmissionHandler create(
@@ -94,21 +82,20 @@
             Supplier<Optional<TargetDescription>> target,
             TargetClient client,
             TargetProtocol protocol,
-            TargetMetrics metrics) {
-        return new TargetAdmissionHandler(node, target, client, protocol, metrics);
+            TargetMetrics metrics,
+            ColdSettings coldSettings) {
+        return new TargetAdmissionHandler(node, target, client, protocol, metrics, coldSettings);
     }
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
         long nowMillis = ProcessClock.monotonicMillis();
         RouteMetadata route = RouteMetadata.parse(call.header(MeshHeaders.ROUTE, ""));
-        PendingCall pending =
-                new PendingCall(
-                        call,
-                        call.header(MeshHeaders.REQUEST_ID, ""),
-                        admissionRequest(call, route, nowMillis),
-                        System.nanoTime(),
-                        new CompletableFuture<>());
+        double typicalRunMillis;
+        synchronized (queue) {
+            typicalRunMillis = runTimes.typicalRunMillis(route.route());
+        }
+        PendingCall pending = PendingCall.of(call, route, typicalRunMillis, nowMillis);
         Optional<String> refusal = refusalReason(call, nowMillis);
         if (refusal.isPresent()) {
             refuse(pending, refusal.get(), DRAINING_RETRY_MILLIS);
@@ -134,28 +121,6 @@
         return pending.answer();
     }
 
-    /** Converts the remaining times of a call to times of this node's clock. */
-    private AdmissionRequest admissionRequest(HttpCall call, RouteMetadata route, long nowMillis) {
-        long remaining =
-                CallAnswers.intHeader(call, MeshHeaders.REMAINING_MILLIS, DEFAULT_REMAINING_MILLIS);
-        long objective =
-                route.objectiveMillis() == RouteMetadata.NO_OBJECTIVE
-                        ? AdmissionRequest.NO_OBJECTIVE
-                        : nowMillis + route.objectiveMillis();
-        double typicalRunMillis;
-        synchronized (queue) {
-            typicalRunMillis = runTimes.typicalRunMillis(route.route());
-        }
-        return new AdmissionRequest(
-                Caller.parse(call.header(MeshHeaders.CALLER, call.remoteHost())),
-                route.route(),
-                route.priority(),
-                nowMillis,
-                objective,
-                nowMillis + remaining,
-                typicalRunMillis);
-    }
-
     /** Returns why the current target cannot take a call, or empty when it can. */
     private Optional<String> refusalReason(HttpCall call, long nowMillis) {
         Optional<TargetDescription> current = target.get();
@@ -169,11 +134,13 @@
         if (!call.header(MeshHeaders.TARGET_START, instance).equals(instance)) {
             return Optional.of(MeshHeaders.OTHER_TARGET);
         }
-        if (drainingInstance.equals(instance) && nowMillis >= drainFromMillis) {
-            return Optional.of("draining");
+        Optional<String> closed = reasonToRefuseAll(nowMillis);
+        if (closed.isPresent()) {
+            return closed;
         }
         notices.adoptLimit(
                 instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
+        coldTarget.adopt(call.headers(), nowMillis);
         applyDescription(current.get(), nowMillis);
         return Optional.empty();
     }
@@ -181,11 +148,15 @@
     private void applyDescription(TargetDescription current, long nowMillis) {
         synchronized (queue) {
             queue.setRateLimit(notices.limit(current.instance()), nowMillis);
+            queue.setColdLimit(coldTarget.limit(current, nowMillis), nowMillis);
             if (slots != current.slots()) {
                 slots = current.slots();
                 queue.resize(slots);
             }
         }
+        if (coldTarget.takeChange()) {
+            coldListener.run();
+        }
     }
 
     /**
@@ -197,26 +168,55 @@
         leavingListener = listener;
     }
 
+    /**
+     * Sets the listener for changes between cold and warm.
+     *
+     * @param listener called after each change
+     */
+    public void setColdListener(Runnable listener) {
+        coldListener = listener;
+    }
+
+    /**
+     * Sets what tells whether the data centre of the target is evacuated.
+     *
+     * @param check true while the target must get no calls
+     */
+    public void setEvacuationCheck(BooleanSupplier check) {
+        evacuationCheck = check;
+    }
+
     /**
      * Starts the waiting calls for which there is room, and refuses those that can no longer start
-     * in time, or all while the target drains.
+     * in time, or all while the target drains or its data centre is evacuated.
      *
      * @param nowMillis current time
      */
     public void onTimer(long nowMillis) {
         List<RefusedCall<PendingCall>> expired;
         List<PendingCall> started;
+        target.get().ifPresent(current -> applyDescription(current, nowMillis));
         synchronized (queue) {
             expired =
-                    nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
-                            ? queue.refuseAll("draining", nowMillis)
-                            : queue.expire(nowMillis);
+                    reasonToRefuseAll(nowMillis)
+                            .map(reason -> queue.refuseAll(reason, nowMillis))
+                            .orElseGet(() -> queue.expire(nowMillis));
             started = queue.startWaiting(nowMillis);
         }
         expired.forEach(this::refuse);
         started.forEach(this::run);
     }
 
+    /** Returns why the current target takes no calls at all, or empty when it does. */
+    private Optional<String> reasonToRefuseAll(long nowMillis) {
+        if (evacuationCheck.getAsBoolean()) {
+            return Optional.of(TargetFilter.EVACUATED);
+        }
+        return nowMillis >= drainFromMillis && isCurrentInstance(drainingInstance)
+                ? Optional.of("draining")
+                : Optional.empty();
+    }
+
     private boolean isCurrentInstance(String instance) {
         return target.get().map(TargetDescription::instance).equals(Optional.of(instance));
     }
@@ -263,6 +263,15 @@
         return notices.limitPerSecond();
     }
 
+    /**
+     * Returns what is known of the coldness of the target.
+     *
+     * @return knowledge that is kept up to date
+     */
+    public ColdTarget coldTarget() {
+        return coldTarget;
+    }
+
     private void run(PendingCall pending) {
         long startNanos = System.nanoTime();
         metrics.recordStart(startNanos - pending.arrivalNanos());
@@ -283,11 +292,6 @@
         if (current.isEmpty() || remainingMillis <= 0) {
             return CompletableFuture.completedFuture(new SendOutcome.NotSent("deadline_passed"));
         }
-        HttpHeaders headers =
-                MeshHeaders.endToEnd(pending.call().headers())
-                        .remove(MeshHeaders.TARGET_NODE)
-                        .remove(MeshHeaders.TARGET_START)
-                        .remove(MeshHeaders.TARGET_LIMIT);
         String instance = current.get().instance();
         TargetCallMetadata metadata =
                 new TargetCallMetadata(
@@ -300,13 +304,17 @@
         return client.send(
                         current.get().address(),
                         pending.call(),
-                        protocol.requestHeaders(headers, metadata),
+                        protocol.requestHeaders(pending.headersForTarget(), metadata),
                         answer -> protocol.isAnswerTo(answer, pending.requestId()),
                         remainingMillis)
                 .thenApply(sent -> read(sent, instance));
     }
 
     private SendOutcome read(SendOutcome sent, String instance) {
+        if (sent instanceof SendOutcome.NotSent notSent
+                && notSent.reason().equals(TargetClient.CANNOT_CONNECT)) {
+            coldTarget.recordUnreachable(ProcessClock.monotonicMillis());
+        }
         if (!(sent instanceof SendOutcome.Completed completed)) {
             return sent;
         }
@@ -317,10 +325,12 @@
     }
 
     private void recordNotice(String instance, TargetNotice notice) {
+        long nowMillis = ProcessClock.monotonicMillis();
         boolean isFirstLeaving = notices.record(instance, notice);
-        synchronized (queue) {
-            queue.setRateLimit(notices.limit(instance), ProcessClock.monotonicMillis());
+        if (notice.coldMillis().isPresent()) {
+            coldTarget.record(instance, notice.coldMillis(), nowMillis);
         }
+        target.get().ifPresent(current -> applyDescription(current, nowMillis));
         if (isFirstLeaving) {
             leavingListener.accept(instance);
         }
