Grant tokens of quotas from the controls to the nodes

Nodes ask their control for a token for each call of a tenant with a quota, in one frame for the calls that arrive within 2 ms; controls without tokens ask the others for a loan. Beyond the quota a call gets 429 with a Retry-After from the refill, without an answer of a control 503; both have not run. One token serves all attempts of a call, and one that has not run gives it back. The status of a control lists tenants with their rates in use and refusals.

--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -19,6 +19,8 @@
 import org.cuminreach.control.operator.OperatorHandler;
 import org.cuminreach.control.operator.OperatorView;
 import org.cuminreach.control.operator.console.ConsoleHandler;
+import org.cuminreach.control.quota.QuotaMetrics;
+import org.cuminreach.control.quota.QuotaService;
 import org.cuminreach.control.replica.MembershipManager;
 import org.cuminreach.control.replica.PeerConnections;
 import org.cuminreach.control.replica.PeerMessageHandler;
@@ -38,8 +40,10 @@
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.runtime.log.LogSetup;
 import org.cuminreach.settings.Address;
+import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.frame.FrameEndpoints;
 import org.cuminreach.wire.frame.TrafficCounter;
+import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.HoldingBatch;
 import org.cuminreach.wire.generated.JoinRequest;
 import org.slf4j.Logger;
@@ -53,6 +57,8 @@
     private static final long NODE_UPDATE_INTERVAL_MILLIS = 100;
     private static final int MAX_NODE_PENDING_BYTES = 64 * 1024;
     private static final long REPLICA_INTERVAL_MILLIS = 40;
+    private static final long QUOTA_INTERVAL_MILLIS = 20;
+    private static final long QUOTA_CONFIRMATION_INTERVAL_MILLIS = 500;
     private static final long SESSION_INTERVAL_MILLIS = 200;
     private static final long MEMBERSHIP_INTERVAL_MILLIS = 300;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
@@ -75,6 +81,7 @@
     private final EvacuationOrders evacuations;
     private final EvidenceForwarder evidenceForwarder;
     private final NodeSessionManager sessions;
+    private final QuotaService quotas;
     private final OperatorView view;
     private final MembershipManager membership;
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
@@ -125,7 +132,14 @@
                         command -> peers.submit(command, ProcessClock.monotonicMillis()),
                         settings.bounds().regions().keySet(),
                         sessions::announcements);
-        view = OperatorView.create(settings.name(), replica, sessions);
+        quotas =
+                QuotaService.create(
+                        replica,
+                        peers,
+                        settings.bounds().quota(),
+                        new Random(),
+                        ProcessClock.monotonicMillis());
+        view = OperatorView.create(settings.name(), replica, sessions, quotas);
     }
 
     /**
@@ -182,7 +196,9 @@
                 FrameEndpoints.create(eventLoops, nodeTraffic, IDLE_TIMEOUT_MILLIS)
                         .withMaxWriteBufferBytes(MAX_NODE_PENDING_BYTES);
         peers.listen(settings.replicaAddress(), replica, new PeerMessageDispatcher()).join();
-        nodeEndpoints.listen(settings.nodeAddress(), sessions::newSession).join();
+        nodeEndpoints
+                .listen(settings.nodeAddress(), () -> quotas.wrap(sessions.newSession()))
+                .join();
         HttpServer.listen(
                         settings.operatorAddress(),
                         eventLoops,
@@ -201,6 +217,10 @@
     }
 
     private void startTimers() {
+        scheduleEvery(QUOTA_INTERVAL_MILLIS, () -> quotas.onTimer(ProcessClock.monotonicMillis()));
+        scheduleEvery(
+                QUOTA_CONFIRMATION_INTERVAL_MILLIS,
+                () -> quotas.confirmMembership(ProcessClock.monotonicMillis()));
         scheduleEvery(
                 REPLICA_INTERVAL_MILLIS, () -> replica.onTimer(ProcessClock.monotonicMillis()));
         scheduleEvery(CONNECT_INTERVAL_MILLIS, peers::connectMissing);
@@ -277,6 +297,7 @@
     private PrometheusRegistry metrics() {
         PrometheusRegistry registry = new PrometheusRegistry();
         rolloutReporter.register(registry);
+        QuotaMetrics.register(registry, quotas);
         evacuationReporter.register(registry);
         Gauges.register(
                 registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
@@ -358,5 +379,10 @@
         public void receiveHoldings(HoldingBatch batch) {
             sessions.mergeHoldings(batch);
         }
+
+        @Override
+        public void receiveQuotaFrame(Frame frame, String from) throws MalformedFrameException {
+            quotas.receiveFromControl(frame, from);
+        }
     }
 }
--- a/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
+++ b/control/src/main/java/org/cuminreach/control/operator/OperatorView.java
@@ -2,14 +2,18 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
+import java.util.Map;
 import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.NodeSessionManager;
+import org.cuminreach.control.quota.QuotaService;
 import org.cuminreach.control.replica.ReplicaDriver;
 import org.cuminreach.decisions.agreement.Member;
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 import org.cuminreach.decisions.configuration.RolloutProgress;
 import org.cuminreach.decisions.membership.Announcement;
+import org.cuminreach.decisions.quota.QuotaUse;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.wire.generated.NodeHolding;
@@ -17,15 +21,19 @@
 /** Answers the reads of operators: status, current document, history and convergence. */
 public final class OperatorView {
     private static final int MAX_LISTED_LAGGING_NODES = 50;
+    private static final int MAX_LISTED_TENANTS = 100;
 
     private final String name;
     private final ReplicaDriver replica;
     private final NodeSessionManager sessions;
+    private final QuotaService quotas;
 
-    private OperatorView(String name, ReplicaDriver replica, NodeSessionManager sessions) {
+    private OperatorView(
+            String name, ReplicaDriver replica, NodeSessionManager sessions, QuotaService quotas) {
         this.name = name;
         this.replica = replica;
         this.sessions = sessions;
+        this.quotas = quotas;
     }
 
     /**
@@ -34,11 +42,12 @@
      * @param name name of the control
      * @param replica holds the committed configuration
      * @param sessions sessions of the nodes
+     * @param quotas quotas at this control
      * @return the view
      */
     public static OperatorView create(
-            String name, ReplicaDriver replica, NodeSessionManager sessions) {
-        return new OperatorView(name, replica, sessions);
+            String name, ReplicaDriver replica, NodeSessionManager sessions, QuotaService quotas) {
+        return new OperatorView(name, replica, sessions, quotas);
     }
 
     /**
@@ -70,6 +79,8 @@
         configuration.evacuatedDataCentres().forEach(status.putArray("evacuated")::add);
         putTargets(status.putArray("targets"));
         putNodes(status.putArray("nodes"), configuration.version());
+        status.put("quotaShare", quotas.share());
+        putTenants(status.putArray("tenants"));
         return status.toPrettyString() + "\n";
     }
 
@@ -162,4 +173,24 @@
                     .put("current", holding.getVersion() >= version);
         }
     }
+
+    /** Lists the tenants with the most refused calls first, then those with the most calls. */
+    private void putTenants(ArrayNode tenants) {
+        quotas.uses().entrySet().stream()
+                .sorted(
+                        Map.Entry.comparingByValue(
+                                Comparator.comparingLong(QuotaUse::refused)
+                                        .thenComparingDouble(QuotaUse::callsPerSecond)
+                                        .reversed()))
+                .limit(MAX_LISTED_TENANTS)
+                .forEach(
+                        entry ->
+                                tenants.addObject()
+                                        .put("tenant", entry.getKey())
+                                        .put("callsPerSecond", entry.getValue().callsPerSecond())
+                                        .put("ratePerSecond", entry.getValue().ratePerSecond())
+                                        .put("tokens", entry.getValue().tokens())
+                                        .put("granted", entry.getValue().granted())
+                                        .put("refused", entry.getValue().refused()));
+    }
 }
--- a/control/src/main/java/org/cuminreach/control/replica/PeerConnections.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerConnections.java
@@ -327,6 +327,7 @@
                 case EVIDENCE ->
                         handler.receiveEvidence(EvidenceCodec.toEvidence(frame.getEvidence()));
                 case HOLDINGS -> handler.receiveHoldings(frame.getHoldings());
+                case QUOTA_REQUEST, QUOTA_GRANT -> handler.receiveQuotaFrame(frame, from);
                 case HEARTBEAT -> connection.send(frame);
                 case JOIN_REQUEST -> handler.receiveJoinRequest(frame.getJoinRequest(), from);
                 default ->
--- a/control/src/main/java/org/cuminreach/control/replica/PeerMessageHandler.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerMessageHandler.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import org.cuminreach.decisions.membership.Announcement;
 import org.cuminreach.decisions.rollout.Evidence;
+import org.cuminreach.wire.MalformedFrameException;
+import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.HoldingBatch;
 import org.cuminreach.wire.generated.JoinRequest;
 
@@ -51,4 +53,13 @@
      * @param batch the version of each node, and the session count of the control
      */
     void receiveHoldings(HoldingBatch batch);
+
+    /**
+     * Handles a question for a loan of quota tokens, or the answer to one.
+     *
+     * @param frame the question or the answer
+     * @param from identity of the sending control
+     * @throws MalformedFrameException when a count in it is out of range
+     */
+    void receiveQuotaFrame(Frame frame, String from) throws MalformedFrameException;
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/quota/QuotaExchange.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/quota/QuotaExchange.java
@@ -67,8 +67,9 @@
     private int nextControl;
     private long lastLoan;
 
-    private QuotaExchange(QuotaLedger ledger) {
+    private QuotaExchange(QuotaLedger ledger, long firstLoan) {
         this.ledger = ledger;
+        this.lastLoan = firstLoan;
     }
 
     /**
@@ -76,10 +77,12 @@
      *
      * @param <S> type of a session with a node
      * @param ledger quotas of this control
+     * @param firstLoan number below all loans of this start, so that no answer to an earlier start
+     *     is taken for one of this start
      * @return the exchange
      */
-    public static <S> QuotaExchange<S> of(QuotaLedger ledger) {
-        return new QuotaExchange<>(ledger);
+    public static <S> QuotaExchange<S> of(QuotaLedger ledger, long firstLoan) {
+        return new QuotaExchange<>(ledger, firstLoan);
     }
 
     /**
@@ -206,7 +209,8 @@
             long nowMillis) {
         int asked = otherControls.size();
         int wanted = missing * ASKED_PER_MISSING;
-        shortage.loan = ++lastLoan;
+        lastLoan++;
+        shortage.loan = lastLoan;
         shortage.askedMillis = nowMillis;
         shortage.openQuestions = asked;
         shortage.anyLent = false;
--- a/decisions/src/test/java/org/cuminreach/decisions/quota/QuotaModel.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/quota/QuotaModel.java
@@ -112,7 +112,7 @@
             running = true;
             ledger = QuotaLedger.create(BOUND.windowMillis(), now);
             ledger.setLimits(limits);
-            exchange = QuotaExchange.of(ledger);
+            exchange = QuotaExchange.of(ledger, now << 20);
             share = QuotaShare.create(true, now);
         }
 
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -21,6 +21,8 @@
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.quota.QuotaClient;
+import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.ColdSettings;
 import org.cuminreach.node.target.LocalTarget;
@@ -77,6 +79,7 @@
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
     private final NodeProtocolAdapter protocolAdapter;
     private final LocalTarget localTarget;
+    private final QuotaClient quotas = QuotaClient.create(timer, registry);
     private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetAdmissionHandler admissionHandler;
@@ -113,7 +116,8 @@
                         evidence,
                         announcer,
                         FrameEndpoints.create(
-                                eventLoops, controlTraffic, CONTROL_SILENCE_TIMEOUT_MILLIS),
+                                        eventLoops, controlTraffic, CONTROL_SILENCE_TIMEOUT_MILLIS)
+                                .withListenerWrapper(quotas::wrap),
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
@@ -244,7 +248,7 @@
                         httpSender,
                         evidence,
                         deduplicator,
-                        TenantAuthenticator.create(Freshness::certain),
+                        new TenantServices(TenantAuthenticator.create(Freshness::certain), quotas),
                         timer);
         HttpHandler inboundHandler =
                 call ->
@@ -315,7 +319,10 @@
                 SESSION_TIMER_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
-                () -> admissionHandler.onTimer(ProcessClock.monotonicMillis()),
+                () -> {
+                    admissionHandler.onTimer(ProcessClock.monotonicMillis());
+                    quotas.onTimer(ProcessClock.monotonicMillis());
+                },
                 ADMISSION_TIMER_INTERVAL_MILLIS,
                 ADMISSION_TIMER_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -30,7 +30,7 @@
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
-import org.cuminreach.node.tenant.TenantAuthenticator;
+import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -45,6 +45,7 @@
 
     private final TargetPermissions permissions;
     private final CallEntrance entrance;
+    private final QuotaGate quotas;
     private final MeshView view;
     private final HttpSender sender;
     private final EvidenceRecorder evidence;
@@ -64,10 +65,11 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantAuthenticator authenticator,
+            TenantServices tenants,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
-        this.entrance = new CallEntrance(ownHost, authenticator);
+        this.entrance = new CallEntrance(ownHost, tenants.authenticator());
+        this.quotas = new QuotaGate(tenants.quotas());
         this.routes = new RouteTableCache(holder);
         this.view = view;
         this.sender = sender;
@@ -87,7 +89,7 @@
      * @param sender sends calls to other nodes
      * @param evidence records call results for rollouts
      * @param deduplicator runs calls with an idempotency key once
-     * @param authenticator finds the tenants of calls
+     * @param tenants finds the tenants of calls and keeps their quotas
      * @param timer schedules retries and hedged attempts
      * @return the handler
      */
@@ -99,7 +101,7 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantAuthenticator authenticator,
+            TenantServices tenants,
             ScheduledExecutorService timer) {
         return new CallerHandler(
                 permissions,
@@ -109,7 +111,7 @@
                 sender,
                 evidence,
                 deduplicator,
-                authenticator,
+                tenants,
                 timer);
     }
 
@@ -219,7 +221,7 @@
                         configuration.version(),
                         RetryPolicy.earlierAttempts(
                                 CallAnswers.intHeader(call, MeshHeaders.ATTEMPTS, 0)));
-        return attempt(attempts, configuration);
+        return quotas.pass(attempts, () -> attempt(attempts, configuration));
     }
 
     private CompletableFuture<HttpAnswer> attempt(
@@ -264,7 +266,7 @@
                 attempts.mayHaveRun()
                         ? new AttemptOutcome.MayHaveRun(reason)
                         : new AttemptOutcome.NotRun(reason, retryAfterMillis);
-        return CompletableFuture.completedFuture(giveUp(attempts, outcome));
+        return CompletableFuture.completedFuture(FinalAnswers.giveUp(attempts, outcome));
     }
 
     private CompletableFuture<HttpAnswer> send(
@@ -364,7 +366,8 @@
                                     configuration.version(),
                                     version));
             case RetryDecision.GiveUp giveUp ->
-                    CompletableFuture.completedFuture(giveUp(attempts, giveUp.outcome()));
+                    CompletableFuture.completedFuture(
+                            FinalAnswers.giveUp(attempts, giveUp.outcome()));
             case RetryDecision.Retry retry -> {
                 LOGGER.info(
                         "event=call_retried request={} attempt={} reason={} delay_ms={}",
@@ -383,15 +386,4 @@
         timer.schedule(() -> done.complete(null), millis, TimeUnit.MILLISECONDS);
         return done;
     }
-
-    private static HttpAnswer giveUp(CallAttempts attempts, AttemptOutcome outcome) {
-        LOGGER.info(
-                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}",
-                attempts.requestId(),
-                attempts.configurationVersion(),
-                attempts.route().name(),
-                attempts.attempts(),
-                outcome);
-        return CallAnswers.finalFailure(outcome, attempts.requestId());
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/caller/FinalAnswers.java
@@ -0,0 +1,26 @@
+package org.cuminreach.node.caller;
+
+import org.cuminreach.decisions.retry.AttemptOutcome;
+import org.cuminreach.node.http.CallAnswers;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers of calls for which there is no further attempt. */
+final class FinalAnswers {
+    private static final Logger LOGGER = LoggerFactory.getLogger(FinalAnswers.class);
+
+    private FinalAnswers() {}
+
+    /** Returns the answer of a call that no target answered, and logs why. */
+    static HttpAnswer giveUp(CallAttempts attempts, AttemptOutcome outcome) {
+        LOGGER.info(
+                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}",
+                attempts.requestId(),
+                attempts.configurationVersion(),
+                attempts.route().name(),
+                attempts.attempts(),
+                outcome);
+        return CallAnswers.finalFailure(outcome, attempts.requestId());
+    }
+}
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -100,10 +100,11 @@
 # configuration is current; the control echoes the number of the question with the version that a
 # majority has confirmed after the question arrived.
 struct Heartbeat { 1: required i64 sentMillis, 2: optional bool mayMove, 3: optional i64 freshnessQuestion, 4: optional i64 answeredQuestion, 5: optional i64 confirmedVersion }
-# Calls that a node asks to let through for a tenant, and those that it gives back unused.
-struct QuotaDemandStruct { 1: required string tenant, 2: required i32 wanted, 3: optional i32 returned }
+# Calls for which a node asks its control a token each, and tokens of calls that have not run, with
+# the time of the control at which the earliest of them was drawn. Between controls it asks for a loan.
+struct QuotaDemandStruct { 1: required string tenant, 2: required i32 wanted, 3: optional i32 returned, 4: optional i64 drawnMillis }
 struct QuotaRequest { 1: required i64 correlation, 2: required list<QuotaDemandStruct> demands, 3: optional string node, 4: optional string control }
-struct QuotaGrantStruct { 1: required string tenant, 2: required i32 granted, 3: required i64 validMillis, 4: optional i64 retryAfterMillis }
+struct QuotaGrantStruct { 1: required string tenant, 2: required i32 granted, 3: required i64 validMillis, 4: optional i64 retryAfterMillis, 5: optional i32 refused, 6: optional i64 drawnMillis }
 struct QuotaGrant { 1: required i64 correlation, 2: required list<QuotaGrantStruct> grants, 3: optional string node }
 
 # Frame field 11 carried whole documents and stays unused. A packed frame holds another, deflated.
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.cuminreach.settings.Address;
 
 /** Factory of client and server connections that exchange frames. */
@@ -22,16 +23,19 @@
     private final TrafficCounter traffic;
     private final long idleTimeoutMillis;
     private final int maxWriteBufferBytes;
+    private final UnaryOperator<FrameListener> wrapper;
 
     private FrameEndpoints(
             EventLoopGroup eventLoops,
             TrafficCounter traffic,
             long idleTimeoutMillis,
-            int maxWriteBufferBytes) {
+            int maxWriteBufferBytes,
+            UnaryOperator<FrameListener> wrapper) {
         this.eventLoops = eventLoops;
         this.traffic = traffic;
         this.idleTimeoutMillis = idleTimeoutMillis;
         this.maxWriteBufferBytes = maxWriteBufferBytes;
+        this.wrapper = wrapper;
     }
 
     /**
@@ -46,7 +50,11 @@
     public static FrameEndpoints create(
             EventLoopGroup eventLoops, TrafficCounter traffic, long idleTimeoutMillis) {
         return new FrameEndpoints(
-                eventLoops, traffic, idleTimeoutMillis, DEFAULT_WRITE_BUFFER_BYTES);
+                eventLoops,
+                traffic,
+                idleTimeoutMillis,
+                DEFAULT_WRITE_BUFFER_BYTES,
+                UnaryOperator.identity());
     }
 
     /**
@@ -56,7 +64,19 @@
      * @return the copy
      */
     public FrameEndpoints withMaxWriteBufferBytes(int bytes) {
-        return new FrameEndpoints(eventLoops, traffic, idleTimeoutMillis, bytes);
+        return new FrameEndpoints(eventLoops, traffic, idleTimeoutMillis, bytes, wrapper);
+    }
+
+    /**
+     * Returns a copy of these endpoints that wraps the listeners of its connections, for example to
+     * handle some kinds of frames elsewhere.
+     *
+     * @param wrap wraps a listener
+     * @return the copy
+     */
+    public FrameEndpoints withListenerWrapper(UnaryOperator<FrameListener> wrap) {
+        return new FrameEndpoints(
+                eventLoops, traffic, idleTimeoutMillis, maxWriteBufferBytes, wrap);
     }
 
     /**
@@ -75,7 +95,10 @@
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childHandler(
                                 new FramePipeline(
-                                        listeners, traffic, idleTimeoutMillis, maxWriteBufferBytes))
+                                        () -> wrapper.apply(listeners.get()),
+                                        traffic,
+                                        idleTimeoutMillis,
+                                        maxWriteBufferBytes))
                         .bind(address.host(), address.port());
         return toFuture(bound);
     }
@@ -95,7 +118,7 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                         .handler(
                                 new FramePipeline(
-                                        () -> listener,
+                                        () -> wrapper.apply(listener),
                                         traffic,
                                         idleTimeoutMillis,
                                         maxWriteBufferBytes))
