--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -20,6 +20,8 @@
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.quota.QuotaClient;
+import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.ColdSettings;
 import org.cuminreach.node.target.LocalTarget;
@@ -33,7 +35,6 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
-import org.cuminreach.runtime.administration.Gauges;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
@@ -79,6 +80,7 @@
     private final NodeProtocolAdapter protocolAdapter;
     private final LocalTarget localTarget;
     private final KeyFreshness keyFreshness;
+    private final QuotaClient quotas = QuotaClient.create(timer, registry);
     private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetAdmissionHandler admissionHandler;
@@ -121,7 +123,8 @@
                         evidence,
                         announcer,
                         FrameEndpoints.create(
-                                eventLoops, controlTraffic, CONTROL_SILENCE_TIMEOUT_MILLIS),
+                                        eventLoops, controlTraffic, CONTROL_SILENCE_TIMEOUT_MILLIS)
+                                .withListenerWrapper(quotas::wrap),
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
@@ -252,7 +255,7 @@
                         httpSender,
                         evidence,
                         deduplicator,
-                        TenantAuthenticator.create(keyFreshness),
+                        new TenantServices(TenantAuthenticator.create(keyFreshness), quotas),
                         timer);
         HttpHandler inboundHandler =
                 call ->
@@ -262,6 +265,13 @@
         HttpHandler handlerWithMetrics =
                 protocolAdapter.adaptCallerHandler(
                         CallerMetricsHandler.of(callerHandler, registry));
+        NodeMetrics.register(
+                registry,
+                configurationHolder,
+                meshView,
+                admissionHandler,
+                keyFreshness,
+                controlTraffic);
         callerServer =
                 HttpServer.listen(settings.callerAddress(), eventLoops, handlerWithMetrics).join();
         inboundServer =
@@ -271,7 +281,7 @@
                                 settings.administrationAddress(),
                                 eventLoops,
                                 AdministrationHandler.create(
-                                        metrics(), this::readiness, this::statusJson))
+                                        registry, this::readiness, this::statusJson))
                         .join();
     }
 
@@ -323,7 +333,10 @@
                 SESSION_TIMER_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(
-                () -> admissionHandler.onTimer(ProcessClock.monotonicMillis()),
+                () -> {
+                    admissionHandler.onTimer(ProcessClock.monotonicMillis());
+                    quotas.onTimer(ProcessClock.monotonicMillis());
+                },
                 ADMISSION_TIMER_INTERVAL_MILLIS,
                 ADMISSION_TIMER_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -352,55 +365,4 @@
                         controlTraffic.sentBytes(),
                         controlTraffic.receivedBytes());
     }
-
-    private PrometheusRegistry metrics() {
-        Gauges.register(
-                registry,
-                "cuminreach_node_configuration_version",
-                "Configuration version in force",
-                () -> configurationHolder.activeConfiguration().version());
-        Gauges.register(
-                registry, "cuminreach_node_ready_targets", "Targets seen", meshView::readyCount);
-        Gauges.register(
-                registry,
-                "cuminreach_node_running_calls",
-                "Calls at the target",
-                admissionHandler::running);
-        Gauges.register(
-                registry,
-                "cuminreach_node_waiting_calls",
-                "Calls that wait",
-                admissionHandler::waiting);
-        Gauges.register(
-                registry,
-                "cuminreach_node_target_limit_per_second",
-                "Calls per second that the target states as its limit, 0 without one",
-                admissionHandler::limitPerSecond);
-        Gauges.register(
-                registry,
-                "cuminreach_node_target_cold_limit_per_second",
-                "Calls per second that the target withstands while it is cold, 0 when it is warm",
-                admissionHandler.coldTarget()::callsPerSecond);
-        Gauges.register(
-                registry,
-                "cuminreach_node_cold_targets",
-                "Targets seen that are cold and have a limit",
-                () -> meshView.coldCount(ProcessClock.monotonicMillis()));
-        Gauges.register(
-                registry,
-                "cuminreach_node_control_sent_bytes",
-                "Bytes sent to controls",
-                controlTraffic::sentBytes);
-        Gauges.register(
-                registry,
-                "cuminreach_node_control_received_bytes",
-                "Bytes received from controls",
-                controlTraffic::receivedBytes);
-        Gauges.register(
-                registry,
-                "cuminreach_node_key_lease_millis",
-                "Time for which API keys may pass, 0 without a lease, -1 without a bound",
-                () -> keyFreshness.remainingMillis().orElse(-1));
-        return registry;
-    }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -1,7 +1,6 @@
 package org.cuminreach.node.caller;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -31,7 +30,7 @@
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
-import org.cuminreach.node.tenant.TenantAuthenticator;
+import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -47,6 +46,7 @@
     private final TargetPermissions permissions;
     private final TenantAuthenticator authenticator;
     private final CallEntrance entrance;
+    private final QuotaGate quotas;
     private final MeshView view;
     private final HttpSender sender;
     private final EvidenceRecorder evidence;
@@ -66,11 +66,12 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantAuthenticator authenticator,
+            TenantServices tenants,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
-        this.authenticator = authenticator;
-        this.entrance = new CallEntrance(ownHost, authenticator);
+        this.authenticator = tenants.authenticator();
+        this.entrance = new CallEntrance(ownHost, tenants.authenticator());
+        this.quotas = new QuotaGate(tenants.quotas());
         this.routes = new RouteTableCache(holder);
         this.view = view;
         this.sender = sender;
@@ -90,7 +91,7 @@
      * @param sender sends calls to other nodes
      * @param evidence records call results for rollouts
      * @param deduplicator runs calls with an idempotency key once
-     * @param authenticator finds the tenants of calls
+     * @param tenants finds the tenants of calls and keeps their quotas
      * @param timer schedules retries and hedged attempts
      * @return the handler
      */
@@ -102,18 +103,10 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantAuthenticator authenticator,
+            TenantServices tenants,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                permissions,
-                ownHost,
-                holder,
-                view,
-                sender,
-                evidence,
-                deduplicator,
-                authenticator,
-                timer);
+                permissions, ownHost, holder, view, sender, evidence, deduplicator, tenants, timer);
     }
 
     @Override
@@ -222,7 +215,7 @@
                         configuration.version(),
                         RetryPolicy.earlierAttempts(
                                 CallAnswers.intHeader(call, MeshHeaders.ATTEMPTS, 0)));
-        return attempt(attempts, configuration);
+        return quotas.pass(attempts, () -> attempt(attempts, configuration));
     }
 
     private CompletableFuture<HttpAnswer> attempt(
@@ -273,7 +266,7 @@
                 attempts.mayHaveRun()
                         ? new AttemptOutcome.MayHaveRun(reason)
                         : new AttemptOutcome.NotRun(reason, retryAfterMillis);
-        return CompletableFuture.completedFuture(giveUp(attempts, outcome));
+        return CompletableFuture.completedFuture(FinalAnswers.giveUp(attempts, outcome));
     }
 
     private CompletableFuture<HttpAnswer> send(
@@ -375,7 +368,8 @@
                                     configuration.version(),
                                     version));
             case RetryDecision.GiveUp giveUp ->
-                    CompletableFuture.completedFuture(giveUp(attempts, giveUp.outcome()));
+                    CompletableFuture.completedFuture(
+                            FinalAnswers.giveUp(attempts, giveUp.outcome()));
             case RetryDecision.Retry retry -> {
                 LOGGER.info(
                         "event=call_retried request={} attempt={} reason={} delay_ms={}",
@@ -394,15 +388,4 @@
         timer.schedule(() -> done.complete(null), millis, TimeUnit.MILLISECONDS);
         return done;
     }
-
-    private static HttpAnswer giveUp(CallAttempts attempts, AttemptOutcome outcome) {
-        LOGGER.info(
-                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}",
-                attempts.requestId(),
-                attempts.configurationVersion(),
-                attempts.route().name(),
-                attempts.attempts(),
-                outcome);
-        return CallAnswers.finalFailure(outcome, attempts.requestId());
-    }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/KeyedCall.java
@@ -6,8 +6,8 @@
 import java.security.MessageDigest;
 import org.cuminreach.decisions.configuration.Sha256;
 import org.cuminreach.decisions.idempotency.IdempotencyKey;
-import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.decisions.routing.TargetFilter;
+import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpCall;
 
 /**
