Find the pace of a target that has started from how it answers

Cause: a target that had just started or recovered rose to its full share over a fixed time, whether it answered well or not.

Ruled out: an exponential fading of the doubt, with which a target without a single answer has a quarter of its share after a second (coldTargetStartsSlowly); the square of the slowness, which shows no difference.

Change: TargetPace in the place of the slow start of TargetStatistics. Each answer moves the share half of the way to what the running time shows, failures and losses towards 0; without answers the doubt fades over the time of the former ramp. The lower of the pace and the cold share is in force.

--- a/decisions/src/main/java/org/cuminreach/decisions/routing/LoadBalancingPolicy.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/LoadBalancingPolicy.java
@@ -4,17 +4,17 @@
  * Load balancing settings that differ between meshes.
  *
  * @param spillover when calls are sent to remote data centres
- * @param slowStartMillis time in which the load of a new target rises to its full share, in
+ * @param doubtMillis time in which the doubt in a new target fades when it gives no answers, in
  *     milliseconds
  * @param initialShare share of its full load that a new target gets at first
  */
-public record LoadBalancingPolicy(Spillover spillover, long slowStartMillis, double initialShare) {
+public record LoadBalancingPolicy(Spillover spillover, long doubtMillis, double initialShare) {
     private static final double SPILLOVER_LOAD = 0.9;
-    private static final long SLOW_START_MILLIS = 10_000;
+    private static final long DOUBT_MILLIS = 10_000;
     private static final double INITIAL_SHARE = 0.1;
 
     /** Targets on small VMs run at half speed for about three seconds after their start. */
-    private static final long SHORT_SLOW_START_MILLIS = 4_000;
+    private static final long SHORT_DOUBT_MILLIS = 4_000;
 
     private static final double HALF_SPEED_INITIAL_SHARE = 0.4;
 
@@ -70,7 +70,7 @@
      */
     public static LoadBalancingPolicy forCheapLinks() {
         return new LoadBalancingPolicy(
-                new Spillover.AboveLoad(SPILLOVER_LOAD), SLOW_START_MILLIS, INITIAL_SHARE);
+                new Spillover.AboveLoad(SPILLOVER_LOAD), DOUBT_MILLIS, INITIAL_SHARE);
     }
 
     /**
@@ -81,7 +81,7 @@
     public static LoadBalancingPolicy forCostlyLinks() {
         return new LoadBalancingPolicy(
                 new Spillover.WhenLate(LOCAL_WAIT_SHARE),
-                SHORT_SLOW_START_MILLIS,
+                SHORT_DOUBT_MILLIS,
                 HALF_SPEED_INITIAL_SHARE);
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -29,8 +29,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final int slots;
-    private final LoadBalancingPolicy policy;
-    private long slowStartSinceMillis;
+    private final TargetPace pace;
     private int outstanding;
     private TargetHealth health = TargetHealth.HEALTHY;
     private int consecutiveLosses;
@@ -53,11 +52,10 @@
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
     private final ColdShare coldShare = new ColdShare();
 
-    private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
-        this.policy = policy;
+    private TargetStatistics(int slots, TargetPace pace) {
+        this.pace = pace;
         this.slots = slots;
         this.limit = slots;
-        this.slowStartSinceMillis = slowStartSinceMillis;
     }
 
     /**
@@ -76,12 +74,12 @@
      * Returns the statistics of a target that has just appeared and has to warm up.
      *
      * @param slots calls that it runs concurrently, at least 1
-     * @param policy settings of the slow start
+     * @param policy settings of the pace at which it starts
      * @param nowMillis current time
      * @return statistics without calls
      */
     public static TargetStatistics cold(int slots, LoadBalancingPolicy policy, long nowMillis) {
-        return new TargetStatistics(slots, policy, nowMillis);
+        return new TargetStatistics(slots, TargetPace.starting(policy, nowMillis));
     }
 
     /**
@@ -91,7 +89,8 @@
      * @return statistics without calls
      */
     public static TargetStatistics warm(int slots) {
-        return new TargetStatistics(slots, LoadBalancingPolicy.forCheapLinks(), NEVER);
+        return new TargetStatistics(
+                slots, TargetPace.established(LoadBalancingPolicy.forCheapLinks()));
     }
 
     /**
@@ -119,8 +118,14 @@
             meanSlowness += SMOOTHING * (slowness - meanSlowness);
         }
         switch (result) {
-            case SUCCEEDED -> recordAnswer(0, nowMillis);
-            case FAILED -> recordAnswer(1, nowMillis);
+            case SUCCEEDED -> {
+                recordAnswer(0, nowMillis);
+                pace.recordAnswer(slowness, nowMillis);
+            }
+            case FAILED -> {
+                recordAnswer(1, nowMillis);
+                pace.recordSetback(nowMillis);
+            }
             case SHED -> {
                 markHealthy(nowMillis);
                 if (!isRateLimited()
@@ -134,6 +139,7 @@
             case UNREACHABLE -> markUnhealthy(TargetHealth.UNREACHABLE, nowMillis);
             case LOST -> {
                 consecutiveLosses++;
+                pace.recordSetback(nowMillis);
                 if (consecutiveLosses >= SUSPECT_AFTER_LOSSES || health != TargetHealth.HEALTHY) {
                     markUnhealthy(TargetHealth.SUSPECT, nowMillis);
                 }
@@ -256,8 +262,8 @@
 
     /**
      * Returns the estimated utilisation of the target with one more call; above 1 that call would
-     * wait. The capacity of a target in slow start is reduced, and failures add to its load, so
-     * that a target that fails fast does not attract calls.
+     * wait. The capacity of a target that is cold or has just started is reduced, and failures add
+     * to its load, so that a target that fails fast does not attract calls.
      *
      * @param nowMillis current time
      * @return the utilisation, at least 0
@@ -341,15 +347,20 @@
         return rateLimit instanceof CallRateLimit.PerSecond;
     }
 
+    /**
+     * Returns the pace of a target that has just started or recovered.
+     *
+     * @param nowMillis current time
+     * @return share of its capacity for which it counts, 1 once it is established
+     */
+    public synchronized double pace(long nowMillis) {
+        return pace.share(nowMillis);
+    }
+
     /** Returns the share of its capacity for which the target counts now. */
     private double capacityShare(long nowMillis) {
         return Math.min(
-                slowStartShare(nowMillis), coldShare.share(slots, maxCalls(nowMillis), nowMillis));
-    }
-
-    private double slowStartShare(long nowMillis) {
-        double warmed = (double) (nowMillis - slowStartSinceMillis) / policy.slowStartMillis();
-        return Math.clamp(warmed, policy.initialShare(), 1);
+                pace.share(nowMillis), coldShare.share(slots, maxCalls(nowMillis), nowMillis));
     }
 
     private void recordAnswer(int failed, long nowMillis) {
@@ -362,7 +373,7 @@
     private void markHealthy(long nowMillis) {
         if (health != TargetHealth.HEALTHY) {
             health = TargetHealth.HEALTHY;
-            slowStartSinceMillis = nowMillis;
+            pace.restart(nowMillis);
         }
         consecutiveLosses = 0;
         probeBackoffMillis = MIN_PROBE_BACKOFF_MILLIS;
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -368,6 +368,11 @@
                 "cuminreach_node_cold_targets",
                 "Targets seen that are cold and have a limit",
                 () -> meshView.coldCount(ProcessClock.monotonicMillis()));
+        Gauges.register(
+                registry,
+                "cuminreach_node_lowest_target_pace",
+                "Lowest share of its capacity for which a target counts after its start",
+                () -> meshView.lowestPace(ProcessClock.monotonicMillis()));
         Gauges.register(
                 registry,
                 "cuminreach_node_control_sent_bytes",
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -121,6 +121,21 @@
         known.recordCold(notice, nowMillis);
     }
 
+    /**
+     * Returns the pace of the ready target that has come least far since it started or recovered.
+     *
+     * @param nowMillis current time
+     * @return the lowest share of its capacity for which a target counts, 1 when all count wholly
+     */
+    public double lowestPace(long nowMillis) {
+        return readyTargets.values().stream()
+                .flatMap(versions -> versions.values().stream())
+                .flatMap(List::stream)
+                .mapToDouble(target -> target.statistics().pace(nowMillis))
+                .min()
+                .orElse(1);
+    }
+
     /**
      * Returns the number of ready targets that are cold.
      *
