--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -51,7 +51,7 @@
     private long nodeIncarnation;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
     private final ColdShare coldShare = new ColdShare();
-    private Optional<WorkPace> pace = Optional.empty();
+    private Optional<WorkPace> workPace = Optional.empty();
 
     private TargetStatistics(int slots, TargetPace pace) {
         this.pace = pace;
@@ -232,7 +232,7 @@
         reportedMillis = nowMillis;
         latestReport = report;
         coldShare.recordRun(report.runMillis());
-        pace = report.pace();
+        workPace = report.pace();
         sentSinceReport = 0;
         draining |= report.draining();
     }
@@ -249,7 +249,7 @@
     public synchronized double expectedWaitMillis(
             int priority, double typicalRunMillis, long nowMillis) {
         double capacity = limit * capacityShare(nowMillis);
-        double runMillis = typicalRunMillis * meanSlowness * paceFactor(nowMillis);
+        double runMillis = typicalRunMillis * meanSlowness * workPaceFactor(nowMillis);
         if (!usesReports(nowMillis)) {
             return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * capacityShare(nowMillis))
                     * runMillis
@@ -291,7 +291,7 @@
      */
     public synchronized double cost(long nowMillis) {
         double own = OWN_CALLS_WEIGHT * outstanding / (slots * capacityShare(nowMillis));
-        return (load(nowMillis) + own) * meanSlowness * paceFactor(nowMillis);
+        return (load(nowMillis) + own) * meanSlowness * workPaceFactor(nowMillis);
     }
 
     /**
@@ -300,13 +300,13 @@
      * @param nowMillis current time
      * @return the pace with its age; empty when none is known that still counts
      */
-    public synchronized Optional<WorkPace> pace(long nowMillis) {
-        return pace.map(stated -> stated.after(nowMillis - reportedMillis))
+    public synchronized Optional<WorkPace> workPace(long nowMillis) {
+        return workPace.map(stated -> stated.after(nowMillis - reportedMillis))
                 .filter(WorkPace::isFresh);
     }
 
-    private double paceFactor(long nowMillis) {
-        return pace(nowMillis).map(WorkPace::factor).orElse(1.0);
+    private double workPaceFactor(long nowMillis) {
+        return workPace(nowMillis).map(WorkPace::factor).orElse(1.0);
     }
 
     /**
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/StatedLoadTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/StatedLoadTest.java
@@ -116,7 +116,7 @@
 
         assertThat(told.cost(1_000)).isGreaterThan(2 * silent.cost(1_000));
         assertThat(told.cost(1_400)).isEqualTo(silent.cost(1_400));
-        assertThat(told.pace(1_400)).isEmpty();
+        assertThat(told.workPace(1_400)).isEmpty();
     }
 
     @Example
@@ -127,6 +127,6 @@
                 1_000);
         statistics.recordLoadReport(new LoadReport(1, 0, SLOTS, false), 1_001);
 
-        assertThat(statistics.pace(1_001)).isEmpty();
+        assertThat(statistics.workPace(1_001)).isEmpty();
     }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -288,7 +288,7 @@
                 target.node(),
                 attempts.attempts(),
                 reason,
-                WorkPace.logText(target.statistics().pace(startMillis)));
+                WorkPace.logText(target.statistics().workPace(startMillis)));
         long remaining = attempts.remainingMillis(startMillis);
         if (remaining <= 0) {
             return answerOrRetry(
