--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -21,9 +21,6 @@
     private static final double INITIAL_SLOWNESS = 1;
     private static final double FAILURE_WEIGHT = 8;
     private static final int SUSPECT_AFTER_LOSSES = 3;
-    private static final long MAX_PROBE_DELAY_MILLIS = 5_000;
-    private static final long MIN_PROBE_BACKOFF_MILLIS = 250;
-    private static final long MAX_PROBE_BACKOFF_MILLIS = 5_000;
     private static final long MIN_PUSHBACK_MILLIS = 10;
     private static final long MAX_PUSHBACK_MILLIS = 500;
     private static final long NEVER = Long.MIN_VALUE / 2;
@@ -33,9 +30,7 @@
     private int outstanding;
     private TargetHealth health = TargetHealth.HEALTHY;
     private int consecutiveLosses;
-    private long probeBackoffMillis = MIN_PROBE_BACKOFF_MILLIS;
-    private long nextProbeMillis = NEVER;
-    private boolean probing;
+    private final ProbeSchedule probes = new ProbeSchedule();
     private long pushbackMillis = MIN_PUSHBACK_MILLIS;
     private long pushedBackUntilMillis = NEVER;
     private double failureRate;
@@ -102,7 +97,9 @@
     public synchronized void recordSent(long nowMillis) {
         outstanding++;
         sentSinceReport++;
-        probing |= health != TargetHealth.HEALTHY && nowMillis >= nextProbeMillis;
+        if (health != TargetHealth.HEALTHY) {
+            probes.recordSent(nowMillis);
+        }
     }
 
     /**
@@ -320,7 +317,7 @@
             return TargetStatus.DRAINING;
         }
         if (health != TargetHealth.HEALTHY) {
-            if (!probing && nowMillis >= nextProbeMillis) {
+            if (probes.isDue(nowMillis)) {
                 return TargetStatus.DUE_FOR_PROBE;
             }
             return health == TargetHealth.SUSPECT ? TargetStatus.SUSPECT : TargetStatus.UNREACHABLE;
@@ -337,8 +334,7 @@
      * @return true when any call may probe the target
      */
     public synchronized boolean anyCallMayProbe(long nowMillis) {
-        return health == TargetHealth.UNREACHABLE
-                || nowMillis - nextProbeMillis >= MAX_PROBE_DELAY_MILLIS;
+        return health == TargetHealth.UNREACHABLE || probes.isOverdue(nowMillis);
     }
 
     /**
@@ -393,18 +389,11 @@
             pace.restart(nowMillis);
         }
         consecutiveLosses = 0;
-        probeBackoffMillis = MIN_PROBE_BACKOFF_MILLIS;
-        probing = false;
+        probes.reset();
     }
 
     private void markUnhealthy(TargetHealth next, long nowMillis) {
-        boolean first = health == TargetHealth.HEALTHY;
-        boolean probeFailed = probing;
+        probes.recordFailure(health == TargetHealth.HEALTHY, nowMillis);
         health = next;
-        if (first || probeFailed) {
-            nextProbeMillis = nowMillis + probeBackoffMillis;
-            probeBackoffMillis = Math.min(MAX_PROBE_BACKOFF_MILLIS, 2 * probeBackoffMillis);
-        }
-        probing = false;
     }
 }
