Spread the calls of split routes evenly over all nodes

A draw a call by itself errs by the root of the number of calls. Each node now takes the positions of its calls from an additive recurrence with the golden ratio, from a random start. Calls with an idempotency key are selected by a hash of the key, since the home of the key drew again and refused keys of split routes that it took for another service's.

--- a/control/src/main/java/org/cuminreach/control/operator/console/ConsoleLayout.java
+++ b/control/src/main/java/org/cuminreach/control/operator/console/ConsoleLayout.java
@@ -59,6 +59,7 @@
                                         nav(
                                                 a("Overview").withHref("/"),
                                                 a("Document").withHref("/console/document"),
+                                                a("Data centres").withHref("/console/evacuations"),
                                                 a("History").withHref("/console/history")),
                                         main(h1(heading)).with(content))));
         return HttpAnswer.of(status, "text/html", page).setHeader("Cache-Control", "no-store");
--- a/document/src/main/java/org/cuminreach/document/Route.java
+++ b/document/src/main/java/org/cuminreach/document/Route.java
@@ -1,7 +1,6 @@
 package org.cuminreach.document;
 
 import java.util.List;
-import java.util.random.RandomGenerator;
 
 /**
  * A rule that routes calls to one service, or splits them among several by weight. Among the routes
@@ -127,17 +126,18 @@
     }
 
     /**
-     * Selects the service for one call at random, in proportion to the weights.
+     * Selects the service for one call. Positions that are spread evenly select the services in
+     * proportion to the weights.
      *
-     * @param random source of randomness
+     * @param position position of the call, from 0 to less than 1
      * @return name of the service
      */
-    public String selectService(RandomGenerator random) {
+    public String selectService(double position) {
         if (!isSplit()) {
             return destinations.getFirst().service();
         }
         int total = destinations.stream().mapToInt(WeightedService::weight).sum();
-        int drawn = random.nextInt(Math.max(1, total));
+        int drawn = (int) (position * total);
         for (WeightedService destination : destinations) {
             drawn -= destination.weight();
             if (drawn < 0) {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -52,6 +52,7 @@
     private final ScheduledExecutorService timer;
     private final RouteStatistics routeStatistics = new RouteStatistics();
     private final ServiceRetryBudgets budgets = ServiceRetryBudgets.create();
+    private final SplitSelector splits = new SplitSelector();
     private final PoisonFilter poisonFilter = new PoisonFilter();
     private final RouteTableCache routes;
     private final HedgeScheduler hedges;
@@ -136,7 +137,7 @@
         if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
             return handleKeyed(call, route.get(), requestId, current, false);
         }
-        String service = route.get().selectService(ThreadLocalRandom.current());
+        String service = splits.select(route.get());
         return start(
                 call, route.get(), service, requestId, callerOf(call), current.configuration());
     }
@@ -181,7 +182,7 @@
                         .set(MeshHeaders.REQUEST_ID, requestId)
                         .set(MeshHeaders.CALLER, caller.text())
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
-        String service = route.selectService(ThreadLocalRandom.current());
+        String service = SplitSelector.select(route, key.get());
         KeyedCall keyedCall =
                 permissions.keyedCall(call, route, service, key.get(), headers, remaining);
         Supplier<CompletableFuture<HttpAnswer>> run =
