--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -54,6 +54,7 @@
     private final ScheduledExecutorService timer;
     private final RouteStatistics routeStatistics = new RouteStatistics();
     private final ServiceRetryBudgets budgets = ServiceRetryBudgets.create();
+    private final SplitSelector splits = new SplitSelector();
     private final PoisonFilter poisonFilter = new PoisonFilter();
     private final RouteTableCache routes;
     private final HedgeScheduler hedges;
@@ -134,7 +135,7 @@
         if (!idempotent && call.headers().contains(MeshHeaders.IDEMPOTENCY_KEY)) {
             return handleKeyed(call, route, requestId, origin, current, false);
         }
-        String service = route.selectService(ThreadLocalRandom.current());
+        String service = splits.select(route);
         return start(call, route, service, requestId, origin, current.configuration());
     }
 
@@ -176,7 +177,7 @@
                         .set(MeshHeaders.REQUEST_ID, requestId)
                         .set(MeshHeaders.CALLER, origin.caller().text())
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
-        String service = route.selectService(ThreadLocalRandom.current());
+        String service = SplitSelector.select(route, key.get());
         KeyedCall keyedCall =
                 permissions.keyedCall(call, route, service, key.get(), headers, remaining);
         Supplier<CompletableFuture<HttpAnswer>> run =
