--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -52,6 +52,7 @@
     private long nodeIncarnation;
     private CallRateLimit rateLimit = CallRateLimit.unlimited();
     private final ColdShare coldShare = new ColdShare();
+    private Optional<WorkPace> pace = Optional.empty();
 
     private TargetStatistics(int slots, LoadBalancingPolicy policy, long slowStartSinceMillis) {
         this.policy = policy;
@@ -225,6 +226,7 @@
         reportedMillis = nowMillis;
         latestReport = report;
         coldShare.recordRun(report.runMillis());
+        pace = report.pace();
         sentSinceReport = 0;
         draining |= report.draining();
     }
@@ -241,7 +243,7 @@
     public synchronized double expectedWaitMillis(
             int priority, double typicalRunMillis, long nowMillis) {
         double capacity = limit * capacityShare(nowMillis);
-        double runMillis = typicalRunMillis * meanSlowness;
+        double runMillis = typicalRunMillis * meanSlowness * paceFactor(nowMillis);
         if (!usesReports(nowMillis)) {
             return Math.max(0, outstanding + 1 - maxCalls(nowMillis) * capacityShare(nowMillis))
                     * runMillis
@@ -274,16 +276,31 @@
     }
 
     /**
-     * Returns the cost by which targets are compared: the load times the mean slowness. Calls of
-     * this node have more weight in it, since their number is known while a report may be
-     * misleading.
+     * Returns the cost by which targets are compared: the load times the mean slowness and the time
+     * that work takes on the target's VM now. Calls of this node have more weight in it, since
+     * their number is known while a report may be misleading.
      *
      * @param nowMillis current time
      * @return the cost, at least 0
      */
     public synchronized double cost(long nowMillis) {
         double own = OWN_CALLS_WEIGHT * outstanding / (slots * capacityShare(nowMillis));
-        return (load(nowMillis) + own) * meanSlowness;
+        return (load(nowMillis) + own) * meanSlowness * paceFactor(nowMillis);
+    }
+
+    /**
+     * Returns the pace of the target's VM as last reported.
+     *
+     * @param nowMillis current time
+     * @return the pace with its age; empty when none is known that still counts
+     */
+    public synchronized Optional<WorkPace> pace(long nowMillis) {
+        return pace.map(stated -> stated.after(nowMillis - reportedMillis))
+                .filter(WorkPace::isFresh);
+    }
+
+    private double paceFactor(long nowMillis) {
+        return pace(nowMillis).map(WorkPace::factor).orElse(1.0);
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -22,6 +22,7 @@
 import org.cuminreach.decisions.routing.TargetChooser;
 import org.cuminreach.decisions.routing.TargetView;
 import org.cuminreach.decisions.routing.VersionChooser;
+import org.cuminreach.decisions.routing.WorkPace;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
 import org.cuminreach.node.http.CallAnswers;
@@ -31,6 +32,7 @@
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
 import org.cuminreach.node.quota.TenantServices;
+import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -44,6 +46,7 @@
     private static final int RETRY_MILLIS = 1_000;
 
     private final TargetPermissions permissions;
+    private final TenantAuthenticator authenticator;
     private final CallEntrance entrance;
     private final QuotaGate quotas;
     private final MeshView view;
@@ -68,7 +71,8 @@
             TenantServices tenants,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
-        this.entrance = new CallEntrance(ownHost, tenants.authenticator());
+        this.authenticator = tenants.authenticator();
+        this.entrance = new CallEntrance(ownHost, authenticator);
         this.quotas = new QuotaGate(tenants.quotas());
         this.routes = new RouteTableCache(holder);
         this.view = view;
@@ -104,15 +108,7 @@
             TenantServices tenants,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                permissions,
-                ownHost,
-                holder,
-                view,
-                sender,
-                evidence,
-                deduplicator,
-                tenants,
-                timer);
+                permissions, ownHost, holder, view, sender, evidence, deduplicator, tenants, timer);
     }
 
     @Override
@@ -231,6 +227,9 @@
         if (refused.isPresent()) {
             return refuse(attempts, "poisonous", refused.getAsLong());
         }
+        if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
+            return refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
+        }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         PermittedTargets permitted = permissions.forCall(attempts.route(), List.of());
         String version =
@@ -280,21 +279,23 @@
         attempts.recordAttempt(target.node());
         LOGGER.info(
                 "event=call_routed request={} configuration={} route={} version={} node={}"
-                        + " attempt={} reason={}",
+                        + " attempt={} reason={} pace={}",
                 attempts.requestId(),
                 attempts.configurationVersion(),
                 attempts.route().name(),
                 version,
                 target.node(),
                 attempts.attempts(),
-                reason);
+                reason,
+                WorkPace.logText(target.statistics().pace(startMillis)));
         long remaining = attempts.remainingMillis(startMillis);
         if (remaining <= 0) {
             return answerOrRetry(
                     attempts, configuration, version, new SendOutcome.NotSent("deadline_passed"));
         }
         target.statistics().recordSent(startMillis);
-        HttpHeaders headers = attempts.headers(target, remaining, startMillis);
+        HttpHeaders headers =
+                authenticator.addValidity(attempts.headers(target, remaining, startMillis));
         HttpCall call = attempts.mayHedge() ? attempts.call().abandonableCopy() : attempts.call();
         CompletableFuture<HttpAnswer> answer =
                 sender.send(target.inbound(), call, headers, remaining)
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -22,6 +22,12 @@
      */
     public static final String TENANT = "X-Cuminreach-Tenant";
 
+    /**
+     * Time for which the API key of a call counts as proven, in milliseconds; between nodes only,
+     * and absent when nothing bounds it.
+     */
+    public static final String KEY_VALID_MILLIS = "X-Cuminreach-Key-Valid-Millis";
+
     /** Time left until the caller's deadline, in milliseconds. */
     public static final String REMAINING_MILLIS = "X-Cuminreach-Remaining-Millis";
 
@@ -59,6 +65,12 @@
     /** Set to {@code true} by a target that is about to stop. */
     public static final String TARGET_LEAVING = "X-Cuminreach-Target-Leaving";
 
+    /**
+     * Load that a target states: its running and waiting calls, its slots and, if it knows, the
+     * time that work takes on its VM now in percent of the usual one, separated by commas.
+     */
+    public static final String TARGET_LOAD = "X-Cuminreach-Target-Load";
+
     /** Reason code of a refused or lost call. */
     public static final String REASON = "X-Cuminreach-Reason";
 
@@ -113,6 +125,7 @@
                     TARGET_LIMIT,
                     TARGET_LEAVING,
                     TARGET_COLD,
+                    TARGET_LOAD,
                     REASON,
                     RETRY_AFTER_MILLIS);
 
@@ -129,8 +142,24 @@
                     "content-length",
                     "expect");
 
+    /** Request headers that the node beside a target reads and does not pass on. */
+    private static final List<String> FOR_TARGET_NODE =
+            List.of(TARGET_NODE, TARGET_START, TARGET_LIMIT, TARGET_COLD, KEY_VALID_MILLIS);
+
     private MeshHeaders() {}
 
+    /**
+     * Copies the headers of a call for its target.
+     *
+     * @param headers headers of the call
+     * @return a copy without hop-by-hop headers and those for the node beside the target
+     */
+    public static HttpHeaders forTarget(HttpHeaders headers) {
+        HttpHeaders copy = endToEnd(headers);
+        FOR_TARGET_NODE.forEach(copy::remove);
+        return copy;
+    }
+
     /**
      * Copies the headers of a target's answer without those reserved for nodes.
      *
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -289,8 +289,10 @@
 
     private CompletableFuture<SendOutcome> send(PendingCall pending, long remainingMillis) {
         Optional<TargetDescription> current = target.get();
-        if (current.isEmpty() || remainingMillis <= 0) {
-            return CompletableFuture.completedFuture(new SendOutcome.NotSent("deadline_passed"));
+        boolean keyHolds = pending.keyValidity().holdsNow();
+        if (current.isEmpty() || remainingMillis <= 0 || !keyHolds) {
+            String reason = keyHolds ? "deadline_passed" : "no_lease";
+            return CompletableFuture.completedFuture(new SendOutcome.NotSent(reason));
         }
         String instance = current.get().instance();
         TargetCallMetadata metadata =
@@ -326,7 +328,7 @@
 
     private void recordNotice(String instance, TargetNotice notice) {
         long nowMillis = ProcessClock.monotonicMillis();
-        boolean isFirstLeaving = notices.record(instance, notice);
+        boolean isFirstLeaving = notices.record(instance, notice, nowMillis);
         if (notice.coldMillis().isPresent()) {
             coldTarget.record(instance, notice.coldMillis(), nowMillis);
         }
@@ -376,15 +378,9 @@
     }
 
     private LoadReport loadReport(int runMillis) {
-        long nowMillis = ProcessClock.monotonicMillis();
+        boolean draining = !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance);
         synchronized (queue) {
-            return new LoadReport(
-                    queue.running(),
-                    queue.waiting(),
-                    queue.limit(),
-                    !drainingInstance.isEmpty() && isCurrentInstance(drainingInstance),
-                    runMillis,
-                    queue.hasWaits(nowMillis) ? queue.expectedWaitsMillis(nowMillis) : List.of());
+            return notices.report(queue, draining, runMillis, ProcessClock.monotonicMillis());
         }
     }
 
