--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -368,16 +368,6 @@
                 () -> configurationHolder.activeConfiguration().version());
         Gauges.register(
                 registry, "cuminreach_node_ready_targets", "Targets seen", meshView::readyCount);
-        Gauges.register(
-                registry,
-                "cuminreach_node_running_calls",
-                "Calls at the target",
-                admissionHandler::running);
-        Gauges.register(
-                registry,
-                "cuminreach_node_waiting_calls",
-                "Calls that wait",
-                admissionHandler::waiting);
         Gauges.register(
                 registry,
                 "cuminreach_node_target_limit_per_second",
@@ -393,16 +383,7 @@
                 "cuminreach_node_cold_targets",
                 "Targets seen that are cold and have a limit",
                 () -> meshView.coldCount(ProcessClock.monotonicMillis()));
-        Gauges.register(
-                registry,
-                "cuminreach_node_control_sent_bytes",
-                "Bytes sent to controls",
-                controlTraffic::sentBytes);
-        Gauges.register(
-                registry,
-                "cuminreach_node_control_received_bytes",
-                "Bytes received from controls",
-                controlTraffic::receivedBytes);
+        NodeGauges.register(registry, admissionHandler, controlTraffic);
         Gauges.register(
                 registry,
                 "cuminreach_node_key_lease_millis",
