--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -232,7 +232,7 @@
      * @return the calls to run now
      */
     public List<C> startWaiting(long nowMillis) {
-        List<C> started = List.of();
+        List<C> started = new ArrayList<>();
         Optional<PriorityBand<C>> band = nextBand(nowMillis);
         while (band.isPresent()) {
             SourceQueue.QueuedCall<C> next =
@@ -242,7 +242,7 @@
             } else {
                 running++;
                 capacity.recordStart(nowMillis);
-                started = append(started, next.call());
+                started.add(next.call());
             }
             band = nextBand(nowMillis);
         }
@@ -395,13 +395,4 @@
         return new AdmissionOutcome.Refused(
                 reason, Math.max(1, Math.round(Math.max(excess, nextFree))));
     }
-
-    private static <C> List<C> append(List<C> started, C call) {
-        if (started.isEmpty()) {
-            return List.of(call);
-        }
-        List<C> more = new ArrayList<>(started);
-        more.add(call);
-        return more;
-    }
 }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -31,6 +31,7 @@
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
 import org.cuminreach.node.quota.TenantServices;
+import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -71,7 +72,7 @@
             ScheduledExecutorService timer) {
         this.permissions = permissions;
         this.authenticator = tenants.authenticator();
-        this.entrance = new CallEntrance(ownHost, tenants.authenticator());
+        this.entrance = new CallEntrance(ownHost, authenticator);
         this.quotas = new QuotaGate(tenants.quotas());
         this.routes = new RouteTableCache(holder);
         this.view = view;
