--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -85,7 +85,7 @@
 
     /** Regions that the tenant's calls must not leave; empty when they may go anywhere. */
     List<String> homeRegions() {
-        return tenant().map(Tenant::homeRegions).orElse(List.of());
+        return origin.homeRegions();
     }
 
     boolean idempotent() {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -180,7 +180,8 @@
                         .set(MeshHeaders.REMAINING_MILLIS, remaining);
         String service = SplitSelector.select(route, key.get());
         KeyedCall keyedCall =
-                permissions.keyedCall(call, route, service, key.get(), headers, remaining);
+                permissions.keyedCall(
+                        call, route, origin.homeRegions(), service, key.get(), headers, remaining);
         Supplier<CompletableFuture<HttpAnswer>> run =
                 () ->
                         start(
--- a/node/src/main/java/org/cuminreach/node/caller/TargetPermissions.java
+++ b/node/src/main/java/org/cuminreach/node/caller/TargetPermissions.java
@@ -76,6 +76,7 @@
     KeyedCall keyedCall(
             HttpCall call,
             Route route,
+            List<String> tenantHomes,
             String service,
             IdempotencyKey key,
             HttpHeaders headers,
@@ -85,7 +86,7 @@
                 service,
                 KeyedCall.scoped(key, call),
                 headers,
-                filter(route, List.of()),
+                filter(route, tenantHomes),
                 homeChanges.since(holder.activeConfiguration(), route, ProcessClock.wallMillis()),
                 remainingMillis);
     }
--- a/node/src/main/java/org/cuminreach/node/target/PendingCall.java
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -1,12 +1,14 @@
 package org.cuminreach.node.target;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.routing.RouteMetadata;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.settings.TargetDescription;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
 
@@ -60,6 +62,20 @@
         return admissionRequest.caller().text();
     }
 
+    /** Returns why the call is not for the current target, or empty when it is. */
+    Optional<String> misdirection(String node, Optional<TargetDescription> current) {
+        if (!call.header(MeshHeaders.TARGET_NODE, node).equals(node)) {
+            return Optional.of(MeshHeaders.OTHER_NODE);
+        }
+        if (current.isEmpty()) {
+            return Optional.of(MeshHeaders.NO_TARGET);
+        }
+        String instance = current.get().instance();
+        return call.header(MeshHeaders.TARGET_START, instance).equals(instance)
+                ? Optional.empty()
+                : Optional.of(MeshHeaders.OTHER_TARGET);
+    }
+
     /** Headers of the call without those that are for this node only. */
     HttpHeaders headersForTarget() {
         return MeshHeaders.forTarget(call.headers());
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -96,7 +96,7 @@
             typicalRunMillis = runTimes.typicalRunMillis(route.route());
         }
         PendingCall pending = PendingCall.of(call, route, typicalRunMillis, nowMillis);
-        Optional<String> refusal = refusalReason(call, nowMillis);
+        Optional<String> refusal = refusalReason(pending, nowMillis);
         if (refusal.isPresent()) {
             refuse(pending, refusal.get(), DRAINING_RETRY_MILLIS);
             return pending.answer();
@@ -122,24 +122,17 @@
     }
 
     /** Returns why the current target cannot take a call, or empty when it can. */
-    private Optional<String> refusalReason(HttpCall call, long nowMillis) {
+    private Optional<String> refusalReason(PendingCall pending, long nowMillis) {
         Optional<TargetDescription> current = target.get();
-        if (!call.header(MeshHeaders.TARGET_NODE, node).equals(node)) {
-            return Optional.of(MeshHeaders.OTHER_NODE);
-        }
-        if (current.isEmpty()) {
-            return Optional.of(MeshHeaders.NO_TARGET);
-        }
-        String instance = current.get().instance();
-        if (!call.header(MeshHeaders.TARGET_START, instance).equals(instance)) {
-            return Optional.of(MeshHeaders.OTHER_TARGET);
-        }
-        Optional<String> closed = reasonToRefuseAll(nowMillis);
-        if (closed.isPresent()) {
-            return closed;
+        Optional<String> reason =
+                pending.misdirection(node, current).or(() -> reasonToRefuseAll(nowMillis));
+        if (reason.isPresent() || current.isEmpty()) {
+            return reason;
         }
+        HttpCall call = pending.call();
         notices.adoptLimit(
-                instance, CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
+                current.get().instance(),
+                CallRateLimit.parse(call.header(MeshHeaders.TARGET_LIMIT, "")));
         coldTarget.adopt(call.headers(), nowMillis);
         applyDescription(current.get(), nowMillis);
         return Optional.empty();
