Give admission ranks for the priorities of tenants and of their routes

Cause: tenants' priorities come first and admission had four ranks, so that three or four priorities of tenants leave none for routes. Change: twelve ranks; a report of waits leaves out repetitions at its end, so that it does not grow. The test of the order of ranks now asks for six different ranks where two pairs shared one.

--- a/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
@@ -19,8 +19,11 @@
         long objectiveMillis,
         long deadlineMillis,
         double typicalRunMillis) {
-    /** Number of distinct priorities; lower ones count as the lowest of them. */
-    public static final int PRIORITIES = 4;
+    /**
+     * Number of distinct priorities; lower ones count as the lowest of them. Enough for three
+     * priorities of tenants with four of routes in each.
+     */
+    public static final int PRIORITIES = 12;
 
     /**
      * Multiple of the typical running time that is reserved before the objective; five calls in six
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -25,10 +25,7 @@
     /** Bounds every wait: callers without a deadline are better off elsewhere after a second. */
     private static final long MAX_WAIT_MILLIS = 1_000;
 
-    /**
-     * Time before its caller's deadline that a waiting call leaves for its refusal, so that the
-     * caller hears of it while it still waits, in milliseconds.
-     */
+    /** Time by which a refusal after a wait precedes its caller's deadline, in milliseconds. */
     private static final long MAX_REFUSAL_MARGIN_MILLIS = 150;
 
     /** The same as a share of the time that the call had left when it arrived. */
@@ -334,13 +331,16 @@
      * Estimates how long a new call of a caller without calls here would wait.
      *
      * @param nowMillis current time
-     * @return the wait in milliseconds for each priority, the highest first
+     * @return the wait in milliseconds by priority, the highest first; the last is that of the rest
      */
     public List<Integer> expectedWaitsMillis(long nowMillis) {
         List<Integer> waits = new ArrayList<>();
         for (WaitingCalls.Ahead ahead : waitingCalls.aheadByPriority()) {
             waits.add((int) Math.round(waitMillis(ahead, waits.size(), nowMillis)));
         }
+        while (waits.size() > 1 && waits.getLast().equals(waits.get(waits.size() - 2))) {
+            waits.removeLast();
+        }
         return waits;
     }
 
@@ -379,8 +379,8 @@
 
     /** Refuses a call that waited; its turn would come after the waiting calls and one more. */
     private AdmissionOutcome.Refused refusal(String reason, long nowMillis) {
-        double nextFree = capacity.nextFreeMillis(waiting(), 0, nowMillis);
-        return new AdmissionOutcome.Refused(reason, Math.max(1, Math.round(nextFree)));
+        long nextFree = Math.round(capacity.nextFreeMillis(waiting(), 0, nowMillis));
+        return new AdmissionOutcome.Refused(reason, Math.max(1, nextFree));
     }
 
     /** Refuses an arriving call until the expected wait has fallen to what it tolerates. */
--- a/decisions/src/test/java/org/cuminreach/decisions/tenant/CallPrioritiesTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/tenant/CallPrioritiesTest.java
@@ -45,10 +45,10 @@
         Optional<Tenant> low = Optional.of(document.tenants().get(1));
 
         assertThat(document.routes().stream().map(route -> priorities.rank(route, high)).toList())
-                .containsExactly(0, 1, 1)
+                .containsExactly(0, 1, 2)
                 .inOrder();
         assertThat(document.routes().stream().map(route -> priorities.rank(route, low)).toList())
-                .containsExactly(2, 3, 3)
+                .containsExactly(6, 7, 8)
                 .inOrder();
     }
 
