--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -310,6 +310,11 @@
                 "cuminreach_control_configuration_version",
                 "Agreed configuration version known here",
                 () -> replica.configuration().version());
+        Gauges.register(
+                registry,
+                "cuminreach_control_unapplied_entries",
+                "Committed entries that are not applied yet",
+                replica::unappliedEntries);
         Gauges.register(
                 registry,
                 "cuminreach_control_leads",
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -20,7 +20,7 @@
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
-import org.cuminreach.decisions.configuration.SubmissionOutcome;
+import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.wire.ConfigurationCodec;
 import org.cuminreach.wire.RaftCodec;
 import org.cuminreach.wire.StructCodec;
@@ -54,6 +54,7 @@
     private final ProposalHandler proposalHandler;
     private final PendingProposals proposals = new PendingProposals();
     private final PendingConfirmations confirmations;
+    private final EntryApplier applier;
     private final AtomicBoolean timerQueued = new AtomicBoolean();
 
     private ReplicaDriver(
@@ -78,6 +79,7 @@
         saver = new RetryingSaver(storage);
         proposalHandler = new ProposalHandler(replica, storage, state, proposals);
         confirmations = new PendingConfirmations(random.nextLong());
+        applier = new EntryApplier(state, proposals, confirmations);
         workQueue = new ReplicaWorkQueue<>(this::execute, failures);
     }
 
@@ -277,6 +279,15 @@
         return replica.commitIndex();
     }
 
+    /**
+     * Returns the number of committed entries that are not applied yet.
+     *
+     * @return number of entries, 0 when this control is up to date
+     */
+    public long unappliedEntries() {
+        return Math.max(0, commitIndex() - state.appliedIndex());
+    }
+
     /**
      * Returns the current membership.
      *
@@ -344,7 +355,10 @@
 
     private void execute(List<Effect> effects, Completions completions) {
         saver.save(effects);
+        long firstIndex = state.appliedIndex() + 1;
+        long startMillis = ProcessClock.monotonicMillis();
         effects.forEach(effect -> execute(effect, completions));
+        applier.logIfSlow(firstIndex, ProcessClock.monotonicMillis() - startMillis);
     }
 
     private void execute(Effect effect, Completions completions) {
@@ -354,21 +368,11 @@
             case Effect.SaveSnapshot saved -> network.updateMembership(membership());
             case Effect.Send send ->
                     network.send(send.to(), Frame.agreement(RaftCodec.toStruct(send.message())));
-            case Effect.Apply apply -> {
-                Optional<SubmissionOutcome> outcome = state.apply(apply.entry(), completions);
-                proposals.completeApplied(apply.entry(), outcome, completions);
-                confirmations.completeUpTo(state.appliedIndex(), completions);
-            }
-            case Effect.Restore restore -> {
-                state.restore(restore.snapshot(), completions);
-                proposals.completeSkipped(
-                        state.appliedIndex(), state::previousOutcome, completions);
-                confirmations.completeUpTo(state.appliedIndex(), completions);
-            }
-            case Effect.Confirmed confirmed -> {
-                confirmations.recordConfirmed(confirmed.confirmation(), confirmed.index());
-                confirmations.completeUpTo(state.appliedIndex(), completions);
-            }
+            case Effect.Apply apply -> applier.apply(apply.entry(), completions);
+            case Effect.Restore restore -> applier.restore(restore.snapshot(), completions);
+            case Effect.Confirmed confirmed ->
+                    applier.recordConfirmed(
+                            confirmed.confirmation(), confirmed.index(), completions);
             case Effect.LeaderChanged changed ->
                     LOGGER.info(
                             "event=leader_changed term={} leader={}",
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -161,12 +161,18 @@
         redirected = redirectPending;
         redirectPending = false;
         Address control = controlAddresses.next();
+        long startMillis = ProcessClock.monotonicMillis();
         endpoints
                 .connect(control, this)
                 .whenComplete(
                         (channel, failure) -> {
                             if (failure != null) {
-                                LOGGER.info("event=control_unreachable control={}", control);
+                                LOGGER.info(
+                                        "event=control_unreachable control={} duration_ms={}"
+                                                + " reason=\"{}\"",
+                                        control,
+                                        ProcessClock.monotonicMillis() - startMillis,
+                                        failure.getMessage());
                                 recordLoss();
                                 scheduleReconnect();
                             }
