--- a/control/src/main/java/org/cuminreach/control/replica/ConfigurationListener.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ConfigurationListener.java
@@ -2,7 +2,10 @@
 
 import org.cuminreach.decisions.configuration.MeshConfiguration;
 
-/** Receives every change of the committed configuration, in order. */
+/**
+ * Receives the committed configuration when it has changed, in the order of the changes. Of several
+ * changes that are applied together only the latest is received.
+ */
 @FunctionalInterface
 public interface ConfigurationListener {
     /**
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -355,10 +355,11 @@
 
     private void execute(List<Effect> effects, Completions completions) {
         saver.save(effects);
-        long firstIndex = state.appliedIndex() + 1;
-        long startMillis = ProcessClock.monotonicMillis();
         effects.forEach(effect -> execute(effect, completions));
-        applier.logIfSlow(firstIndex, ProcessClock.monotonicMillis() - startMillis);
+        applier.applySlice(ProcessClock::monotonicMillis, completions);
+        if (applier.hasOutstanding()) {
+            workQueue.add(next -> List.of());
+        }
     }
 
     private void execute(Effect effect, Completions completions) {
@@ -368,7 +369,7 @@
             case Effect.SaveSnapshot saved -> network.updateMembership(membership());
             case Effect.Send send ->
                     network.send(send.to(), Frame.agreement(RaftCodec.toStruct(send.message())));
-            case Effect.Apply apply -> applier.apply(apply.entry(), completions);
+            case Effect.Apply apply -> applier.add(apply.entry(), ProcessClock.monotonicMillis());
             case Effect.Restore restore -> applier.restore(restore.snapshot(), completions);
             case Effect.Confirmed confirmed ->
                     applier.recordConfirmed(
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
@@ -30,6 +30,7 @@
                 snapshot.map(Snapshot::state)
                         .orElseGet(() -> ConfigurationCodec.encode(MeshStateImage.empty())));
         appliedIndex = snapshot.map(Snapshot::lastIndex).orElse(0L);
+        configuration = state.configuration();
     }
 
     void addListener(ConfigurationListener listener) {
@@ -57,23 +58,27 @@
         return state.previousOutcome(command);
     }
 
-    synchronized Optional<SubmissionOutcome> apply(LogEntry entry, Completions completions) {
+    synchronized Optional<SubmissionOutcome> apply(LogEntry entry) {
         appliedIndex = entry.index();
-        if (!(entry.payload() instanceof Payload.Command command)) {
-            return Optional.empty();
-        }
-        long versionBefore = state.configuration().version();
-        Optional<SubmissionOutcome> outcome = state.apply(entry.index(), decode(command));
-        if (state.configuration().version() != versionBefore) {
-            notifyListeners(completions);
-        }
-        return outcome;
+        return entry.payload() instanceof Payload.Command command
+                ? state.apply(entry.index(), decode(command))
+                : Optional.empty();
     }
 
-    synchronized void restore(Snapshot snapshot, Completions completions) {
+    synchronized void restore(Snapshot snapshot) {
         load(snapshot.state());
         appliedIndex = snapshot.lastIndex();
-        notifyListeners(completions);
+    }
+
+    /** Publishes the latest configuration and notifies the listeners, if it changed. */
+    synchronized void publish(Completions completions) {
+        MeshConfiguration latest = state.configuration();
+        if (latest.version() == configuration.version()) {
+            return;
+        }
+        configuration = latest;
+        completions.add(
+                () -> listeners.forEach(listener -> listener.onConfigurationChanged(latest)));
     }
 
     private void load(byte[] encoded) {
@@ -82,14 +87,6 @@
         } catch (MalformedFrameException malformed) {
             throw new IllegalStateException("the state in a snapshot is malformed", malformed);
         }
-        configuration = state.configuration();
-    }
-
-    private void notifyListeners(Completions completions) {
-        MeshConfiguration changed = state.configuration();
-        configuration = changed;
-        completions.add(
-                () -> listeners.forEach(listener -> listener.onConfigurationChanged(changed)));
     }
 
     private static MeshCommand decode(Payload.Command command) {
