--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -252,6 +252,16 @@
         return replica.isLeader();
     }
 
+    /**
+     * Tells whether this control is the leader and has applied all that was committed before.
+     *
+     * @return false for a new leader whose configuration may still be an older one
+     */
+    public synchronized boolean isLeaderWithCurrentState() {
+        return replica.isLeaderWithCurrentCommitIndex()
+                && state.appliedIndex() >= replica.commitIndex();
+    }
+
     /**
      * Returns the identity of the leader.
      *
--- a/control/src/main/java/org/cuminreach/control/rollout/RolloutController.java
+++ b/control/src/main/java/org/cuminreach/control/rollout/RolloutController.java
@@ -70,6 +70,9 @@
         if (collected.isEmpty()) {
             collected = Optional.of(EvidenceStore.empty(wallMillis));
         }
+        if (!replica.isLeaderWithCurrentState()) {
+            return;
+        }
         MeshConfiguration configuration = replica.configuration();
         Map<String, Rollout> judged = judgedRollouts(configuration, wallMillis);
         Map<String, String> versions = new HashMap<>();
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -159,6 +159,16 @@
         return leaderRole.isPresent();
     }
 
+    /**
+     * Returns whether this replica is the leader and knows every committed entry. A new leader does
+     * once an entry of its own term is committed.
+     *
+     * @return true for a leader whose commit index is current
+     */
+    public boolean isLeaderWithCurrentCommitIndex() {
+        return leaderRole.map(LeaderRole::hasCommittedInOwnTerm).orElse(false);
+    }
+
     /**
      * Returns whether this replica is in contact with a quorum: as the leader through responses of
      * voters, as a follower through its leader.
