--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaDriver.java
@@ -16,7 +16,6 @@
 import org.cuminreach.decisions.agreement.Message;
 import org.cuminreach.decisions.agreement.RaftSettings;
 import org.cuminreach.decisions.agreement.Replica;
-import org.cuminreach.decisions.agreement.Snapshot;
 import org.cuminreach.decisions.configuration.HistoryEntry;
 import org.cuminreach.decisions.configuration.MeshCommand;
 import org.cuminreach.decisions.configuration.MeshConfiguration;
@@ -71,11 +70,7 @@
         DurableState durable = folder.load();
         replica = Replica.start(self, RaftSettings.defaults(), random, durable, nowMillis);
         state = new ReplicatedState(durable.snapshot());
-        storage =
-                new ReplicaStorage(
-                        folder,
-                        entriesBetweenSnapshots,
-                        durable.snapshot().map(Snapshot::lastIndex).orElse(0L));
+        storage = new ReplicaStorage(folder, entriesBetweenSnapshots, state.appliedIndex());
         saver = new RetryingSaver(storage);
         proposalHandler = new ProposalHandler(replica, storage, state, proposals);
         confirmations = new PendingConfirmations(random.nextLong());
@@ -227,7 +222,9 @@
         workQueue.add(
                 completions -> {
                     long confirmation = confirmations.add(result);
-                    result.whenComplete((index, failure) -> removeConfirmation(confirmation));
+                    result.whenComplete(
+                            (index, failure) ->
+                                    workQueue.add(next -> removeConfirmation(confirmation)));
                     return replica.confirm(nowMillis, confirmation);
                 });
         return result;
@@ -344,12 +341,9 @@
         return self;
     }
 
-    private void removeConfirmation(long confirmation) {
-        workQueue.add(
-                completions -> {
-                    confirmations.remove(confirmation);
-                    return List.of();
-                });
+    private List<Effect> removeConfirmation(long confirmation) {
+        confirmations.remove(confirmation);
+        return List.of();
     }
 
     private void execute(List<Step> batch) {
@@ -358,18 +352,14 @@
         synchronized (this) {
             batch.forEach(step -> effects.addAll(step.run(completions)));
         }
-        execute(effects, completions);
-        compactIfDue();
-        completions.run();
-    }
-
-    private void execute(List<Effect> effects, Completions completions) {
         saver.save(effects);
         effects.forEach(effect -> execute(effect, completions));
         applier.applySlice(ProcessClock::monotonicMillis, completions);
         if (applier.hasOutstanding()) {
             workQueue.add(next -> List.of());
         }
+        compactIfDue();
+        completions.run();
     }
 
     private void execute(Effect effect, Completions completions) {
@@ -394,7 +384,7 @@
 
     private void compactIfDue() {
         long appliedIndex = state.appliedIndex();
-        if (!storage.isSnapshotDue(appliedIndex)) {
+        if (!storage.isSnapshotDue(appliedIndex, state.replayCharacters())) {
             return;
         }
         List<Effect> effects;
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
@@ -15,6 +15,12 @@
 final class ReplicaStorage {
     private static final long MAX_ENTRY_FILE_BYTES = 64L * 1024 * 1024;
 
+    /**
+     * Length of the documents to read again after a restart, above which a snapshot is due. No
+     * control has the current configuration until one of them has read them.
+     */
+    private static final long MAX_REPLAY_CHARACTERS = 2L * 1024 * 1024;
+
     private final DataFolder folder;
     private final List<LogEntry> unsaved = new ArrayList<>();
     private final int entriesBetweenSnapshots;
@@ -49,8 +55,10 @@
     }
 
     /** Tells whether enough entries were applied since the last snapshot to take the next one. */
-    boolean isSnapshotDue(long appliedIndex) {
-        boolean large = folder.entryFileBytes() >= MAX_ENTRY_FILE_BYTES;
+    boolean isSnapshotDue(long appliedIndex, long replayCharacters) {
+        boolean large =
+                folder.entryFileBytes() >= MAX_ENTRY_FILE_BYTES
+                        || replayCharacters >= MAX_REPLAY_CHARACTERS;
         long entries = appliedIndex - snapshotIndex;
         return entries >= entriesBetweenSnapshots || large && entries > 0;
     }
--- a/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicatedState.java
@@ -23,6 +23,7 @@
             new CopyOnWriteArrayList<>();
     private MeshState state;
     private long appliedIndex;
+    private long replayCharacters;
     private volatile MeshConfiguration configuration;
 
     ReplicatedState(Optional<Snapshot> snapshot) {
@@ -49,7 +50,17 @@
         return state.history();
     }
 
+    /**
+     * Returns the length of the documents that were applied since the state was last encoded or
+     * restored. The time for a replay of these entries is roughly proportional to it.
+     */
+    synchronized long replayCharacters() {
+        return replayCharacters;
+    }
+
+    /** Returns the encoded state, for a snapshot at the applied index. */
     synchronized byte[] encode() {
+        replayCharacters = 0;
         return ConfigurationCodec.encode(state.image());
     }
 
@@ -60,14 +71,18 @@
 
     synchronized Optional<SubmissionOutcome> apply(LogEntry entry) {
         appliedIndex = entry.index();
-        return entry.payload() instanceof Payload.Command command
-                ? state.apply(entry.index(), decode(command))
-                : Optional.empty();
+        if (!(entry.payload() instanceof Payload.Command command)) {
+            return Optional.empty();
+        }
+        Optional<SubmissionOutcome> outcome = state.apply(entry.index(), decode(command));
+        replayCharacters += state.configuration().documentText().length();
+        return outcome;
     }
 
     synchronized void restore(Snapshot snapshot) {
         load(snapshot.state());
         appliedIndex = snapshot.lastIndex();
+        replayCharacters = 0;
     }
 
     /** Publishes the latest configuration and notifies the listeners, if it changed. */
--- a/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -24,6 +24,8 @@
     private static final long ELECTION_MILLIS = 10_000;
     private static final long TIMEOUT_SECONDS = 30;
     private static final long DISK_FULL_MILLIS = 300;
+    private static final long MAX_REPLAY_CHARACTERS = 3L * 1024 * 1024;
+    private static final String LARGE_DOCUMENT = "{/*" + "-".repeat(512 * 1024) + "*/}";
 
     private final FakeFolder files = new FakeFolder(1);
     private final CompletableFuture<Exception> failure = new CompletableFuture<>();
@@ -90,6 +92,25 @@
         second.close();
     }
 
+    @Example
+    void restartDoesNotReplayLongLogOfLargeDocuments() throws Exception {
+        ReplicaDriver first = startSingleVoter();
+        long version = 0;
+        for (int number = 0; number < 12; number++) {
+            SubmitResult accepted = submit(first, "large-" + number, version, LARGE_DOCUMENT);
+            version = first.configuration().documentVersion();
+            assertThat(accepted)
+                    .isEqualTo(new SubmitResult.Decided(new SubmissionOutcome.Accepted(version)));
+        }
+        first.close();
+        files.restart();
+
+        ReplicaDriver second = start();
+        long replayedVersions = version - second.configuration().documentVersion();
+        assertThat(replayedVersions * LARGE_DOCUMENT.length()).isAtMost(MAX_REPLAY_CHARACTERS);
+        second.close();
+    }
+
     private ReplicaDriver startSingleVoter() throws IOException {
         Address address = Address.parse("10.0.0.1:1001").orElseThrow();
         Membership membership = new Membership(List.of(new Member("r1", address, true)));
@@ -115,13 +136,23 @@
 
     private static SubmitResult submit(ReplicaDriver leader, String key, long basedOn)
             throws Exception {
-        return propose(leader, key, basedOn).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return submit(leader, key, basedOn, "{}");
+    }
+
+    private static SubmitResult submit(
+            ReplicaDriver leader, String key, long basedOn, String document) throws Exception {
+        return propose(leader, key, basedOn, document).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
     private static CompletableFuture<SubmitResult> propose(
             ReplicaDriver leader, String key, long basedOn) {
+        return propose(leader, key, basedOn, "{}");
+    }
+
+    private static CompletableFuture<SubmitResult> propose(
+            ReplicaDriver leader, String key, long basedOn, String document) {
         return leader.propose(
-                new MeshCommand.SubmitDocument("test", key, basedOn, "{}", 1), ELECTION_MILLIS);
+                new MeshCommand.SubmitDocument("test", key, basedOn, document, 1), ELECTION_MILLIS);
     }
 
     /** A network without other controls. */
