--- a/node/src/main/java/org/cuminreach/node/control/ControlAddresses.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlAddresses.java
@@ -64,6 +64,15 @@
         preferred = Optional.of(address);
     }
 
+    /**
+     * Tells whether an address was preferred and has not been chosen since.
+     *
+     * @return whether the next choice is a preferred one
+     */
+    public synchronized boolean hasPreferred() {
+        return preferred.isPresent();
+    }
+
     /**
      * Chooses the next control to connect to, in round-robin order. The one chosen last is skipped
      * while there are others, since it was lost or could not be reached.
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -5,9 +5,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.cuminreach.decisions.configuration.ConfigurationDelta;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
-import org.cuminreach.decisions.configuration.OfferOutcome;
 import org.cuminreach.decisions.distribution.ReconnectBackoff;
 import org.cuminreach.decisions.distribution.RedirectPolicy;
 import org.cuminreach.decisions.membership.Announcement;
@@ -19,17 +17,13 @@
 import org.cuminreach.node.tenant.KeyFreshness;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
-import org.cuminreach.settings.Fault;
 import org.cuminreach.wire.AnnouncementCodec;
-import org.cuminreach.wire.ConfigurationCodec;
 import org.cuminreach.wire.DeltaCodec;
 import org.cuminreach.wire.EvidenceCodec;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.frame.FrameConnection;
 import org.cuminreach.wire.frame.FrameEndpoints;
-import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.generated.AnnouncementBatch;
-import org.cuminreach.wire.generated.ConfigurationReport;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.Heartbeat;
 import org.cuminreach.wire.generated.NodeHello;
@@ -40,9 +34,9 @@
 
 /**
  * Session of the node with one control process at a time. After the connection is lost, the node
- * connects to another one.
+ * connects to the first of the others that welcomes it.
  */
-public final class ControlSession implements FrameListener {
+public final class ControlSession {
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlSession.class);
     private static final long MIN_RECONNECT_DELAY_MILLIS = 100;
 
@@ -54,6 +48,12 @@
 
     private static final long WELCOME_TIMEOUT_MILLIS = 4_000;
 
+    /**
+     * Time without a welcome after which another control is tried beside, in milliseconds; several
+     * times as long as a welcome takes.
+     */
+    private static final long NEXT_ATTEMPT_DELAY_MILLIS = 300;
+
     private final NodeSettings settings;
     private final ConfigurationHolder configurationHolder;
     private final KeyFreshness keyFreshness;
@@ -65,24 +65,11 @@
     private final RandomGenerator random;
     private final ControlAddresses controlAddresses;
     private final RedirectPolicy redirectPolicy = RedirectPolicy.create();
-    private volatile FrameConnection connection;
-    private volatile boolean welcomed;
-    private volatile boolean stopping;
-
-    /**
-     * True if the node is connected, or is connecting, to a control to which another one redirected
-     * it.
-     */
-    private volatile boolean redirected;
-
-    /** True if the current control has redirected the node to a nearer one, to connect to next. */
-    private volatile boolean redirectPending;
-
+    private final ConfigurationReceiver configurations;
+    private final ControlAttempts attempts = new ControlAttempts();
     private final ReconnectBackoff backoff =
             ReconnectBackoff.between(MIN_RECONNECT_DELAY_MILLIS, MAX_RECONNECT_DELAY_MILLIS);
-    private volatile long openedMillis;
     private boolean everWelcomed;
-    private Optional<Long> requestedDelayMillis = Optional.empty();
 
     private ControlSession(
             NodeSettings settings,
@@ -96,6 +83,7 @@
             RandomGenerator random) {
         this.settings = settings;
         this.configurationHolder = configurationHolder;
+        this.configurations = new ConfigurationReceiver(configurationHolder);
         this.keyFreshness = keyFreshness;
         this.meshView = meshView;
         this.evidence = evidence;
@@ -153,76 +141,92 @@
         controlAddresses.setConfigured(controls);
     }
 
-    /** Connects to the next control process. */
+    /** Connects to the next control process, unless enough attempts are in progress. */
     public void connect() {
-        if (stopping) {
+        if (!attempts.mayStart()) {
             return;
         }
-        redirected = redirectPending;
-        redirectPending = false;
-        Address control = controlAddresses.next();
-        long startMillis = ProcessClock.monotonicMillis();
+        boolean redirected = controlAddresses.hasPreferred();
+        ControlAttempt attempt =
+                new ControlAttempt(
+                        this, controlAddresses.next(), redirected, ProcessClock.monotonicMillis());
+        attempts.add(attempt);
         endpoints
-                .connect(control, this)
+                .connect(attempt.control(), attempt)
                 .whenComplete(
                         (channel, failure) -> {
                             if (failure != null) {
-                                LOGGER.info(
-                                        "event=control_unreachable control={} duration_ms={}"
-                                                + " reason=\"{}\"",
-                                        control,
-                                        ProcessClock.monotonicMillis() - startMillis,
-                                        failure.getMessage());
-                                recordLoss();
-                                scheduleReconnect();
+                                onUnreachable(attempt, failure);
                             }
                         });
+        schedule(
+                () -> {
+                    if (attempts.isUndecided(attempt)) {
+                        connect();
+                    }
+                },
+                NEXT_ATTEMPT_DELAY_MILLIS);
     }
 
     /**
-     * Sends a heartbeat and the collected outcomes of calls, or closes the connection when no
+     * Sends heartbeats and the collected outcomes of calls, and closes connections on which no
      * welcome arrived in time.
      *
      * @param wallMillis current wall-clock time
      */
     public void onTimer(long wallMillis) {
-        FrameConnection open = connection;
-        if (open == null) {
-            return;
-        }
-        if (!welcomed && ProcessClock.monotonicMillis() - openedMillis > WELCOME_TIMEOUT_MILLIS) {
-            LOGGER.info("event=control_session_closed reason=no_welcome");
-            open.close();
-            return;
-        }
-        open.send(
-                Frame.heartbeat(
-                        keyFreshness.addQuestion(
-                                new Heartbeat(wallMillis)
-                                        .setMayMove(
-                                                redirectPolicy.mayRedirect(
-                                                        ProcessClock.monotonicMillis())))));
-        if (welcomed) {
-            List<Evidence> taken = evidence.drain(wallMillis);
-            if (!taken.isEmpty()) {
-                open.send(EvidenceCodec.toFrame(taken));
+        long nowMillis = ProcessClock.monotonicMillis();
+        for (ControlAttempt attempt : attempts.undecided()) {
+            if (nowMillis - attempt.startMillis() > WELCOME_TIMEOUT_MILLIS) {
+                LOGGER.info(
+                        "event=control_session_closed control={} reason=no_welcome",
+                        attempt.control());
+                attempt.close();
+            } else {
+                attempt.connection()
+                        .ifPresent(
+                                open ->
+                                        open.send(
+                                                Frame.heartbeat(heartbeat(wallMillis, nowMillis))));
             }
         }
+        welcomedConnection()
+                .ifPresent(
+                        open -> {
+                            open.send(
+                                    Frame.heartbeat(
+                                            keyFreshness.addQuestion(
+                                                    heartbeat(wallMillis, nowMillis))));
+                            List<Evidence> taken = evidence.drain(wallMillis);
+                            if (!taken.isEmpty()) {
+                                open.send(EvidenceCodec.toFrame(taken));
+                            }
+                        });
+    }
+
+    private Heartbeat heartbeat(long wallMillis, long nowMillis) {
+        return new Heartbeat(wallMillis).setMayMove(redirectPolicy.mayRedirect(nowMillis));
+    }
+
+    private Optional<FrameConnection> welcomedConnection() {
+        return attempts.welcomed().flatMap(ControlAttempt::connection);
     }
 
-    /** Announces the current state of the target. */
+    /** Announces the current state of the target to the controls that the node is connected to. */
     public void announce() {
-        FrameConnection open = connection;
-        if (open != null) {
-            announcer
-                    .nextAnnouncement()
-                    .ifPresent(next -> open.send(AnnouncementCodec.toFrame(List.of(next))));
-        }
+        welcomedConnection().ifPresent(this::announceTo);
+        attempts.undecided().forEach(attempt -> attempt.connection().ifPresent(this::announceTo));
+    }
+
+    private void announceTo(FrameConnection open) {
+        announcer
+                .nextAnnouncement()
+                .ifPresent(next -> open.send(AnnouncementCodec.toFrame(List.of(next))));
     }
 
     /** Stops reconnecting. An open connection is kept until the process exits. */
     public void stop() {
-        stopping = true;
+        attempts.stop();
     }
 
     /**
@@ -231,13 +235,14 @@
      * @return true while connected to a control that has welcomed this node
      */
     public boolean isWelcomed() {
-        return welcomed;
+        return attempts.welcomed().isPresent();
     }
 
-    @Override
-    public void opened(FrameConnection opened) {
-        openedMillis = ProcessClock.monotonicMillis();
-        connection = opened;
+    void onOpened(ControlAttempt attempt, FrameConnection opened) {
+        if (!attempts.isUndecided(attempt)) {
+            opened.close();
+            return;
+        }
         opened.send(
                 Frame.nodeHello(
                         new NodeHello(
@@ -245,42 +250,68 @@
                                         announcer.incarnation(),
                                         settings.dataCentre(),
                                         configurationHolder.activeConfiguration().version())
-                                .setMayMove(redirectPolicy.mayRedirect(openedMillis))));
-        announce();
+                                .setMayMove(
+                                        redirectPolicy.mayRedirect(
+                                                ProcessClock.monotonicMillis()))));
+        announceTo(opened);
     }
 
-    @Override
-    public void received(FrameConnection from, Frame frame) throws MalformedFrameException {
+    void onReceived(ControlAttempt attempt, FrameConnection from, Frame frame)
+            throws MalformedFrameException {
         switch (frame.getSetField()) {
-            case NODE_WELCOME -> handleWelcome(frame.getNodeWelcome());
-            case NODE_REDIRECT -> handleRedirect(from, frame.getNodeRedirect());
-            case ANNOUNCEMENTS -> mergeAnnouncements(frame.getAnnouncements());
-            case CONFIGURATION_DELTA ->
-                    applyDelta(from, DeltaCodec.toDelta(frame.getConfigurationDelta()));
-            case HEARTBEAT -> keyFreshness.recordAnswer(frame.getHeartbeat());
+            case NODE_WELCOME -> handleWelcome(attempt, frame.getNodeWelcome());
+            case NODE_REDIRECT -> handleRedirect(attempt, frame.getNodeRedirect());
+            case ANNOUNCEMENTS, CONFIGURATION_DELTA, HEARTBEAT -> {
+                if (attempts.welcomed().equals(Optional.of(attempt))) {
+                    handleUpdate(from, frame);
+                }
+            }
             default -> throw new MalformedFrameException("no control sends " + frame.getSetField());
         }
     }
 
-    @Override
-    public void closed(FrameConnection closedConnection) {
-        connection = null;
-        recordLoss();
-        welcomed = false;
+    /** Handles a frame of the control that has welcomed the node. */
+    private void handleUpdate(FrameConnection from, Frame frame) throws MalformedFrameException {
+        if (frame.isSetAnnouncements()) {
+            mergeAnnouncements(frame.getAnnouncements());
+        } else if (frame.isSetConfigurationDelta()) {
+            configurations.apply(from, DeltaCodec.toDelta(frame.getConfigurationDelta()));
+        } else {
+            keyFreshness.recordAnswer(frame.getHeartbeat());
+        }
+    }
+
+    void onClosed(ControlAttempt attempt) {
+        boolean wasWelcomed = attempts.welcomed().equals(Optional.of(attempt));
+        if (recordEnd(attempt, wasWelcomed)) {
+            LOGGER.info(
+                    "event=control_lost control={} welcomed={} held_version={}",
+                    attempt.control(),
+                    wasWelcomed,
+                    configurationHolder.activeConfiguration().version());
+        }
+    }
+
+    private void onUnreachable(ControlAttempt attempt, Throwable failure) {
         LOGGER.info(
-                "event=control_lost held_version={}",
-                configurationHolder.activeConfiguration().version());
-        scheduleReconnect();
+                "event=control_unreachable control={} duration_ms={} reason=\"{}\"",
+                attempt.control(),
+                ProcessClock.monotonicMillis() - attempt.startMillis(),
+                failure.getMessage());
+        recordEnd(attempt, false);
     }
 
-    /**
-     * Records the loss of a control that was in use, or to which another one redirected this node,
-     * so that the node is not soon redirected to it again.
-     */
-    private void recordLoss() {
-        if (!redirectPending && (welcomed || redirected)) {
+    /** Starts the next attempt after the end of one; returns false if it had been given up. */
+    private boolean recordEnd(ControlAttempt attempt, boolean wasWelcomed) {
+        if (!attempts.recordEnd(attempt)) {
+            return false;
+        }
+        // A control that was lost may soon be recommended again by another one.
+        if ((wasWelcomed || attempt.isRedirected()) && !attempt.isRedirecting()) {
             redirectPolicy.recordLoss(ProcessClock.monotonicMillis());
         }
+        schedule(this::connect, reconnectDelayMillis(attempt));
+        return true;
     }
 
     private void mergeAnnouncements(AnnouncementBatch batch) throws MalformedFrameException {
@@ -292,12 +323,23 @@
         }
     }
 
-    private void handleWelcome(NodeWelcome welcome) {
-        welcomed = true;
+    private void handleWelcome(ControlAttempt attempt, NodeWelcome welcome) {
+        Optional<List<ControlAttempt>> others = attempts.recordWelcome(attempt);
+        if (others.isEmpty()) {
+            attempt.close();
+            return;
+        }
+        others.get().forEach(ControlAttempt::close);
         backoff.reset();
-        LOGGER.info("event=control_welcomed control={}", welcome.getControl());
+        LOGGER.info(
+                "event=control_welcomed control={} given_up={}",
+                welcome.getControl(),
+                others.get().size());
         if (welcome.isSetKnownIncarnation()) {
             handleKnownIncarnation(welcome.getKnownIncarnation());
+        } else if (!others.get().isEmpty()) {
+            // The controls of the attempts that are closed now take the node for disconnected.
+            announce();
         }
         if (welcome.isSetControls()) {
             controlAddresses.setAdvertised(
@@ -324,7 +366,7 @@
         announce();
     }
 
-    private void handleRedirect(FrameConnection from, NodeRedirect redirect) {
+    private void handleRedirect(ControlAttempt attempt, NodeRedirect redirect) {
         LOGGER.info(
                 "event=control_redirect_received reason={} retry_after_ms={} nearer_control={}",
                 redirect.getReason(),
@@ -333,64 +375,19 @@
         Optional<Address> nearer =
                 Optional.ofNullable(redirect.getNearer()).flatMap(Address::parse);
         nearer.ifPresent(controlAddresses::prefer);
-        redirectPending = nearer.isPresent();
-        requestedDelayMillis = Optional.of(redirect.getComeBackMillis());
-        from.close();
-    }
-
-    private void scheduleReconnect() {
-        long delayMillis =
-                requestedDelayMillis
-                        .map(requested -> backoff.nextRequested(requested, random))
-                        .orElseGet(() -> backoff.next(random));
-        requestedDelayMillis = Optional.empty();
-        if (!timer.isShutdown()) {
-            timer.schedule(this::connect, delayMillis, TimeUnit.MILLISECONDS);
-        }
+        attempt.recordRedirect(redirect.getComeBackMillis(), nearer.isPresent());
+        attempt.close();
     }
 
-    private void applyDelta(FrameConnection from, ConfigurationDelta offered) {
-        switch (configurationHolder.offer(offered)) {
-            case OfferOutcome.Applied applied -> {
-                LOGGER.info(
-                        "event=configuration_applied configuration={} previous={} at_ms={}",
-                        applied.version(),
-                        applied.previousVersion(),
-                        ProcessClock.wallMillis());
-                sendReport(from, List.of());
-            }
-            case OfferOutcome.NotNewer old -> {
-                LOGGER.info(
-                        "event=configuration_not_newer held_version={} offered_version={}",
-                        old.version(),
-                        offered.version());
-                sendReport(from, List.of());
-            }
-            case OfferOutcome.Refused refused -> sendReport(from, refused.faults());
-            case OfferOutcome.NeedsFullConfiguration incomplete -> {
-                LOGGER.warn(
-                        "event=full_configuration_needed held_version={} base_version={}"
-                                + " reason=\"{}\"",
-                        incomplete.version(),
-                        offered.baseVersion(),
-                        incomplete.reason());
-                from.send(
-                        Frame.configurationReport(
-                                new ConfigurationReport(incomplete.version()).setNeedsWhole(true)));
-            }
-        }
+    private synchronized long reconnectDelayMillis(ControlAttempt ended) {
+        return ended.requestedDelayMillis()
+                .map(requested -> backoff.nextRequested(requested, random))
+                .orElseGet(() -> backoff.next(random));
     }
 
-    private void sendReport(FrameConnection to, List<Fault> faults) {
-        ConfigurationReport report =
-                new ConfigurationReport(configurationHolder.activeConfiguration().version());
-        if (!faults.isEmpty()) {
-            LOGGER.error(
-                    "event=configuration_refused held_version={} faults={}",
-                    configurationHolder.activeConfiguration().version(),
-                    faults);
-            report.setFaults(ConfigurationCodec.toStructs(faults));
+    private void schedule(Runnable task, long delayMillis) {
+        if (!timer.isShutdown()) {
+            timer.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
         }
-        to.send(Frame.configurationReport(report));
     }
 }
--- a/node/src/main/java/org/cuminreach/node/quota/QuotaClient.java
+++ b/node/src/main/java/org/cuminreach/node/quota/QuotaClient.java
@@ -239,7 +239,7 @@
                 return;
             }
             next.received(connection, frame);
-            if (frame.getSetField() == Frame._Fields.NODE_WELCOME) {
+            if (frame.getSetField() == Frame._Fields.NODE_WELCOME && connection.isOpen()) {
                 startSession(connection);
             } else if (frame.getSetField() == Frame._Fields.NODE_REDIRECT) {
                 endSession(connection);
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameConnection.java
@@ -52,6 +52,15 @@
                 .addListener(ChannelFutureListener.CLOSE);
     }
 
+    /**
+     * Tells whether the connection is open.
+     *
+     * @return false once it is closed, by either end
+     */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
     /** Closes the connection. */
     public void close() {
         channel.close();
--- a/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
+++ b/wire/src/main/java/org/cuminreach/wire/frame/FrameEndpoints.java
@@ -15,7 +15,9 @@
 
 /** Factory of client and server connections that exchange frames. */
 public final class FrameEndpoints {
-    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    /** The VMs of a mesh reach each other within milliseconds; one without power never answers. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
     private static final int BACKLOG_CONNECTIONS = 4_096;
     private static final int DEFAULT_WRITE_BUFFER_BYTES = 4 * 1024 * 1024;
 
