--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -300,7 +300,7 @@
                         current.get().address(),
                         pending.call(),
                         protocol.requestHeaders(pending.headersForTarget(), metadata),
-                        answer -> protocol.isAnswerTo(answer, pending.requestId()),
+                        ExpectedAnswer.of(protocol, pending.requestId()),
                         remainingMillis)
                 .thenApply(sent -> read(sent, instance));
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -13,10 +13,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpCall;
@@ -68,7 +68,7 @@
      * @param address address of the target
      * @param call the call
      * @param headers headers to send, instead of the call's own
-     * @param answerMatcher tells by the headers of an answer whether it belongs to this call
+     * @param expected tells which answer belongs to this call
      * @param timeoutMillis time after which the call is cancelled, in milliseconds
      * @return completes with the outcome; never completes exceptionally
      */
@@ -76,13 +76,14 @@
             Address address,
             HttpCall call,
             HttpHeaders headers,
-            Predicate<HttpHeaders> answerMatcher,
+            ExpectedAnswer expected,
             long timeoutMillis) {
         if (call.abandoned().isDone()) {
             return CompletableFuture.completedFuture(new SendOutcome.NotSent("abandoned"));
         }
-        TargetExchange exchange = new TargetExchange(call, headers, answerMatcher, timeoutMillis);
-        Optional<TargetConnection> reused = takeIdle(address, ProcessClock.monotonicMillis());
+        TargetExchange exchange = new TargetExchange(call, headers, expected, timeoutMillis);
+        Optional<TargetConnection> reused =
+                takeIdle(address, expected.requestId(), ProcessClock.monotonicMillis());
         if (reused.isPresent()) {
             reused.get().start(exchange);
         } else {
@@ -111,15 +112,20 @@
         }
     }
 
-    private synchronized Optional<TargetConnection> takeIdle(Address address, long nowMillis) {
-        Deque<TargetConnection> connections =
-                idleConnections.getOrDefault(address, new ArrayDeque<>());
-        while (!connections.isEmpty()) {
-            TargetConnection connection = connections.removeFirst();
-            if (connection.isUsable(nowMillis)) {
+    /** Takes an idle connection on which no answer to an earlier attempt of the call is due. */
+    private synchronized Optional<TargetConnection> takeIdle(
+            Address address, String requestId, long nowMillis) {
+        Iterator<TargetConnection> connections =
+                idleConnections.getOrDefault(address, new ArrayDeque<>()).iterator();
+        while (connections.hasNext()) {
+            TargetConnection connection = connections.next();
+            if (!connection.isUsable(nowMillis)) {
+                connections.remove();
+                connection.close();
+            } else if (!connection.hasRefused(requestId)) {
+                connections.remove();
                 return Optional.of(connection);
             }
-            connection.close();
         }
         return Optional.empty();
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -21,6 +21,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -51,14 +53,19 @@
     /** Maximum size of the body of an answer: as much as that of a call. */
     private static final long MAX_BODY_BYTES = HttpServer.MAX_BODY_BYTES;
 
+    /** Calls refused on a connection after which it is closed, so that none is forgotten. */
+    private static final int MAX_REFUSED_CALLS = 256;
+
     private final TargetClient client;
     private final Address address;
     private final Channel channel;
+    private final Set<String> refusedCalls = ConcurrentHashMap.newKeySet();
     private TargetExchange exchange;
     private HttpResponse answer;
     private ByteBuf body;
     private long bodyBytes;
     private boolean discarding;
+    private boolean answeredBefore;
     private ScheduledFuture<?> timeout;
     private ChannelFuture writeFuture;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
@@ -74,6 +81,14 @@
         return channel.isActive() && nowMillis < usableUntilMillis;
     }
 
+    /**
+     * Tells whether a call was refused or failed on this connection before. A faulty target may
+     * repeat that answer, which would then be taken for the answer to the next attempt of the call.
+     */
+    boolean hasRefused(String requestId) {
+        return refusedCalls.contains(requestId);
+    }
+
     void close() {
         channel.close();
     }
@@ -150,7 +165,7 @@
             discarding = true;
             return;
         }
-        discarding = exchange == null || !exchange.isAnsweredBy(response.headers());
+        discarding = exchange == null || !exchange.expected().matches().test(response.headers());
         if (discarding) {
             LOGGER.info(
                     "event=mismatched_answer_dropped address={} status={} busy={}",
@@ -159,6 +174,10 @@
                     exchange != null);
             return;
         }
+        if (answeredBefore && !exchange.expected().isIdentified().test(response.headers())) {
+            fail("answer_without_identity");
+            return;
+        }
         answer = response;
         body = channel.alloc().buffer();
     }
@@ -192,7 +211,11 @@
         boolean hasLength = HttpUtil.isKeepAlive(complete) && HttpUtil.isContentLengthSet(complete);
         boolean chunked =
                 HttpUtil.isKeepAlive(complete) && HttpUtil.isTransferEncodingChunked(complete);
-        if (!hasLength && !chunked) {
+        answeredBefore = true;
+        if (complete.status().codeClass() != HttpStatusClass.SUCCESS) {
+            refusedCalls.add(finished.expected().requestId());
+        }
+        if (!hasLength && !chunked || refusedCalls.size() >= MAX_REFUSED_CALLS) {
             channel.close();
         } else if (writeFuture.isDone()) {
             release();
--- a/node/src/main/java/org/cuminreach/node/target/TargetExchange.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetExchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.http.HttpCall;
 
@@ -10,20 +9,17 @@
 final class TargetExchange {
     private final HttpCall call;
     private final HttpHeaders headers;
-    private final Predicate<HttpHeaders> answerMatcher;
+    private final ExpectedAnswer expected;
     private final long timeoutMillis;
     private final CompletableFuture<SendOutcome> outcome = new CompletableFuture<>();
     private volatile boolean written;
     private volatile Runnable connectionCloser = () -> {};
 
     TargetExchange(
-            HttpCall call,
-            HttpHeaders headers,
-            Predicate<HttpHeaders> answerMatcher,
-            long timeoutMillis) {
+            HttpCall call, HttpHeaders headers, ExpectedAnswer expected, long timeoutMillis) {
         this.call = call;
         this.headers = headers;
-        this.answerMatcher = answerMatcher;
+        this.expected = expected;
         this.timeoutMillis = timeoutMillis;
     }
 
@@ -47,8 +43,8 @@
         return !outcome.isDone();
     }
 
-    boolean isAnsweredBy(HttpHeaders answerHeaders) {
-        return answerMatcher.test(answerHeaders);
+    ExpectedAnswer expected() {
+        return expected;
     }
 
     /** Records that the call is about to be written; from now on the target may run it. */
--- a/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetProtocol.java
@@ -28,6 +28,14 @@
      */
     boolean isAnswerTo(HttpHeaders headers, String requestId);
 
+    /**
+     * Tells whether an answer names the call that it belongs to.
+     *
+     * @param headers headers of the answer
+     * @return whether it does; true when the protocol does not identify calls
+     */
+    boolean isIdentified(HttpHeaders headers);
+
     /**
      * Interprets a complete answer.
      *
@@ -70,6 +78,11 @@
                 return true;
             }
 
+            @Override
+            public boolean isIdentified(HttpHeaders headers) {
+                return true;
+            }
+
             @Override
             public SendOutcome readAnswer(HttpAnswer answer) {
                 return new SendOutcome.Completed(answer);
--- a/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
@@ -12,6 +12,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import net.jqwik.api.Example;
 import org.cuminreach.node.http.SendOutcome;
@@ -97,6 +99,61 @@
                 .isEqualTo("whole");
     }
 
+    /** The repeated refusal is written once the next attempt of the call has arrived. */
+    @Example
+    void repeatedRefusalIsNotTakenForAnswerToNextAttemptOfTheCall() throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\nId: 1\r\nContent-Length: 4\r\n\r\nfull";
+        for (int split = 0; split <= refusal.length(); split++) {
+            String early = refusal.substring(0, split);
+            String late = refusal.substring(split);
+            List<Integer> statuses =
+                    statusesOfAttempts(
+                            (connection, request) ->
+                                    switch (request) {
+                                        case 1 ->
+                                                connection == 1
+                                                        ? refusal + early
+                                                        : answer("1", "ran");
+                                        default -> late + answer("1", "ran");
+                                    });
+
+            assertThat(statuses).containsExactly(503, 200).inOrder();
+        }
+    }
+
+    @Example
+    void answerWithoutIdentityOnKeptConnectionIsLost() throws Exception {
+        List<SendOutcome> outcomes =
+                sendCalls(
+                        2,
+                        number ->
+                                new Reply(
+                                        number == 1
+                                                ? matchingAnswer(1)
+                                                : "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+                                        false));
+
+        assertThat(outcomes.get(1)).isEqualTo(new SendOutcome.Lost("answer_without_identity"));
+    }
+
+    /** A target that refuses the same call again and again must not use up the connections. */
+    @Example
+    void connectionIsReusedByOtherCallsAfterRefusal() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        List<SendOutcome> outcomes =
+                sendCalls(
+                        20,
+                        connections,
+                        number ->
+                                new Reply(
+                                        "HTTP/1.1 503 Full\r\nId: %d\r\nContent-Length: 0\r\n\r\n"
+                                                .formatted(number),
+                                        false));
+
+        assertThat(outcomes).hasSize(20);
+        assertThat(connections.get()).isEqualTo(1);
+    }
+
     @Example
     void callWithoutListenerIsNeverSent() throws Exception {
         EventLoopGroup loops = EventLoops.start(1);
@@ -112,6 +169,67 @@
         }
     }
 
+    /** Sends two attempts of one call to a target and returns the statuses of their answers. */
+    private static List<Integer> statusesOfAttempts(
+            BiFunction<Integer, Integer, String> repliesByConnectionAndRequest) throws Exception {
+        EventLoopGroup loops = EventLoops.start(1);
+        TargetClient client = TargetClient.create(loops);
+        try (ServerSocket target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            startThread(() -> serveConnections(target, repliesByConnectionAndRequest));
+            Address address = new Address("127.0.0.1", target.getLocalPort());
+            return List.of(
+                    status(sendCalls(client, address, 1)), status(sendCalls(client, address, 1)));
+        } finally {
+            client.closeIdle();
+            EventLoops.stop(loops);
+        }
+    }
+
+    private static int status(SendOutcome outcome) {
+        assertThat(outcome).isInstanceOf(SendOutcome.Completed.class);
+        return ((SendOutcome.Completed) outcome).answer().status();
+    }
+
+    private static void startThread(Runnable task) {
+        Thread server = new Thread(task, "target");
+        server.setDaemon(true);
+        server.start();
+    }
+
+    private static void serveConnections(
+            ServerSocket target, BiFunction<Integer, Integer, String> replies) {
+        int accepted = 0;
+        try {
+            while (true) {
+                Socket connection = target.accept();
+                accepted++;
+                int number = accepted;
+                startThread(() -> serveConnection(connection, number, replies));
+            }
+        } catch (IOException closed) {
+            // The test has ended and closed the socket.
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void serveConnection(
+            Socket connection, int number, BiFunction<Integer, Integer, String> replies) {
+        int requests = 0;
+        try (connection) {
+            while (readRequest(connection.getInputStream())) {
+                requests++;
+                connection
+                        .getOutputStream()
+                        .write(
+                                replies.apply(number, requests)
+                                        .getBytes(StandardCharsets.ISO_8859_1));
+                connection.getOutputStream().flush();
+            }
+        } catch (IOException closed) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static String matchingAnswer(int number) {
         return answer(Integer.toString(number), "body-" + number);
     }
@@ -130,12 +248,16 @@
     /** Sends calls one after the other to a target that sends the given replies. */
     private static List<SendOutcome> sendCalls(int calls, Function<Integer, Reply> replies)
             throws Exception {
+        return sendCalls(calls, new AtomicInteger(), replies);
+    }
+
+    private static List<SendOutcome> sendCalls(
+            int calls, AtomicInteger connections, Function<Integer, Reply> replies)
+            throws Exception {
         EventLoopGroup loops = EventLoops.start(1);
         TargetClient client = TargetClient.create(loops);
         try (ServerSocket target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
-            Thread server = new Thread(() -> serve(target, replies), "target");
-            server.setDaemon(true);
-            server.start();
+            startThread(() -> serve(target, connections, replies));
             Address address = new Address("127.0.0.1", target.getLocalPort());
             List<SendOutcome> outcomes = new java.util.ArrayList<>();
             for (int number = 1; number <= calls; number++) {
@@ -157,16 +279,21 @@
                         address,
                         call,
                         new DefaultHttpHeaders().set("Host", "a"),
-                        headers -> id.equals(headers.get(ID_HEADER)),
+                        new ExpectedAnswer(
+                                id,
+                                headers -> headers.get(ID_HEADER, id).equals(id),
+                                headers -> headers.contains(ID_HEADER)),
                         TIMEOUT_MILLIS)
                 .get(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
-    private static void serve(ServerSocket target, Function<Integer, Reply> replies) {
+    private static void serve(
+            ServerSocket target, AtomicInteger connections, Function<Integer, Reply> replies) {
         int number = 0;
         try {
             while (true) {
                 Socket connection = target.accept();
+                connections.incrementAndGet();
                 while (readRequest(connection.getInputStream())) {
                     number++;
                     Reply reply = replies.apply(number);
