--- a/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
@@ -99,6 +99,20 @@
                 .isEqualTo("whole");
     }
 
+    /** A head without its end is no answer, wherever it stops and however its bytes arrive. */
+    @Example
+    void answerCutAnywhereInItsHeadIsLost() throws Exception {
+        String whole = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: a.1\r\nContent-Length: 0\r\n\r\n";
+        for (int length = 0; length < whole.length(); length++) {
+            String cut = whole.substring(0, length);
+
+            assertThat(sendCalls(1, number -> new Reply(cut, true)).getFirst())
+                    .isInstanceOf(SendOutcome.Lost.class);
+        }
+        assertThat(sendCalls(1, number -> new Reply(whole, true)).getFirst())
+                .isInstanceOf(SendOutcome.Completed.class);
+    }
+
     /** The repeated refusal is written once the next attempt of the call has arrived. */
     @Example
     void repeatedRefusalIsNotTakenForAnswerToNextAttemptOfTheCall() throws Exception {
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -89,6 +89,19 @@
                 });
     }
 
+    @Example
+    void answerCutAnywhereInItsHeadIsLost() throws Exception {
+        String head = "HTTP/1.1 200 X\r\nSeal: a.1\r\nContent-Length: 0\r\n\r\n";
+        for (int length = 0; length < head.length(); length++) {
+            String cut = head.substring(0, length);
+            assertLost(
+                    (request, body, socket) -> {
+                        ScriptedTarget.write(socket, cut);
+                        socket.close();
+                    });
+        }
+    }
+
     @Example
     void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
         assertLost(
