--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -34,6 +34,7 @@
 import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.RepeatedTask;
 import org.cuminreach.runtime.administration.AdministrationHandler;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
@@ -323,23 +324,28 @@
     }
 
     private void startTimers() {
-        timer.scheduleWithFixedDelay(
-                () -> {
-                    controlSession.onTimer(ProcessClock.wallMillis());
-                    deduplicator.onTimer(ProcessClock.wallMillis());
-                    LogSetup.reportDroppedLines();
-                },
+        repeat(
+                "control_session",
                 SESSION_TIMER_INTERVAL_MILLIS,
+                () -> controlSession.onTimer(ProcessClock.wallMillis()));
+        repeat(
+                "deduplication",
                 SESSION_TIMER_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
-        timer.scheduleWithFixedDelay(
-                () -> {
-                    admissionHandler.onTimer(ProcessClock.monotonicMillis());
-                    quotas.onTimer(ProcessClock.monotonicMillis());
-                },
+                () -> deduplicator.onTimer(ProcessClock.wallMillis()));
+        repeat("log", SESSION_TIMER_INTERVAL_MILLIS, LogSetup::reportDroppedLines);
+        repeat(
+                "admission",
                 ADMISSION_TIMER_INTERVAL_MILLIS,
+                () -> admissionHandler.onTimer(ProcessClock.monotonicMillis()));
+        repeat(
+                "quotas",
                 ADMISSION_TIMER_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+                () -> quotas.onTimer(ProcessClock.monotonicMillis()));
+    }
+
+    private void repeat(String name, long intervalMillis, Runnable task) {
+        timer.scheduleWithFixedDelay(
+                RepeatedTask.of(name, task), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
     private Readiness readiness() {
