--- a/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ReplicaStorage.java
@@ -19,7 +19,7 @@
      * Length of the documents to read again after a restart, above which a snapshot is due. No
      * control has the current configuration until one of them has read them.
      */
-    private static final long MAX_REPLAY_CHARACTERS = 2L * 1024 * 1024;
+    private static final long MAX_REPLAY_CHARACTERS = 1024L * 1024;
 
     private final DataFolder folder;
     private final List<LogEntry> unsaved = new ArrayList<>();
