--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/ConfigurationHistory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Service;
@@ -87,27 +88,36 @@
     }
 
     /**
-     * Computes the delta from a version to the latest configuration.
+     * Computes the delta from a version to the latest configuration. The version may lie between
+     * two that were added here, as for a node that comes from another control; the digest then
+     * tells the node whether the delta applies to it.
      *
      * @param heldVersion version that the recipient holds
-     * @return the changes since then, or a full delta if that version is not retained
+     * @return the changes since then, or a full delta if the version is older than those retained
      */
     public ConfigurationDelta deltaSince(long heldVersion) {
         Set<String> services = new HashSet<>();
         Set<String> routes = new HashSet<>();
         Set<String> rollouts = new HashSet<>();
         Set<String> tenants = new HashSet<>();
-        boolean found = false;
-        for (Step step : steps) {
-            found = found || step.fromVersion() == heldVersion;
-            if (found) {
-                services.addAll(step.services());
-                routes.addAll(step.routes());
-                rollouts.addAll(step.rollouts());
-                tenants.addAll(step.tenants());
+        boolean isRetained =
+                !steps.isEmpty()
+                        && heldVersion >= steps.getFirst().fromVersion()
+                        && heldVersion < current.version();
+        if (!isRetained) {
+            return fullDelta();
+        }
+        for (Iterator<Step> latestFirst = steps.descendingIterator(); latestFirst.hasNext(); ) {
+            Step step = latestFirst.next();
+            services.addAll(step.services());
+            routes.addAll(step.routes());
+            rollouts.addAll(step.rollouts());
+            tenants.addAll(step.tenants());
+            if (step.fromVersion() <= heldVersion) {
+                break;
             }
         }
-        return found ? delta(heldVersion, services, routes, rollouts, tenants) : fullDelta();
+        return delta(heldVersion, services, routes, rollouts, tenants);
     }
 
     private ConfigurationDelta fullDelta() {
--- a/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/configuration/ConfigurationHolderTest.java
@@ -89,6 +89,36 @@
         assertThat(holder.activeConfiguration().version()).isEqualTo(0);
     }
 
+    /** Of versions that are applied together a control adds only the latest to its history. */
+    @Example
+    void nodeFromAnotherControlGetsNoFullConfiguration() {
+        MeshConfiguration first = configuration(1, 10, 10);
+        MeshConfiguration second = configuration(2, 20, 10);
+        MeshConfiguration third = configuration(3, 20, 30);
+        ConfigurationHistory history = ConfigurationHistory.of(first);
+        history.advance(third);
+        ConfigurationHolder holder = ConfigurationHolder.empty();
+        holder.offer(second);
+
+        ConfigurationDelta delta = history.deltaSince(2);
+
+        assertThat(delta.isFull()).isFalse();
+        assertThat(holder.offer(delta)).isInstanceOf(OfferOutcome.Applied.class);
+        assertThat(ConfigurationDigest.of(holder.activeConfiguration()))
+                .isEqualTo(ConfigurationDigest.of(third));
+    }
+
+    private static MeshConfiguration configuration(long version, int timeoutA, int timeoutB) {
+        MeshDocument document =
+                MeshDocument.of(
+                        List.of(Service.of("arkiv", "1", Optional.empty())),
+                        List.of(
+                                ConfigurationSamples.route("a", "arkiv", timeoutA),
+                                ConfigurationSamples.route("b", "arkiv", timeoutB)),
+                        RolloutPriority.SAFETY);
+        return MeshConfiguration.of(version, version, document, "text", List.of());
+    }
+
     @Example
     void versionOutsideHistoryGetsFullConfiguration() {
         List<MeshConfiguration> committed =
