--- a/control/src/main/java/org/cuminreach/control/replica/EntryApplier.java
+++ b/control/src/main/java/org/cuminreach/control/replica/EntryApplier.java
@@ -25,7 +25,9 @@
      */
     private static final long SLICE_MILLIS = 50;
 
-    /** Duration from which the application of all outstanding entries is logged. */
+    /**
+     * Duration from which the application of all outstanding entries is logged, in milliseconds.
+     */
     private static final long SLOW_MILLIS = 100;
 
     private final ReplicatedState state;
