--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -330,7 +330,8 @@
         double slowness = routeStatistics.record(attempts, sent, report, micros);
         TargetFeedback.record(target, sent, report, slowness, nowMillis);
         permissions.recordRefusal(attempts, version, target, sent);
-        if (!poisonFilter.record(attempts.call(), target.node(), outcome, nowMillis)) {
+        if (!poisonFilter.record(
+                attempts.call(), attempts.requestId(), target.node(), outcome, nowMillis)) {
             RolloutObserver.record(
                     attempts, configuration, version, target, outcome, micros, view, evidence);
         }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerMetricsHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerMetricsHandler.java
@@ -31,12 +31,18 @@
     private final Map<String, CounterDataPoint> callsByOutcome;
     private final Map<String, CounterDataPoint> unansweredByReason = new ConcurrentHashMap<>();
     private final Counter reasons;
+    private final Counter abandoned;
     private final Histogram seconds;
 
     private CallerMetricsHandler(
-            HttpHandler handler, Counter counter, Counter reasons, Histogram seconds) {
+            HttpHandler handler,
+            Counter counter,
+            Counter reasons,
+            Counter abandoned,
+            Histogram seconds) {
         this.handler = handler;
         this.reasons = reasons;
+        this.abandoned = abandoned;
         this.seconds = seconds;
         this.callsByOutcome =
                 Stream.of(
@@ -70,17 +76,23 @@
                         .help("Calls of callers that no target answered, by reason")
                         .labelNames("reason")
                         .register(registry);
+        Counter abandoned =
+                Counter.builder()
+                        .name("cuminreach_node_caller_abandoned_total")
+                        .help("Calls whose caller closed the connection before their answer")
+                        .register(registry);
         Histogram seconds =
                 Histograms.registerCallDurations(
                         registry,
                         "cuminreach_node_caller_seconds",
                         "Time until callers had their final answer");
-        return new CallerMetricsHandler(handler, counter, reasons, seconds);
+        return new CallerMetricsHandler(handler, counter, reasons, abandoned, seconds);
     }
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
         long startNanos = System.nanoTime();
+        call.abandoned().thenRun(abandoned::inc);
         CompletableFuture<HttpAnswer> result = handler.handle(call);
         result.whenComplete((answer, failure) -> record(answer, System.nanoTime() - startNanos));
         return result;
