--- a/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -35,13 +36,16 @@
     private static final int BACKLOG_CONNECTIONS = 50;
     private static final String LENGTH_HEADER = "content-length:";
 
-    private final ServerSocket serverSocket;
+    private final int port;
     private final Script script;
     private final List<String> requestHeads = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByPeer = new AtomicInteger();
+    private volatile ServerSocket serverSocket;
+    private volatile boolean closed;
 
     private ScriptedTarget(ServerSocket listening, Script script) {
+        this.port = listening.getLocalPort();
         this.serverSocket = listening;
         this.script = script;
     }
@@ -54,13 +58,47 @@
      * @throws IOException if it cannot listen
      */
     public static ScriptedTarget start(Script script) throws IOException {
-        ServerSocket socket =
-                new ServerSocket(0, BACKLOG_CONNECTIONS, InetAddress.getLoopbackAddress());
-        ScriptedTarget target = new ScriptedTarget(socket, script);
+        ScriptedTarget target = new ScriptedTarget(listen(0), script);
         Thread.ofVirtual().start(target::accept);
         return target;
     }
 
+    private static ServerSocket listen(int port) throws IOException {
+        return new ServerSocket(port, BACKLOG_CONNECTIONS, InetAddress.getLoopbackAddress());
+    }
+
+    /**
+     * Ends like a process that crashes: closes the listening socket and all connections, and
+     * listens again on the same port later.
+     *
+     * @param downMillis time until it listens again, in milliseconds
+     * @throws IOException if a socket cannot be closed
+     */
+    public synchronized void crash(long downMillis) throws IOException {
+        if (closed || serverSocket.isClosed()) {
+            return;
+        }
+        closeSockets();
+        Thread.ofVirtual().start(() -> restart(downMillis));
+    }
+
+    private void restart(long downMillis) {
+        try {
+            Thread.sleep(downMillis);
+            synchronized (this) {
+                if (closed) {
+                    return;
+                }
+                serverSocket = listen(port);
+            }
+            accept();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /**
      * Writes text without changes.
      *
@@ -95,7 +133,7 @@
      * @return the address
      */
     public Address address() {
-        return new Address("127.0.0.1", serverSocket.getLocalPort());
+        return new Address("127.0.0.1", port);
     }
 
     /**
@@ -126,7 +164,12 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
+        closed = true;
+        closeSockets();
+    }
+
+    private void closeSockets() throws IOException {
         serverSocket.close();
         for (Socket socket : sockets) {
             socket.close();
@@ -134,12 +177,13 @@
     }
 
     private void accept() {
-        while (!serverSocket.isClosed()) {
+        ServerSocket listening = serverSocket;
+        while (!listening.isClosed()) {
             try {
-                Socket socket = serverSocket.accept();
+                Socket socket = listening.accept();
                 sockets.add(socket);
                 Thread.ofVirtual().start(() -> serve(socket));
-            } catch (IOException closed) {
+            } catch (IOException noLongerListening) {
                 return;
             }
         }
@@ -160,7 +204,7 @@
                         new String(in.readNBytes(contentLength(head)), StandardCharsets.ISO_8859_1),
                         socket);
             }
-        } catch (IOException | InterruptedException closed) {
+        } catch (IOException | InterruptedException connectionLost) {
             closedByPeer.incrementAndGet();
         }
     }
