--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -1,7 +1,6 @@
 package org.cuminreach.control;
 
 import io.netty.channel.EventLoopGroup;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.util.List;
@@ -14,7 +13,6 @@
 import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.evacuation.EvacuationReporter;
 import org.cuminreach.control.homes.HomeRegionReporter;
-import org.cuminreach.control.node.Convergence;
 import org.cuminreach.control.node.NodeSessionManager;
 import org.cuminreach.control.operator.OperatorGateway;
 import org.cuminreach.control.operator.OperatorHandler;
@@ -35,7 +33,6 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
-import org.cuminreach.runtime.administration.Gauges;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
@@ -213,10 +210,15 @@
                                 ConsoleHandler.create(
                                         settings.name(), replica, peers, sessions, evacuations)))
                 .join();
+        PrometheusRegistry registry = new PrometheusRegistry();
+        rolloutReporter.register(registry);
+        QuotaMetrics.register(registry, quotas);
+        evacuationReporter.register(registry);
+        ControlMetrics.register(registry, replica, sessions, nodeTraffic);
         HttpServer.listen(
                         settings.administrationAddress(),
                         eventLoops,
-                        AdministrationHandler.create(metrics(), this::readiness, view::statusJson))
+                        AdministrationHandler.create(registry, this::readiness, view::statusJson))
                 .join();
     }
 
@@ -298,65 +300,6 @@
         return new Readiness(ready, ready ? "in contact with a quorum" : "no quorum");
     }
 
-    private PrometheusRegistry metrics() {
-        PrometheusRegistry registry = new PrometheusRegistry();
-        rolloutReporter.register(registry);
-        QuotaMetrics.register(registry, quotas);
-        evacuationReporter.register(registry);
-        Gauges.register(
-                registry, "cuminreach_control_sessions", "Nodes here", sessions::sessionCount);
-        Gauges.register(
-                registry,
-                "cuminreach_control_configuration_version",
-                "Agreed configuration version known here",
-                () -> replica.configuration().version());
-        Gauges.register(
-                registry,
-                "cuminreach_control_unapplied_entries",
-                "Committed entries that are not applied yet",
-                replica::unappliedEntries);
-        Gauges.register(
-                registry,
-                "cuminreach_control_leads",
-                "1 on the leader",
-                () -> replica.isLeader() ? 1 : 0);
-        Gauges.register(
-                registry,
-                "cuminreach_control_node_sent_bytes",
-                "Bytes sent to nodes",
-                nodeTraffic::sentBytes);
-        Gauges.register(
-                registry,
-                "cuminreach_control_node_received_bytes",
-                "Bytes received from nodes",
-                nodeTraffic::receivedBytes);
-        Gauges.register(
-                registry,
-                "cuminreach_control_lagging_nodes",
-                "Nodes that lack the agreed configuration",
-                this::laggingNodes);
-        Gauges.register(
-                registry,
-                "cuminreach_control_withheld_leases",
-                "Targets kept as last known although their leases are over",
-                sessions::withheldLeases);
-        GaugeWithCallback.builder()
-                .name("cuminreach_control_redirected_nodes")
-                .help("Nodes sent away since the start, by reason")
-                .labelNames("reason")
-                .callback(
-                        callback ->
-                                sessions.redirectsByReason()
-                                        .forEach((reason, count) -> callback.call(count, reason)))
-                .register(registry);
-        return registry;
-    }
-
-    private int laggingNodes() {
-        Convergence convergence = sessions.convergence(replica.configuration().version(), 0);
-        return convergence.nodes() - convergence.holding();
-    }
-
     /** Passes messages of other controls to the node sessions, the rollouts and the membership. */
     private final class PeerMessageDispatcher implements PeerMessageHandler {
         @Override
