--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -18,6 +18,7 @@
 import org.cuminreach.control.operator.OperatorHandler;
 import org.cuminreach.control.operator.OperatorView;
 import org.cuminreach.control.operator.console.ConsoleHandler;
+import org.cuminreach.control.poison.SuspectService;
 import org.cuminreach.control.quota.QuotaMetrics;
 import org.cuminreach.control.quota.QuotaService;
 import org.cuminreach.control.replica.MembershipManager;
@@ -57,6 +58,7 @@
     private static final long REPLICA_INTERVAL_MILLIS = 40;
     private static final long QUOTA_INTERVAL_MILLIS = 20;
     private static final long QUOTA_CONFIRMATION_INTERVAL_MILLIS = 500;
+    private static final long SUSPECT_INTERVAL_MILLIS = 50;
     private static final long SESSION_INTERVAL_MILLIS = 200;
     private static final long MEMBERSHIP_INTERVAL_MILLIS = 300;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
@@ -80,6 +82,7 @@
     private final EvidenceForwarder evidenceForwarder;
     private final NodeSessionManager sessions;
     private final QuotaService quotas;
+    private final SuspectService suspects;
     private final OperatorView view;
     private final MembershipManager membership;
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
@@ -138,6 +141,7 @@
                         settings.bounds().quota(),
                         new Random(),
                         ProcessClock.monotonicMillis());
+        suspects = SuspectService.create(peers);
         view = OperatorView.create(settings.name(), replica, sessions, quotas);
     }
 
@@ -198,7 +202,9 @@
                         .withMaxWriteBufferBytes(MAX_NODE_PENDING_BYTES);
         peers.listen(settings.replicaAddress(), replica, new PeerMessageDispatcher()).join();
         nodeEndpoints
-                .listen(settings.nodeAddress(), () -> quotas.wrap(sessions.newSession()))
+                .listen(
+                        settings.nodeAddress(),
+                        () -> suspects.wrap(quotas.wrap(sessions.newSession())))
                 .join();
         HttpServer.listen(
                         settings.operatorAddress(),
@@ -229,6 +235,8 @@
                 () -> quotas.confirmMembership(ProcessClock.monotonicMillis()));
         scheduleEvery(
                 REPLICA_INTERVAL_MILLIS, () -> replica.onTimer(ProcessClock.monotonicMillis()));
+        scheduleEvery(
+                SUSPECT_INTERVAL_MILLIS, () -> suspects.onTimer(ProcessClock.monotonicMillis()));
         scheduleEvery(CONNECT_INTERVAL_MILLIS, peers::connectMissing);
         scheduleEvery(
                 HEARTBEAT_INTERVAL_MILLIS,
@@ -333,8 +341,21 @@
         }
 
         @Override
-        public void receiveQuotaFrame(Frame frame, String from) throws MalformedFrameException {
-            quotas.receiveFromControl(frame, from);
+        public void addSharingControl(String control) {
+            suspects.addSharingControl(control);
+        }
+
+        @Override
+        public void receive(Frame frame, String from) throws MalformedFrameException {
+            switch (frame.getSetField()) {
+                case QUOTA_REQUEST, QUOTA_GRANT -> quotas.receiveFromControl(frame, from);
+                case SUSPECTS ->
+                        suspects.receiveFromControl(
+                                frame.getSuspects(), ProcessClock.monotonicMillis());
+                default ->
+                        throw new MalformedFrameException(
+                                "unexpected frame from a control: " + frame.getSetField());
+            }
         }
     }
 }
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -78,7 +78,7 @@
         if (redirectedMillis.isPresent()) {
             return false;
         }
-        NodeWelcome welcome = new NodeWelcome(sessions.controlName());
+        NodeWelcome welcome = new NodeWelcome(sessions.controlName()).setSharesSuspects(true);
         knownIncarnation.ifPresent(welcome::setKnownIncarnation);
         welcome.setControls(sessions.controlAddresses());
         if (!connection.send(Frame.nodeWelcome(welcome))) {
--- a/control/src/main/java/org/cuminreach/control/replica/PeerConnections.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerConnections.java
@@ -246,8 +246,7 @@
 
         @Override
         public void opened(FrameConnection connection) {
-            connection.send(
-                    Frame.controlHello(new ControlHello(self, id, operatorAddress.toString())));
+            connection.send(hello(id));
             connection.send(AnnouncementCodec.toFrame(handler.knownAnnouncements()));
             connection.send(Frame.holdings(handler.ownLoad()));
             peer.connection = connection;
@@ -313,6 +312,9 @@
             if (!joins) {
                 inboundConnections.put(from, connection);
             }
+            if (hello.isSharesSuspects()) {
+                handler.addSharingControl(from);
+            }
         }
 
         private void handle(FrameConnection connection, Frame frame)
@@ -327,12 +329,9 @@
                 case EVIDENCE ->
                         handler.receiveEvidence(EvidenceCodec.toEvidence(frame.getEvidence()));
                 case HOLDINGS -> handler.receiveHoldings(frame.getHoldings());
-                case QUOTA_REQUEST, QUOTA_GRANT -> handler.receiveQuotaFrame(frame, from);
                 case HEARTBEAT -> connection.send(frame);
                 case JOIN_REQUEST -> handler.receiveJoinRequest(frame.getJoinRequest(), from);
-                default ->
-                        throw new MalformedFrameException(
-                                "unexpected frame from a control: " + frame.getSetField());
+                default -> handler.receive(frame, from);
             }
         }
 
@@ -368,9 +367,7 @@
 
         @Override
         public void opened(FrameConnection connection) {
-            connection.send(
-                    Frame.controlHello(
-                            new ControlHello(self, ANY_CONTROL, operatorAddress.toString())));
+            connection.send(hello(ANY_CONTROL));
             connection.sendAndClose(Frame.joinRequest(request));
         }
 
@@ -385,6 +382,11 @@
         }
     }
 
+    private Frame hello(String to) {
+        return Frame.controlHello(
+                new ControlHello(self, to, operatorAddress.toString()).setSharesSuspects(true));
+    }
+
     private static Frame toFrame(long correlation, SubmitResult result) {
         SubmissionAnswer reply = new SubmissionAnswer(correlation);
         switch (result) {
--- a/control/src/main/java/org/cuminreach/control/replica/PeerMessageHandler.java
+++ b/control/src/main/java/org/cuminreach/control/replica/PeerMessageHandler.java
@@ -55,11 +55,19 @@
     void receiveHoldings(HoldingBatch batch);
 
     /**
-     * Handles a question for a loan of quota tokens, or the answer to one.
+     * Records that another control exchanges reports of suspected requests.
      *
-     * @param frame the question or the answer
+     * @param control identity of the control
+     */
+    void addSharingControl(String control);
+
+    /**
+     * Handles any other frame.
+     *
+     * @param frame the frame
      * @param from identity of the sending control
-     * @throws MalformedFrameException when a count in it is out of range
+     * @throws MalformedFrameException when no control sends such a frame, or a value in it is out
+     *     of range
      */
-    void receiveQuotaFrame(Frame frame, String from) throws MalformedFrameException;
+    void receive(Frame frame, String from) throws MalformedFrameException;
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -1,33 +1,49 @@
 package org.cuminreach.decisions.poison;
 
 import java.util.HashSet;
-import java.util.Map;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.cuminreach.decisions.routing.BoundedMaps;
 
 /**
  * Detects poison requests: requests whose targets crash while running them, by fingerprint. A
- * request that lost the connection to {@value #LOSSES_BEFORE_REFUSAL} different targets without an
- * answer in between is refused for a limited time; after that, one more loss refuses it again. An
- * answer clears the record, so that requests that merely ran on the same target at the same time as
- * a poison request are not refused. Not thread-safe.
+ * request is refused for a limited time once this node has lost {@value #LOSSES_BEFORE_REFUSAL}
+ * different targets under it, or all nodes together have lost three, without an answer in between;
+ * after that, one more loss refuses it again, for longer. An answer to any node clears the record,
+ * so that requests that merely ran on the same target at the same time as a poison request are not
+ * refused. Not thread-safe.
  */
 public final class PoisonRequestTable {
-    /** Number of different targets lost by a request after which it is refused. */
+    /** Number of different targets lost by a request at one node after which it is refused. */
     public static final int LOSSES_BEFORE_REFUSAL = 2;
 
-    private static final long REFUSAL_MILLIS = 60_000;
-    private static final long RETENTION_MILLIS = 600_000;
+    private static final long MIN_REFUSAL_MILLIS = 60_000;
+    private static final long MAX_REFUSAL_MILLIS = 600_000;
+    private static final long RETENTION_MILLIS = 1_800_000;
     private static final int MAX_FINGERPRINTS = 1_000;
 
     /** Losses of one request since its last answer. */
     private static final class Suspect {
-        private final Set<String> lostTargets = new HashSet<>();
-        private long lastLossMillis;
+        private final Set<String> targetsLostHere = new HashSet<>();
+        private final LossHistory losses = new LossHistory();
+
+        boolean isPoison() {
+            return targetsLostHere.size() >= LOSSES_BEFORE_REFUSAL || losses.showsPoison();
+        }
+
+        void removeUntil(long millis) {
+            losses.removeUntil(millis);
+            targetsLostHere.retainAll(losses.targets());
+        }
+
+        long refusalMillis() {
+            int furtherLosses = Math.max(0, losses.size() - LossHistory.LOSSES_IN_MESH);
+            return Math.min(MAX_REFUSAL_MILLIS, MIN_REFUSAL_MILLIS << furtherLosses);
+        }
     }
 
-    private final Map<String, Suspect> suspects = BoundedMaps.withMaxSize(MAX_FINGERPRINTS);
+    private final SuspectStore<Suspect> suspects = new SuspectStore<>(MAX_FINGERPRINTS);
 
     private PoisonRequestTable() {}
 
@@ -58,15 +74,12 @@
      */
     public void recordLoss(String fingerprint, String node, long nowMillis) {
         removeExpired(nowMillis);
-        Suspect suspect = suspects.remove(fingerprint);
-        if (suspect == null) {
-            suspect = new Suspect();
+        Suspect suspect = suspects.get(fingerprint).orElseGet(Suspect::new);
+        if (suspect.targetsLostHere.size() < LOSSES_BEFORE_REFUSAL) {
+            suspect.targetsLostHere.add(node);
         }
-        if (suspect.lostTargets.size() < LOSSES_BEFORE_REFUSAL) {
-            suspect.lostTargets.add(node);
-        }
-        suspect.lastLossMillis = nowMillis;
-        suspects.put(fingerprint, suspect);
+        suspect.losses.add(node, nowMillis);
+        put(fingerprint, suspect);
     }
 
     /**
@@ -78,6 +91,57 @@
         suspects.remove(fingerprint);
     }
 
+    /**
+     * Adds what the controls report of a request.
+     *
+     * @param report losses of all nodes, or an answer to one of them
+     * @param nowMillis current time
+     */
+    public void merge(SuspectReport report, long nowMillis) {
+        switch (report) {
+            case SuspectReport.Lost lost -> {
+                removeExpired(nowMillis);
+                Suspect suspect = suspects.get(lost.fingerprint()).orElseGet(Suspect::new);
+                suspect.losses.addAll(lost.losses(), Long.MIN_VALUE, nowMillis);
+                if (!suspect.losses.isEmpty()) {
+                    put(lost.fingerprint(), suspect);
+                }
+            }
+            case SuspectReport.Answered answered ->
+                    suspects.get(answered.fingerprint())
+                            .ifPresent(
+                                    suspect -> {
+                                        suspect.removeUntil(nowMillis - answered.ageMillis());
+                                        if (suspect.losses.isEmpty()) {
+                                            suspects.remove(answered.fingerprint());
+                                        }
+                                    });
+        }
+    }
+
+    /**
+     * Returns what to report of a request to the controls.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param nowMillis current time
+     * @return its losses, or empty when it is not suspected
+     */
+    public Optional<SuspectReport> report(String fingerprint, long nowMillis) {
+        return suspects.get(fingerprint).map(suspect -> lost(fingerprint, suspect, nowMillis));
+    }
+
+    /**
+     * Returns what to report to a control that does not know what this node knows.
+     *
+     * @param nowMillis current time
+     * @return the losses of all suspected requests
+     */
+    public List<SuspectReport> reports(long nowMillis) {
+        return suspects.entries().stream()
+                .map(entry -> lost(entry.getKey(), entry.getValue(), nowMillis))
+                .toList();
+    }
+
     /**
      * Tells whether a request lost a target and has not been answered since.
      *
@@ -85,7 +149,7 @@
      * @return true when its losses are no evidence against the version that ran it
      */
     public boolean isSuspect(String fingerprint) {
-        return suspects.containsKey(fingerprint);
+        return suspects.get(fingerprint).isPresent();
     }
 
     /**
@@ -96,16 +160,24 @@
      * @return the remaining time, in milliseconds, or empty when the request may run
      */
     public OptionalLong remainingRefusalMillis(String fingerprint, long nowMillis) {
-        Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null || suspect.lostTargets.size() < LOSSES_BEFORE_REFUSAL) {
+        Optional<Suspect> suspect = suspects.get(fingerprint).filter(Suspect::isPoison);
+        if (suspect.isEmpty()) {
             return OptionalLong.empty();
         }
-        long remaining = suspect.lastLossMillis + REFUSAL_MILLIS - nowMillis;
+        long remaining =
+                suspect.get().losses.latestMillis() + suspect.get().refusalMillis() - nowMillis;
         return remaining > 0 ? OptionalLong.of(remaining) : OptionalLong.empty();
     }
 
+    private static SuspectReport lost(String fingerprint, Suspect suspect, long nowMillis) {
+        return new SuspectReport.Lost(fingerprint, suspect.losses.reported(nowMillis));
+    }
+
+    private void put(String fingerprint, Suspect suspect) {
+        suspects.put(fingerprint, suspect, suspect.isPoison() || suspect.losses.size() > 1);
+    }
+
     private void removeExpired(long nowMillis) {
-        suspects.values()
-                .removeIf(suspect -> nowMillis - suspect.lastLossMillis > RETENTION_MILLIS);
+        suspects.removeIf(suspect -> nowMillis - suspect.losses.latestMillis() > RETENTION_MILLIS);
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectReport.java
@@ -0,0 +1,34 @@
+package org.cuminreach.decisions.poison;
+
+import java.util.List;
+
+/** What one process tells another about a request that may be a poison request. */
+public sealed interface SuspectReport {
+    /**
+     * Returns which request it is about.
+     *
+     * @return fingerprint of the request
+     */
+    String fingerprint();
+
+    /**
+     * Targets were lost while they ran the request.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param losses the losses since its last answer
+     */
+    record Lost(String fingerprint, List<TargetLoss> losses) implements SuspectReport {
+        /** Copies the losses. */
+        public Lost {
+            losses = List.copyOf(losses);
+        }
+    }
+
+    /**
+     * A target answered the request.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param ageMillis time since the answer, in milliseconds
+     */
+    record Answered(String fingerprint, long ageMillis) implements SuspectReport {}
+}
--- a/decisions/src/test/java/org/cuminreach/decisions/poison/PoisonRequestTableTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/poison/PoisonRequestTableTest.java
@@ -87,4 +87,78 @@
         assertThat(suspectedRequests).isAtMost(1_000);
         assertThat(refused.values()).doesNotContain(true);
     }
+
+    @Example
+    void manyRequestsWithOneLossDoNotEvictPoisonRequest() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        table.recordLoss(POISON, "node-1", 0);
+        table.recordLoss(POISON, "node-2", 1);
+        for (int request = 0; request < 5_000; request++) {
+            table.recordLoss("request-" + request, "node-1", 2);
+        }
+
+        assertThat(table.remainingRefusalMillis(POISON, 3).isPresent()).isTrue();
+    }
+
+    @Example
+    void requestThatCrashedTargetsOfOtherNodesIsRefusedAfterThreeLosses() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        table.merge(lost(new TargetLoss("node-1", 200), new TargetLoss("node-2", 100)), 1_000);
+        assertThat(table.remainingRefusalMillis(POISON, 1_000).isPresent()).isFalse();
+        table.recordLoss(POISON, "node-3", 1_100);
+
+        assertThat(table.remainingRefusalMillis(POISON, 1_100).getAsLong()).isEqualTo(60_000);
+    }
+
+    @Example
+    void refusalIsLongerAfterEachLossThatFollowsIt() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        long nowMillis = 0;
+        long previousMillis = 0;
+        for (int loss = 0; loss < 6; loss++) {
+            nowMillis += 700_000;
+            table.recordLoss(POISON, "node-" + loss, nowMillis);
+            long refusalMillis = table.remainingRefusalMillis(POISON, nowMillis).orElse(0);
+            assertThat(refusalMillis).isAtLeast(previousMillis);
+            previousMillis = refusalMillis;
+        }
+        assertThat(previousMillis).isEqualTo(480_000);
+    }
+
+    @Example
+    void lossOfOneTargetReportedTwiceCountsOnce() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        table.merge(lost(new TargetLoss("node-1", 0)), 1_000);
+        table.merge(lost(new TargetLoss("node-1", 480)), 1_490);
+        table.merge(lost(new TargetLoss("node-2", 0)), 1_500);
+
+        assertThat(table.remainingRefusalMillis(POISON, 1_500).isPresent()).isFalse();
+    }
+
+    @Example
+    void singleTargetThatIsLostAgainAndAgainDoesNotRefuseTheRequest() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        for (int loss = 0; loss < 10; loss++) {
+            table.recordLoss(POISON, "node-1", loss * 2_000L);
+        }
+
+        assertThat(table.remainingRefusalMillis(POISON, 20_000).isPresent()).isFalse();
+    }
+
+    @Example
+    void answerAtAnotherNodeClearsEarlierLossesOnly() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        table.recordLoss(POISON, "node-1", 0);
+        table.recordLoss(POISON, "node-2", 1_000);
+        table.merge(new SuspectReport.Answered(POISON, 100), 600);
+        assertThat(table.remainingRefusalMillis(POISON, 1_100).isPresent()).isFalse();
+        assertThat(table.isSuspect(POISON)).isTrue();
+        table.merge(new SuspectReport.Answered(POISON, 0), 1_200);
+
+        assertThat(table.isEmpty()).isTrue();
+    }
+
+    private static SuspectReport lost(TargetLoss... losses) {
+        return new SuspectReport.Lost(POISON, List.of(losses));
+    }
 }
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -20,6 +20,7 @@
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.poison.PoisonFilter;
 import org.cuminreach.node.quota.QuotaClient;
 import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.settings.NodeSettings;
@@ -82,6 +83,7 @@
     private final LocalTarget localTarget;
     private final KeyFreshness keyFreshness;
     private final QuotaClient quotas = QuotaClient.create(timer, registry);
+    private final PoisonFilter poisonFilter = PoisonFilter.create();
     private final KeyHomeTable keyHomes = KeyHomeTable.empty();
     private final TargetAnnouncer announcer;
     private final TargetAdmissionHandler admissionHandler;
@@ -125,7 +127,8 @@
                         announcer,
                         FrameEndpoints.create(
                                         eventLoops, controlTraffic, CONTROL_SILENCE_TIMEOUT_MILLIS)
-                                .withListenerWrapper(quotas::wrap),
+                                .withListenerWrapper(
+                                        listener -> poisonFilter.wrap(quotas.wrap(listener))),
                         timer,
                         new Random());
         localTarget = LocalTarget.create(announcer, admissionHandler, controlSession::announce);
@@ -257,6 +260,7 @@
                         evidence,
                         deduplicator,
                         new TenantServices(TenantAuthenticator.create(keyFreshness), quotas),
+                        poisonFilter,
                         timer);
         HttpHandler inboundHandler =
                 call ->
@@ -341,6 +345,10 @@
                 "quotas",
                 ADMISSION_TIMER_INTERVAL_MILLIS,
                 () -> quotas.onTimer(ProcessClock.monotonicMillis()));
+        repeat(
+                "suspects",
+                ADMISSION_TIMER_INTERVAL_MILLIS,
+                () -> poisonFilter.onTimer(ProcessClock.monotonicMillis()));
     }
 
     private void repeat(String name, long intervalMillis, Runnable task) {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -30,6 +30,7 @@
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
+import org.cuminreach.node.poison.PoisonFilter;
 import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.ProcessClock;
@@ -56,7 +57,7 @@
     private final RouteStatistics routeStatistics = new RouteStatistics();
     private final ServiceRetryBudgets budgets = ServiceRetryBudgets.create();
     private final SplitSelector splits = new SplitSelector();
-    private final PoisonFilter poisonFilter = new PoisonFilter();
+    private final PoisonFilter poisonFilter;
     private final RouteTableCache routes;
     private final HedgeScheduler hedges;
 
@@ -69,6 +70,7 @@
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
             TenantServices tenants,
+            PoisonFilter poisonFilter,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
         this.authenticator = tenants.authenticator();
@@ -79,6 +81,7 @@
         this.sender = sender;
         this.evidence = evidence;
         this.deduplicator = deduplicator;
+        this.poisonFilter = poisonFilter;
         this.timer = timer;
         this.hedges = new HedgeScheduler(routeStatistics, budgets, timer);
     }
@@ -94,6 +97,7 @@
      * @param evidence records call results for rollouts
      * @param deduplicator runs calls with an idempotency key once
      * @param tenants finds the tenants of calls and keeps their quotas
+     * @param poisonFilter blocks requests that crash their targets
      * @param timer schedules retries and hedged attempts
      * @return the handler
      */
@@ -106,9 +110,19 @@
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
             TenantServices tenants,
+            PoisonFilter poisonFilter,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                permissions, ownHost, holder, view, sender, evidence, deduplicator, tenants, timer);
+                permissions,
+                ownHost,
+                holder,
+                view,
+                sender,
+                evidence,
+                deduplicator,
+                tenants,
+                poisonFilter,
+                timer);
     }
 
     @Override
@@ -226,13 +240,14 @@
         long nowMillis = ProcessClock.monotonicMillis();
         OptionalLong refused = poisonFilter.remainingRefusalMillis(attempts.call(), nowMillis);
         if (refused.isPresent()) {
-            return refuse(attempts, "poisonous", refused.getAsLong());
+            return FinalAnswers.refuse(attempts, "poisonous", refused.getAsLong());
         }
         if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
-            return refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
+            return FinalAnswers.refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
         }
         if (!routeStatistics.hasTimeToRun(attempts, nowMillis)) {
-            return refuse(attempts, "deadline_cannot_be_met", attempts.retryAfterMillis(1));
+            return FinalAnswers.refuse(
+                    attempts, "deadline_cannot_be_met", attempts.retryAfterMillis(1));
         }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         PermittedTargets permitted = permissions.forCall(attempts.route(), attempts.homeRegions());
@@ -253,7 +268,7 @@
                         ThreadLocalRandom.current());
         return switch (choice) {
             case TargetChoice.NoTarget none ->
-                    refuse(
+                    FinalAnswers.refuse(
                             attempts,
                             permitted.reason(none, service.name(), version),
                             attempts.retryAfterMillis(RETRY_MILLIS));
@@ -262,16 +277,6 @@
         };
     }
 
-    /** Fails a call without another attempt; an earlier attempt may have run. */
-    private static CompletableFuture<HttpAnswer> refuse(
-            CallAttempts attempts, String reason, long retryAfterMillis) {
-        AttemptOutcome outcome =
-                attempts.mayHaveRun()
-                        ? new AttemptOutcome.MayHaveRun(reason)
-                        : new AttemptOutcome.NotRun(reason, retryAfterMillis);
-        return CompletableFuture.completedFuture(FinalAnswers.giveUp(attempts, outcome));
-    }
-
     private CompletableFuture<HttpAnswer> send(
             CallAttempts attempts,
             MeshConfiguration configuration,
--- a/node/src/main/java/org/cuminreach/node/caller/FinalAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/caller/FinalAnswers.java
@@ -1,5 +1,6 @@
 package org.cuminreach.node.caller;
 
+import java.util.concurrent.CompletableFuture;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -23,4 +24,14 @@
                 outcome);
         return CallAnswers.finalFailure(outcome, attempts.requestId());
     }
+
+    /** Fails a call without another attempt; an earlier attempt may have run. */
+    static CompletableFuture<HttpAnswer> refuse(
+            CallAttempts attempts, String reason, long retryAfterMillis) {
+        AttemptOutcome outcome =
+                attempts.mayHaveRun()
+                        ? new AttemptOutcome.MayHaveRun(reason)
+                        : new AttemptOutcome.NotRun(reason, retryAfterMillis);
+        return CompletableFuture.completedFuture(giveUp(attempts, outcome));
+    }
 }
--- a/node/src/main/java/org/cuminreach/node/control/ControlSession.java
+++ b/node/src/main/java/org/cuminreach/node/control/ControlSession.java
@@ -250,6 +250,7 @@
                                         announcer.incarnation(),
                                         settings.dataCentre(),
                                         configurationHolder.activeConfiguration().version())
+                                .setSharesSuspects(true)
                                 .setMayMove(
                                         redirectPolicy.mayRedirect(
                                                 ProcessClock.monotonicMillis()))));
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -1,69 +1,144 @@
-package org.cuminreach.node.caller;
+package org.cuminreach.node.poison;
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminreach.decisions.configuration.Sha256;
 import org.cuminreach.decisions.poison.PoisonRequestTable;
+import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.wire.frame.FrameListener;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Blocks requests that crash their targets from reaching further targets. A request is identified
- * by its method, host, path and body, regardless of the caller. Thread-safe.
+ * Blocks requests that crash their targets from reaching further targets, also those that crashed
+ * targets of other nodes. A request is identified by its method, host, path and body, regardless of
+ * the caller. Thread-safe.
  */
-final class PoisonFilter {
+public final class PoisonFilter {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonFilter.class);
 
     /** Failures that a running target or the caller can cause as well, so no sign of a crash. */
     private static final Set<String> NON_CRASH_REASONS =
-            Set.of("timeout", "abandoned", "malformed_answer", "answer_without_identity");
+            Set.of(
+                    "timeout",
+                    "abandoned",
+                    "malformed_answer",
+                    "answer_without_identity",
+                    "answer_too_long");
 
     private final PoisonRequestTable table = PoisonRequestTable.empty();
+    private final SuspectExchange exchange = new SuspectExchange(this::reports, this::merge);
 
-    /** Returns how long to refuse a call, in milliseconds, or empty if it may run. */
-    synchronized OptionalLong remainingRefusalMillis(HttpCall call, long nowMillis) {
+    private PoisonFilter() {}
+
+    /**
+     * Returns a filter that lets all requests pass.
+     *
+     * @return the filter
+     */
+    public static PoisonFilter create() {
+        return new PoisonFilter();
+    }
+
+    /**
+     * Wraps the listener of a connection to a control. The filter exchanges losses over the
+     * connection from the control's welcome on.
+     *
+     * @param listener receives all other frames
+     * @return the wrapped listener
+     */
+    public FrameListener wrap(FrameListener listener) {
+        return exchange.wrap(listener);
+    }
+
+    /**
+     * Sends the controls what could not be sent before.
+     *
+     * @param nowMillis current time
+     */
+    public void onTimer(long nowMillis) {
+        exchange.onTimer(nowMillis);
+    }
+
+    /**
+     * Returns how long to refuse a call.
+     *
+     * @param call the call
+     * @param nowMillis current time
+     * @return the remaining time, in milliseconds, or empty if it may run
+     */
+    public synchronized OptionalLong remainingRefusalMillis(HttpCall call, long nowMillis) {
         if (table.isEmpty()) {
             return OptionalLong.empty();
         }
         return table.remainingRefusalMillis(fingerprint(call), nowMillis);
     }
 
-    /** Records an attempt and returns whether the call was suspected before it. */
-    synchronized boolean record(
+    /**
+     * Records an attempt.
+     *
+     * @param call the call
+     * @param requestId request ID of the call, for the log
+     * @param node name of the node next to the target
+     * @param outcome outcome of the attempt
+     * @param nowMillis current time
+     * @return whether the call was suspected before the attempt
+     */
+    public boolean record(
             HttpCall call, String requestId, String node, AttemptOutcome outcome, long nowMillis) {
-        boolean lost =
-                outcome instanceof AttemptOutcome.MayHaveRun unanswered
-                        && !NON_CRASH_REASONS.contains(unanswered.reason());
-        if (table.isEmpty() && !lost) {
-            return false;
-        }
-        String fingerprint = fingerprint(call);
-        boolean suspected = table.isSuspect(fingerprint);
-        if (lost) {
-            table.recordLoss(fingerprint, node, nowMillis);
-            LOGGER.info(
-                    "event=target_lost request={} fingerprint={} node={} outcome={} refused={}",
-                    requestId,
-                    fingerprint,
-                    node,
-                    outcome,
-                    table.remainingRefusalMillis(fingerprint, nowMillis).isPresent());
-        } else if (suspected && outcome instanceof AttemptOutcome.Answered) {
-            table.recordAnswer(fingerprint);
-            LOGGER.info(
-                    "event=request_cleared request={} fingerprint={} node={}",
-                    requestId,
-                    fingerprint,
-                    node);
+        Optional<SuspectReport> report = Optional.empty();
+        boolean suspected;
+        synchronized (this) {
+            boolean lost = isLoss(outcome);
+            if (table.isEmpty() && !lost) {
+                return false;
+            }
+            String fingerprint = fingerprint(call);
+            suspected = table.isSuspect(fingerprint);
+            if (lost) {
+                table.recordLoss(fingerprint, node, nowMillis);
+                report = table.report(fingerprint, nowMillis);
+                LOGGER.info(
+                        "event=target_lost request={} fingerprint={} node={} outcome={} refused={}",
+                        requestId,
+                        fingerprint,
+                        node,
+                        outcome,
+                        table.remainingRefusalMillis(fingerprint, nowMillis).isPresent());
+            } else if (suspected && outcome instanceof AttemptOutcome.Answered) {
+                table.recordAnswer(fingerprint);
+                report = Optional.of(new SuspectReport.Answered(fingerprint, 0));
+                LOGGER.info(
+                        "event=request_cleared request={} fingerprint={} node={}",
+                        requestId,
+                        fingerprint,
+                        node);
+            }
         }
+        report.ifPresent(changed -> exchange.send(changed, nowMillis));
         return suspected;
     }
 
+    private synchronized List<SuspectReport> reports(long nowMillis) {
+        return table.reports(nowMillis);
+    }
+
+    private synchronized void merge(List<SuspectReport> reports, long nowMillis) {
+        reports.forEach(report -> table.merge(report, nowMillis));
+    }
+
+    private static boolean isLoss(AttemptOutcome outcome) {
+        return outcome instanceof AttemptOutcome.MayHaveRun unanswered
+                && !NON_CRASH_REASONS.contains(unanswered.reason());
+    }
+
     private static String fingerprint(HttpCall call) {
         MessageDigest digest = Sha256.newDigest();
         String line = call.method() + " " + call.header("Host", "") + " " + call.uri() + "\n";
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -61,7 +61,7 @@
 
 # ---- between controls ----
 struct JoinRequest { 1: required string id, 2: required string address }
-struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress }
+struct ControlHello { 1: required string id, 2: required string to, 3: required string operatorAddress, 4: optional bool sharesSuspects }
 struct SubmissionForward { 1: required i64 correlation, 2: required CommandStruct command }
 struct SubmissionAnswer { 1: required i64 correlation, 2: optional OutcomeStruct outcome, 3: optional bool notRun, 4: optional string reason }
 struct AnnouncementBatch { 1: required list<AnnouncementStruct> announcements, 2: optional bool complete }
@@ -70,8 +70,8 @@
 struct HoldingBatch { 1: required list<NodeHolding> holdings, 2: optional string control, 3: optional i32 sessions, 4: optional string nodeAddress, 5: optional string dataCentre }
 
 # ---- between a node and its control ----
-struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion, 5: optional bool mayMove }
-struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation, 3: optional list<string> controls }
+struct NodeHello { 1: required string node, 2: required i64 incarnation, 3: required string dataCentre, 4: required i64 heldVersion, 5: optional bool mayMove, 6: optional bool sharesSuspects }
+struct NodeWelcome { 1: required string control, 2: optional i64 knownIncarnation, 3: optional list<string> controls, 4: optional bool sharesSuspects }
 struct NodeRedirect { 1: required string reason, 2: required i64 comeBackMillis, 3: optional string nearer }
 struct CriteriaStruct { 1: required i32 falseAlarmPerMille, 2: required i32 missPerMille, 3: required i32 failureDifferencePerMille, 4: required i32 slownessPercent, 5: required i32 watchSeconds, 6: required i32 thinEvidence }
 struct TargetAccessStruct { 1: required string healthPath, 2: required i32 maxConnections, 3: required string protocol, 4: required bool tls }
@@ -107,6 +107,12 @@
 struct QuotaGrantStruct { 1: required string tenant, 2: required i32 granted, 3: required i64 validMillis, 4: optional i64 retryAfterMillis, 5: optional i32 refused, 6: optional i64 drawnMillis }
 struct QuotaGrant { 1: required i64 correlation, 2: required list<QuotaGrantStruct> grants, 3: optional string node }
 
+# Requests under which targets were lost. Sent only to processes that have said in their hello or
+# welcome that they share them. A request with answeredAgeMillis was answered that long ago.
+struct TargetLossStruct { 1: required string target, 2: required i64 ageMillis }
+struct SuspectStruct { 1: required string fingerprint, 2: optional list<TargetLossStruct> losses, 3: optional i64 answeredAgeMillis }
+struct SuspectBatch { 1: required list<SuspectStruct> suspects }
+
 # Frame field 11 carried whole documents and stays unused. A packed frame holds another, deflated.
 union Frame {
   1: ControlHello controlHello, 2: AgreementStruct agreement, 3: SubmissionForward submissionForward,
@@ -114,5 +120,5 @@
   7: HoldingBatch holdings, 8: NodeHello nodeHello, 9: NodeWelcome nodeWelcome, 10: NodeRedirect nodeRedirect,
   12: ConfigurationReport configurationReport, 13: Heartbeat heartbeat,
   14: ConfigurationDeltaStruct configurationDelta, 15: JoinRequest joinRequest,
-  16: binary packed, 17: QuotaRequest quotaRequest, 18: QuotaGrant quotaGrant
+  16: binary packed, 17: QuotaRequest quotaRequest, 18: QuotaGrant quotaGrant, 19: SuspectBatch suspects
 }
