--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -27,9 +27,18 @@
 final class HttpConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final Logger LOGGER = LoggerFactory.getLogger(HttpConnectionHandler.class);
 
-    /** Maximum of concurrent calls of a connection; reading pauses while it is reached. */
+    /** Maximum of concurrent calls of a connection; later ones wait for answers to earlier ones. */
     private static final int MAX_CONCURRENT_CALLS = 16;
 
+    /**
+     * Size of waiting requests above which reading pauses, in bytes. A close is noticed only by
+     * reading.
+     */
+    private static final int MAX_WAITING_BYTES = 64 * 1024;
+
+    /** Size of the headers of a waiting request, about, in bytes. */
+    private static final int TYPICAL_HEADER_BYTES = 256;
+
     /** Time that a client has to read the last answer and to close, in milliseconds. */
     private static final long LINGER_MILLIS = 500;
 
@@ -47,6 +56,9 @@
 
     private final HttpServer server;
     private final Deque<PendingCall> pendingCalls = new ArrayDeque<>();
+    private final Deque<FullHttpRequest> waitingRequests = new ArrayDeque<>();
+    private int waitingBytes;
+    private boolean startingWaiting;
     private boolean closing;
 
     HttpConnectionHandler(HttpServer server) {
@@ -60,6 +72,48 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (pendingCalls.size() < MAX_CONCURRENT_CALLS) {
+            start(context, request);
+        } else if (!closing) {
+            waitingRequests.add(request.retain());
+            waitingBytes += size(request);
+        }
+        updateReading(context);
+    }
+
+    private static int size(FullHttpRequest request) {
+        return TYPICAL_HEADER_BYTES + request.uri().length() + request.content().readableBytes();
+    }
+
+    private void updateReading(ChannelHandlerContext context) {
+        context.channel().config().setAutoRead(waitingBytes < MAX_WAITING_BYTES);
+    }
+
+    private void startWaitingRequests(ChannelHandlerContext context) {
+        if (startingWaiting) {
+            return;
+        }
+        startingWaiting = true;
+        while (pendingCalls.size() < MAX_CONCURRENT_CALLS && !waitingRequests.isEmpty()) {
+            FullHttpRequest request = waitingRequests.remove();
+            waitingBytes -= size(request);
+            try {
+                start(context, request);
+            } finally {
+                request.release();
+            }
+        }
+        startingWaiting = false;
+        updateReading(context);
+    }
+
+    private void dropWaitingRequests() {
+        waitingRequests.forEach(FullHttpRequest::release);
+        waitingRequests.clear();
+        waitingBytes = 0;
+    }
+
+    private void start(ChannelHandlerContext context, FullHttpRequest request) {
         boolean closesAfterPendingCalls = server.closesConnections() && !pendingCalls.isEmpty();
         if (closing || closesAfterPendingCalls) {
             return;
@@ -82,7 +136,6 @@
                         remote.getAddress().getHostAddress());
         PendingCall next = new PendingCall(call, HttpUtil.isKeepAlive(request));
         pendingCalls.add(next);
-        context.channel().config().setAutoRead(pendingCalls.size() < MAX_CONCURRENT_CALLS);
         server.requestStarted();
         handle(call)
                 .whenComplete(
@@ -172,11 +225,12 @@
         }
         if (wrote) {
             context.flush();
-            context.channel().config().setAutoRead(pendingCalls.size() < MAX_CONCURRENT_CALLS);
+            startWaitingRequests(context);
         }
     }
 
     private void abandonPendingCalls() {
+        dropWaitingRequests();
         // Each call is removed before its future completes, which may re-enter this method.
         for (PendingCall next = pendingCalls.poll(); next != null; next = pendingCalls.poll()) {
             server.requestFinished();
--- a/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -23,6 +24,9 @@
     private static final long TIMEOUT_SECONDS = 30;
     private static final int CALLS = 4;
 
+    /** More calls than a connection may have in progress. */
+    private static final int MANY_CALLS = 40;
+
     private final List<HttpCall> calls = new CopyOnWriteArrayList<>();
     private final List<CompletableFuture<HttpAnswer>> answers = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> allArrived = new CompletableFuture<>();
@@ -74,6 +78,55 @@
         }
     }
 
+    @Example
+    void closeIsNoticedWhileConnectionHasMaximumOfCallsInProgress() throws Exception {
+        try (ServerConnection connection = new ServerConnection(this::handle)) {
+            connection.sendCalls(MANY_CALLS);
+            allArrived.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            Thread.sleep(200);
+            int started = calls.size();
+            connection.socket.close();
+            for (HttpCall call : calls) {
+                call.abandoned().get(5, TimeUnit.SECONDS);
+            }
+            connection.awaitEventLoop();
+            assertThat(connection.server.requestsInProgress()).isEqualTo(0);
+            assertThat(calls).hasSize(started);
+            assertThat(started).isLessThan(MANY_CALLS);
+        }
+    }
+
+    @Example
+    void callsBeyondMaximumRunOnceEarlierOnesAreAnswered() throws Exception {
+        try (ServerConnection connection = new ServerConnection(this::handle)) {
+            connection.sendCalls(MANY_CALLS);
+            for (int number = 0; number < MANY_CALLS; number++) {
+                while (answers.size() <= number) {
+                    Thread.sleep(1);
+                }
+                answers.get(number).complete(HttpAnswer.of(200, "text/plain", "answer-" + number));
+                assertThat(connection.readBody()).isEqualTo("answer-" + number);
+            }
+            connection.awaitEventLoop();
+            assertThat(connection.server.requestsInProgress()).isEqualTo(0);
+        }
+    }
+
+    @Example
+    void callsBeyondMaximumAreReadOnlyUpToBound() throws Exception {
+        try (ServerConnection connection = new ServerConnection(this::handle)) {
+            connection.socket.setSendBufferSize(16 * 1024);
+            byte[] call =
+                    ("GET /" + "x".repeat(8_000) + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII);
+            CompletableFuture<Void> sent =
+                    CompletableFuture.runAsync(() -> connection.sendUntilBlocked(call, 20_000));
+            allArrived.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            Thread.sleep(2_000);
+            assertThat(sent.isDone()).isFalse();
+        }
+    }
+
     /** A server and one connection to it. */
     private static final class ServerConnection implements AutoCloseable {
         private final EventLoopGroup loops = EventLoops.start(1);
@@ -95,11 +148,25 @@
         }
 
         void sendCalls() throws IOException {
+            sendCalls(CALLS);
+        }
+
+        void sendCalls(int count) throws IOException {
             String call = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-            socket.getOutputStream().write(call.repeat(CALLS).getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(call.repeat(count).getBytes(StandardCharsets.US_ASCII));
             socket.getOutputStream().flush();
         }
 
+        void sendUntilBlocked(byte[] call, int count) {
+            try {
+                for (int number = 0; number < count; number++) {
+                    socket.getOutputStream().write(call);
+                }
+            } catch (IOException closed) {
+                throw new UncheckedIOException(closed);
+            }
+        }
+
         String readBody() throws IOException {
             int length = 0;
             for (String line = reader.readLine(); !line.isEmpty(); line = reader.readLine()) {
