--- a/decisions/src/main/java/org/cuminreach/decisions/retry/CallProgress.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/CallProgress.java
@@ -9,6 +9,7 @@
  * @param remainingMillis time until its deadline, in milliseconds
  * @param maxAttempts maximum number of attempts that the call's route allows
  * @param refusals number of refusals by nodes before the call reached a target
+ * @param abandoned true when nobody waits for the answer any more
  */
 public record CallProgress(
         boolean idempotent,
@@ -16,4 +17,5 @@
         int attempts,
         long remainingMillis,
         int maxAttempts,
-        int refusals) {}
+        int refusals,
+        boolean abandoned) {}
--- a/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryPolicy.java
@@ -47,6 +47,10 @@
             RandomGenerator random) {
         return switch (outcome) {
             case AttemptOutcome.Answered answered -> new RetryDecision.Answer();
+            case AttemptOutcome.NotRun notRun when progress.abandoned() ->
+                    new RetryDecision.GiveUp(withEarlierAttempts(notRun, progress));
+            case AttemptOutcome.MayHaveRun mayHaveRun when progress.abandoned() ->
+                    new RetryDecision.GiveUp(mayHaveRun);
             case AttemptOutcome.NotRun notRun when !notRun.reachedTarget() ->
                     rerouteOrGiveUp(withEarlierAttempts(notRun, progress), progress);
             case AttemptOutcome.NotRun notRun ->
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -65,6 +65,20 @@
         assertThat(result.attempts()).isAtMost(Math.max(1, MAX_ATTEMPTS - earlierAttempts));
     }
 
+    @Example
+    void attemptThatEndsAfterItsCallIsSentNowhereElse() {
+        RetryBudget budget = RetryBudget.withDefaultReserve();
+        CallProgress ended = new CallProgress(true, false, 0, 1_000, MAX_ATTEMPTS, 0, true);
+        for (AttemptOutcome outcome :
+                List.of(
+                        new AttemptOutcome.NotRun("abandoned_before_sending", 0, false),
+                        new AttemptOutcome.NotRun("refused", 5, true),
+                        new AttemptOutcome.MayHaveRun("abandoned"))) {
+            assertThat(RetryPolicy.decide(outcome, ended, budget, new Random(1)))
+                    .isEqualTo(new RetryDecision.GiveUp(outcome));
+        }
+    }
+
     @Property(seed = "5204")
     void retriesAreBoundedByFreshCalls(@ForAll @IntRange(max = 5_000) int calls) {
         RetryBudget budget = RetryBudget.withDefaultReserve();
@@ -151,7 +165,8 @@
             int attempts,
             long seed) {
         CallProgress progress =
-                new CallProgress(idempotent, mayHaveRunBefore, attempts, 1_000, MAX_ATTEMPTS, 0);
+                new CallProgress(
+                        idempotent, mayHaveRunBefore, attempts, 1_000, MAX_ATTEMPTS, 0, false);
         return RetryPolicy.decide(
                 outcome, progress, RetryBudget.withDefaultReserve(), new Random(seed));
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -61,6 +61,11 @@
         return call;
     }
 
+    /** Ends the attempt in progress, and the hedged one, since the call has its answer. */
+    void abandon() {
+        call.abandoned().complete(null);
+    }
+
     Route route() {
         return route;
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -221,7 +221,7 @@
         long nowMillis = ProcessClock.monotonicMillis();
         CallAttempts attempts =
                 new CallAttempts(
-                        call,
+                        call.abandonableCopy(),
                         route,
                         service,
                         requestId,
@@ -305,9 +305,8 @@
         target.statistics().recordSent(startMillis);
         HttpHeaders headers =
                 authenticator.addValidity(attempts.headers(target, remaining, startMillis));
-        HttpCall call = attempts.mayHedge() ? attempts.call().abandonableCopy() : attempts.call();
         CompletableFuture<HttpAnswer> answer =
-                sender.send(target.inbound(), call, headers, remaining)
+                sender.send(target.inbound(), attempts.call(), headers, remaining)
                         .thenCompose(
                                 sent -> {
                                     long micros = (System.nanoTime() - startNanos) / 1_000;
@@ -317,7 +316,7 @@
         return hedges.hedgeWhenOverdue(
                 attempts,
                 target.statistics(),
-                new HedgedCall.Attempt(answer, () -> call.abandoned().complete(null)),
+                new HedgedCall.Attempt(answer, attempts::abandon),
                 startMillis,
                 second -> attempt(second, configuration));
     }
@@ -358,7 +357,8 @@
                         attempts.attempts(),
                         attempts.remainingMillis(ProcessClock.monotonicMillis()),
                         attempts.route().maxAttempts(),
-                        attempts.refusals());
+                        attempts.refusals(),
+                        attempts.call().abandoned().isDone());
         if (outcome instanceof AttemptOutcome.MayHaveRun) {
             attempts.recordMayHaveRun();
         }
--- a/node/src/main/java/org/cuminreach/node/caller/HedgeScheduler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/HedgeScheduler.java
@@ -78,8 +78,7 @@
                                     attempts.requestId(),
                                     attempts.route().name());
                             return new HedgedCall.Attempt(
-                                    sendAttempt.apply(second),
-                                    () -> second.call().abandoned().complete(null));
+                                    sendAttempt.apply(second), second::abandon);
                         });
     }
 }
--- a/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
@@ -205,7 +205,8 @@
                         call.triedTargets().size(),
                         remainingMillis,
                         Route.DEFAULT_MAX_ATTEMPTS,
-                        0);
+                        0,
+                        false);
         RetryDecision decision =
                 RetryPolicy.decide(outcome, progress, call.node().retryBudget(), random);
         switch (decision) {
