--- a/control/src/main/java/org/cuminreach/control/replica/ProposalHandler.java
+++ b/control/src/main/java/org/cuminreach/control/replica/ProposalHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.decisions.agreement.Effect;
 import org.cuminreach.decisions.agreement.MembershipRequest;
@@ -18,10 +19,14 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ProposalHandler.class);
     private static final String NOT_LEADER = "this control does not lead";
 
+    /** Bounds the elections when the disks of all controls are full, in milliseconds. */
+    private static final long RESIGNATION_INTERVAL_MILLIS = 60_000;
+
     private final Replica replica;
     private final ReplicaStorage storage;
     private final ReplicatedState state;
     private final PendingProposals pending;
+    private OptionalLong resignedMillis = OptionalLong.empty();
 
     ProposalHandler(
             Replica replica,
@@ -47,8 +52,8 @@
             return List.of();
         }
         if (replica.isLeader() && !hasSpaceFor(bytes)) {
-            return rejectCommand(
-                    "the disk of the leading control is nearly full", result, completions);
+            rejectCommand("the disk of the leading control is nearly full", result, completions);
+            return resign(nowMillis);
         }
         return switch (replica.propose(nowMillis, bytes)) {
             case ProposalOutcome.Appended appended -> {
@@ -62,6 +67,19 @@
         };
     }
 
+    /** Leaves the lead to a control whose disk may have space, unless this was tried lately. */
+    private List<Effect> resign(long nowMillis) {
+        boolean resignedLately =
+                resignedMillis.isPresent()
+                        && nowMillis - resignedMillis.getAsLong() < RESIGNATION_INTERVAL_MILLIS;
+        if (resignedLately || replica.membership().voters().size() == 1) {
+            return List.of();
+        }
+        resignedMillis = OptionalLong.of(nowMillis);
+        LOGGER.warn("event=leader_resigned reason=disk_nearly_full term={}", replica.term());
+        return replica.resign(nowMillis);
+    }
+
     List<Effect> changeMembership(
             MembershipRequest request,
             long nowMillis,
--- a/control/src/test/java/org/cuminreach/control/replica/FakeControls.java
+++ b/control/src/test/java/org/cuminreach/control/replica/FakeControls.java
@@ -88,6 +88,16 @@
         start(id);
     }
 
+    /** Makes the disk of a replica full, or gives it some room again. */
+    void setDiskFull(String id, boolean full, long usableBytesOtherwise) {
+        folders.get(id).failWrites(full);
+        folders.get(id).setUsableBytes(full ? 0 : usableBytesOtherwise);
+    }
+
+    List<String> identities() {
+        return List.copyOf(folders.keySet());
+    }
+
     void isolate(String id) {
         isolated = id;
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -11,6 +11,9 @@
  * to execute, in order. Not thread-safe.
  */
 public final class Replica {
+    /** Another replica needs at most this many election timeouts. */
+    private static final int RESIGNED_TIMEOUTS = 2;
+
     private final ReplicaState state;
     private Optional<CandidateRole> candidateRole = Optional.empty();
     private Optional<LeaderRole> leaderRole = Optional.empty();
@@ -136,6 +139,21 @@
         return state.drain();
     }
 
+    /**
+     * Gives up the lead, so that another replica is elected; this one campaigns only later.
+     *
+     * @param nowMillis current time
+     * @return the effects to execute
+     */
+    public List<Effect> resign(long nowMillis) {
+        if (leaderRole.isPresent()) {
+            stepDown();
+            state.resetElectionDeadline(
+                    nowMillis + RESIGNED_TIMEOUTS * state.settings.electionTimeoutMillis());
+        }
+        return state.drain();
+    }
+
     /**
      * Replaces the entries up to an applied index with a snapshot.
      *
