--- a/control/src/main/java/org/cuminreach/control/storage/DataFolder.java
+++ b/control/src/main/java/org/cuminreach/control/storage/DataFolder.java
@@ -23,8 +23,8 @@
  * thread-safe.
  */
 public final class DataFolder implements AutoCloseable {
-    /** Disk space that submissions may not use, so that the log can still be compacted. */
-    public static final long RESERVE_BYTES = 128L * 1024 * 1024;
+    /** Least disk space that submissions may not use. */
+    public static final long MIN_RESERVE_BYTES = 4L * 1024 * 1024;
 
     private static final String ENTRIES_PREFIX = "entries-";
 
@@ -35,6 +35,7 @@
     private final List<LogEntry> entries = new ArrayList<>();
     private EntryFile entryFile;
     private long generation;
+    private long snapshotBytes;
 
     private DataFolder(FolderAccess folder) {
         this.folder = folder;
@@ -140,20 +141,27 @@
         byte[] state = StructCodec.encode(RaftCodec.toStruct(snapshot));
         ByteBuffer content = ByteBuffer.allocate(Long.BYTES + state.length);
         snapshotFile.replace(content.putLong(replaced + 1).put(state).array());
+        snapshotBytes = state.length;
         generation = replaced + 1;
         entryFile = next;
         folder.delete(entriesName(replaced));
     }
 
     /**
-     * Tells whether the disk has space for an append without using the reserve.
+     * Tells whether the disk has space for an append without using the reserve, which a compaction
+     * needs to write the next snapshot and entry file before it deletes the present ones.
      *
      * @param bytes size of the append
      * @return false when the append must be refused
      * @throws IOException when the free space cannot be determined
      */
     public boolean hasSpaceFor(long bytes) throws IOException {
-        return folder.usableBytes() >= RESERVE_BYTES + bytes;
+        return folder.usableBytes() >= reserveBytes() + bytes;
+    }
+
+    /** The entries make the next snapshot longer than the present one by their size at most. */
+    private long reserveBytes() {
+        return MIN_RESERVE_BYTES + snapshotBytes + 2 * entryFileBytes();
     }
 
     /**
@@ -183,6 +191,7 @@
         generation = content.getLong();
         byte[] state = new byte[content.remaining()];
         content.get(state);
+        snapshotBytes = state.length;
         try {
             return Optional.of(
                     RaftCodec.toSnapshot(StructCodec.decode(state, new SnapshotStruct())));
--- a/control/src/test/java/org/cuminreach/control/replica/FullDisksTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/FullDisksTest.java
@@ -22,6 +22,7 @@
     /** Time within which an order must be acknowledged while most controls are well. */
     private static final long ACKNOWLEDGEMENT_MILLIS = 4_000;
 
+    private static final long MEBIBYTE = 1024 * 1024;
     private int submissions;
 
     @Property(seed = "3611", tries = 4)
@@ -57,6 +58,21 @@
         }
     }
 
+    @Example
+    void changesAreAcceptedOnceFullDisksHaveSomeRoomAgain() throws Exception {
+        Random random = new Random(3613);
+        try (FakeControls controls = new FakeControls(3613, CONTROLS)) {
+            assertThat(isAcceptedInTime(controls, random)).isTrue();
+            for (String full : controls.identities()) {
+                controls.setDiskFull(full, true, 0);
+                TimeUnit.MILLISECONDS.sleep(200);
+                controls.setDiskFull(full, false, 64 * MEBIBYTE);
+            }
+
+            assertThat(isAcceptedInTime(controls, random)).isTrue();
+        }
+    }
+
     private String awaitLeader(FakeControls controls) throws InterruptedException {
         while (true) {
             Optional<ReplicaDriver> leader =
--- a/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -33,13 +33,13 @@
     @Example
     void rejectsCommandsAsNotRunOnlyWhileDiskIsNearlyFull() throws Exception {
         ReplicaDriver leader = startSingleVoter();
-        files.setUsableBytes(DataFolder.RESERVE_BYTES + 10);
+        files.setUsableBytes(DataFolder.MIN_RESERVE_BYTES + 10);
         assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.NotRun.class);
         long before = leader.commitIndex();
         assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.NotRun.class);
         assertThat(leader.commitIndex()).isEqualTo(before);
 
-        files.setUsableBytes(2 * DataFolder.RESERVE_BYTES);
+        files.setUsableBytes(2 * DataFolder.MIN_RESERVE_BYTES);
         assertThat(submit(leader, "a", 0)).isInstanceOf(SubmitResult.Decided.class);
         leader.close();
     }
--- a/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
+++ b/control/src/test/java/org/cuminreach/control/storage/DataFolderTest.java
@@ -193,11 +193,24 @@
     void reservedSpaceIsKeptFree() throws IOException {
         FakeFolder files = new FakeFolder(1);
         DataFolder folder = DataFolder.open(files);
-        files.setUsableBytes(DataFolder.RESERVE_BYTES + 10);
+        files.setUsableBytes(DataFolder.MIN_RESERVE_BYTES + 10);
         assertThat(folder.hasSpaceFor(10)).isTrue();
         assertThat(folder.hasSpaceFor(11)).isFalse();
     }
 
+    @Example
+    void reservedSpaceCoversNextSnapshotAndEntryFile() throws IOException {
+        FakeFolder files = new FakeFolder(1);
+        DataFolder folder = DataFolder.open(files);
+        folder.load();
+        int bytes = 300_000;
+        folder.saveEntries(List.of(new LogEntry(1, 1, new Payload.Command(new byte[bytes]))));
+        files.setUsableBytes(DataFolder.MIN_RESERVE_BYTES + 2 * bytes);
+        assertThat(folder.hasSpaceFor(1)).isFalse();
+        files.setUsableBytes(DataFolder.MIN_RESERVE_BYTES + 3 * bytes);
+        assertThat(folder.hasSpaceFor(1)).isTrue();
+    }
+
     @Example
     void localFolderKeepsSavedData() throws IOException {
         Path path = Files.createTempDirectory("data-folder");
