--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/RaftSettings.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/RaftSettings.java
@@ -22,4 +22,14 @@
     public static RaftSettings defaults() {
         return new RaftSettings(HEARTBEAT_MILLIS, ELECTION_TIMEOUT_MILLIS, MAX_BATCH_BYTES);
     }
+
+    /**
+     * Returns the time in which a replica that gave up the lead does not campaign: as long as
+     * another one needs at most to notice that there is no leader.
+     *
+     * @return the time, in milliseconds
+     */
+    public long resignationPauseMillis() {
+        return 2 * electionTimeoutMillis;
+    }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Replica.java
@@ -11,9 +11,6 @@
  * to execute, in order. Not thread-safe.
  */
 public final class Replica {
-    /** Another replica needs at most this many election timeouts. */
-    private static final int RESIGNED_TIMEOUTS = 2;
-
     private final ReplicaState state;
     private Optional<CandidateRole> candidateRole = Optional.empty();
     private Optional<LeaderRole> leaderRole = Optional.empty();
@@ -148,8 +145,7 @@
     public List<Effect> resign(long nowMillis) {
         if (leaderRole.isPresent()) {
             stepDown();
-            state.resetElectionDeadline(
-                    nowMillis + RESIGNED_TIMEOUTS * state.settings.electionTimeoutMillis());
+            state.resetElectionDeadline(nowMillis + state.settings.resignationPauseMillis());
         }
         return state.drain();
     }
