--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
+import org.cuminreach.node.caller.CallChecks;
 import org.cuminreach.node.caller.CallDeduplicator;
 import org.cuminreach.node.caller.CallerHandler;
 import org.cuminreach.node.caller.CallerMetricsHandler;
@@ -259,8 +260,10 @@
                         httpSender,
                         evidence,
                         deduplicator,
-                        new TenantServices(TenantAuthenticator.create(keyFreshness), quotas),
-                        poisonFilter,
+                        new CallChecks(
+                                new TenantServices(
+                                        TenantAuthenticator.create(keyFreshness), quotas),
+                                poisonFilter),
                         timer);
         HttpHandler inboundHandler =
                 call ->
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -31,7 +31,6 @@
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.peer.TargetFeedback;
 import org.cuminreach.node.poison.PoisonFilter;
-import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -69,19 +68,18 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantServices tenants,
-            PoisonFilter poisonFilter,
+            CallChecks checks,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
-        this.authenticator = tenants.authenticator();
+        this.authenticator = checks.tenants().authenticator();
         this.entrance = new CallEntrance(ownHost, authenticator);
-        this.quotas = new QuotaGate(tenants.quotas());
+        this.quotas = new QuotaGate(checks.tenants().quotas());
         this.routes = new RouteTableCache(holder);
         this.view = view;
         this.sender = sender;
         this.evidence = evidence;
         this.deduplicator = deduplicator;
-        this.poisonFilter = poisonFilter;
+        this.poisonFilter = checks.poisonFilter();
         this.timer = timer;
         this.hedges = new HedgeScheduler(routeStatistics, budgets, timer);
     }
@@ -96,8 +94,7 @@
      * @param sender sends calls to other nodes
      * @param evidence records call results for rollouts
      * @param deduplicator runs calls with an idempotency key once
-     * @param tenants finds the tenants of calls and keeps their quotas
-     * @param poisonFilter blocks requests that crash their targets
+     * @param checks what calls are checked for before they are sent
      * @param timer schedules retries and hedged attempts
      * @return the handler
      */
@@ -109,20 +106,10 @@
             HttpSender sender,
             EvidenceRecorder evidence,
             CallDeduplicator deduplicator,
-            TenantServices tenants,
-            PoisonFilter poisonFilter,
+            CallChecks checks,
             ScheduledExecutorService timer) {
         return new CallerHandler(
-                permissions,
-                ownHost,
-                holder,
-                view,
-                sender,
-                evidence,
-                deduplicator,
-                tenants,
-                poisonFilter,
-                timer);
+                permissions, ownHost, holder, view, sender, evidence, deduplicator, checks, timer);
     }
 
     @Override
