--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -58,6 +58,7 @@
     private final Deque<PendingCall> pendingCalls = new ArrayDeque<>();
     private final Deque<FullHttpRequest> waitingRequests = new ArrayDeque<>();
     private int waitingBytes;
+    private boolean startScheduled;
     private boolean startingWaiting;
     private boolean closing;
 
@@ -72,13 +73,24 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        if (pendingCalls.size() < MAX_CONCURRENT_CALLS) {
-            start(context, request);
-        } else if (!closing) {
-            waitingRequests.add(request.retain());
-            waitingBytes += size(request);
+        if (closing) {
+            return;
         }
+        waitingRequests.add(request.retain());
+        waitingBytes += size(request);
         updateReading(context);
+        if (!startScheduled) {
+            startScheduled = true;
+            context.executor().execute(() -> startAfterReading(context));
+        }
+    }
+
+    /** Starts requests once all input has been read, so that none is whose client has left. */
+    private void startAfterReading(ChannelHandlerContext context) {
+        startScheduled = false;
+        if (context.channel().isActive()) {
+            startWaitingRequests(context);
+        }
     }
 
     private static int size(FullHttpRequest request) {
@@ -174,7 +186,8 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-        if (event instanceof HttpServer.CloseIfIdle && pendingCalls.isEmpty() && !closing) {
+        boolean idle = pendingCalls.isEmpty() && waitingRequests.isEmpty();
+        if (event instanceof HttpServer.CloseIfIdle && idle && !closing) {
             closing = true;
             context.close();
         } else {
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -1,6 +1,7 @@
 package org.cuminreach.runtime.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -27,6 +28,9 @@
     private static final int MAX_CHUNK_BYTES = 16 * 1024;
     private static final int BACKLOG_CONNECTIONS = 1_024;
 
+    /** Reads of one connection before others get their turn. */
+    private static final int READS_PER_EVENT = 16;
+
     /** User event that closes a connection unless a request is in progress on it. */
     enum CloseIfIdle {
         /** Closes the connection immediately. */
@@ -65,6 +69,12 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads on until a close behind a request is seen, before the request is started.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(READS_PER_EVENT))
                 .childHandler(server.initializer())
                 .bind(address.host(), address.port())
                 .addListener(
--- a/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/PipelinedCallsTest.java
@@ -96,6 +96,28 @@
         }
     }
 
+    @Example
+    void callThatArrivesTogetherWithTheCloseBehindItIsNotStarted() throws Exception {
+        try (ServerConnection connection = new ServerConnection(this::handle)) {
+            Thread.sleep(100);
+            connection.loops.submit(() -> pause(300));
+            connection.sendCalls(1);
+            connection.socket.close();
+            Thread.sleep(600);
+            connection.awaitEventLoop();
+            assertThat(calls).isEmpty();
+            assertThat(connection.server.requestsInProgress()).isEqualTo(0);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Example
     void callsBeyondMaximumRunOnceEarlierOnesAreAnswered() throws Exception {
         try (ServerConnection connection = new ServerConnection(this::handle)) {
