--- a/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
+++ b/control/src/test/java/org/cuminreach/control/replica/ReplicaDriverTest.java
@@ -62,6 +62,8 @@
     @Example
     void stopsAfterFailedSync() throws Exception {
         ReplicaDriver leader = startSingleVoter();
+        // The sync of the election must not be the one that fails.
+        assertThat(submit(leader, "first", 0)).isInstanceOf(SubmitResult.Decided.class);
         files.failSync();
         CompletableFuture<SubmitResult> result = propose(leader, "a", 0);
         assertThat(failure.get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
