--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -169,6 +169,22 @@
         return remaining > 0 ? OptionalLong.of(remaining) : OptionalLong.empty();
     }
 
+    /**
+     * Returns the number of requests that are refused at present.
+     *
+     * @param nowMillis current time
+     * @return number of fingerprints
+     */
+    public int refusedCount(long nowMillis) {
+        return (int)
+                suspects.entries().stream()
+                        .filter(
+                                entry ->
+                                        remainingRefusalMillis(entry.getKey(), nowMillis)
+                                                .isPresent())
+                        .count();
+    }
+
     private static SuspectReport lost(String fingerprint, Suspect suspect, long nowMillis) {
         return new SuspectReport.Lost(fingerprint, suspect.losses.reported(nowMillis));
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectReport.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectReport.java
@@ -11,6 +11,18 @@
      */
     String fingerprint();
 
+    /**
+     * Returns the lost targets.
+     *
+     * @return names of the nodes next to them, in the order of the losses
+     */
+    default List<String> targets() {
+        return switch (this) {
+            case Lost lost -> lost.losses().stream().map(TargetLoss::target).toList();
+            case Answered answered -> List.of();
+        };
+    }
+
     /**
      * Targets were lost while they ran the request.
      *
--- a/node/src/main/java/org/cuminreach/node/NodeMetrics.java
+++ b/node/src/main/java/org/cuminreach/node/NodeMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.node.peer.MeshView;
+import org.cuminreach.node.poison.PoisonFilter;
 import org.cuminreach.node.target.TargetAdmissionHandler;
 import org.cuminreach.node.tenant.KeyFreshness;
 import org.cuminreach.runtime.ProcessClock;
@@ -19,6 +20,7 @@
             MeshView meshView,
             TargetAdmissionHandler admissionHandler,
             KeyFreshness keyFreshness,
+            PoisonFilter poisonFilter,
             TrafficCounter controlTraffic) {
         Gauges.register(
                 registry,
@@ -57,6 +59,11 @@
                 "cuminreach_node_lowest_target_pace",
                 "Lowest share of its capacity for which a target counts after its start",
                 () -> meshView.lowestPace(ProcessClock.monotonicMillis()));
+        Gauges.register(
+                registry,
+                "cuminreach_node_poison_requests",
+                "Requests that are refused since they crash their targets",
+                () -> poisonFilter.refusedCount(ProcessClock.monotonicMillis()));
         Gauges.register(
                 registry,
                 "cuminreach_node_control_sent_bytes",
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,6 +23,7 @@
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.peer.MeshView;
 import org.cuminreach.node.poison.PoisonFilter;
+import org.cuminreach.node.poison.PoisonGuard;
 import org.cuminreach.node.quota.QuotaClient;
 import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.settings.NodeSettings;
@@ -265,11 +267,12 @@
                                         TenantAuthenticator.create(keyFreshness), quotas),
                                 poisonFilter),
                         timer);
+        HttpHandler targetHandler = PoisonGuard.create(admissionHandler, this::hasTargetEnded);
         HttpHandler inboundHandler =
                 call ->
                         call.headers().contains(MeshHeaders.KEY_HOME)
                                 ? callerHandler.handleAsKeyHome(call)
-                                : admissionHandler.handle(call);
+                                : targetHandler.handle(call);
         HttpHandler handlerWithMetrics =
                 protocolAdapter.adaptCallerHandler(
                         CallerMetricsHandler.of(callerHandler, registry));
@@ -279,6 +282,7 @@
                 meshView,
                 admissionHandler,
                 keyFreshness,
+                poisonFilter,
                 controlTraffic);
         callerServer =
                 HttpServer.listen(settings.callerAddress(), eventLoops, handlerWithMetrics).join();
@@ -293,6 +297,13 @@
                         .join();
     }
 
+    private CompletableFuture<Boolean> hasTargetEnded() {
+        return announcer
+                .target()
+                .map(target -> targetClient.refusesConnections(target.address()))
+                .orElse(CompletableFuture.completedFuture(false));
+    }
+
     /**
      * Listens on an additional address until the node stops.
      *
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -1,13 +1,9 @@
 package org.cuminreach.node.poison;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.cuminreach.decisions.configuration.Sha256;
 import org.cuminreach.decisions.poison.PoisonRequestTable;
 import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.decisions.retry.AttemptOutcome;
@@ -18,8 +14,7 @@
 
 /**
  * Blocks requests that crash their targets from reaching further targets, also those that crashed
- * targets of other nodes. A request is identified by its method, host, path and body, regardless of
- * the caller. Thread-safe.
+ * targets of other nodes. Thread-safe.
  */
 public final class PoisonFilter {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonFilter.class);
@@ -78,7 +73,7 @@
         if (table.isEmpty()) {
             return OptionalLong.empty();
         }
-        return table.remainingRefusalMillis(fingerprint(call), nowMillis);
+        return table.remainingRefusalMillis(RequestFingerprint.of(call), nowMillis);
     }
 
     /**
@@ -100,26 +95,29 @@
             if (table.isEmpty() && !lost) {
                 return false;
             }
-            String fingerprint = fingerprint(call);
+            String fingerprint = RequestFingerprint.of(call);
             suspected = table.isSuspect(fingerprint);
             if (lost) {
                 table.recordLoss(fingerprint, node, nowMillis);
                 report = table.report(fingerprint, nowMillis);
                 LOGGER.info(
-                        "event=target_lost request={} fingerprint={} node={} outcome={} refused={}",
+                        "event=target_lost request={} fingerprint={} node={} outcome={}"
+                                + " losses={} refused={}",
                         requestId,
                         fingerprint,
                         node,
                         outcome,
+                        report.map(SuspectReport::targets).orElse(List.of()),
                         table.remainingRefusalMillis(fingerprint, nowMillis).isPresent());
-            } else if (suspected && outcome instanceof AttemptOutcome.Answered) {
+            } else if (suspected && outcome instanceof AttemptOutcome.Answered answered) {
                 table.recordAnswer(fingerprint);
                 report = Optional.of(new SuspectReport.Answered(fingerprint, 0));
                 LOGGER.info(
-                        "event=request_cleared request={} fingerprint={} node={}",
+                        "event=request_cleared request={} fingerprint={} node={} status={}",
                         requestId,
                         fingerprint,
-                        node);
+                        node,
+                        answered.status());
             }
         }
         report.ifPresent(changed -> exchange.send(changed, nowMillis));
@@ -131,18 +129,27 @@
     }
 
     private synchronized void merge(List<SuspectReport> reports, long nowMillis) {
-        reports.forEach(report -> table.merge(report, nowMillis));
+        for (SuspectReport report : reports) {
+            table.merge(report, nowMillis);
+            LOGGER.info(
+                    "event=suspect_received report={} refused={}",
+                    report,
+                    table.remainingRefusalMillis(report.fingerprint(), nowMillis).isPresent());
+        }
+    }
+
+    /**
+     * Returns the number of requests that are refused at present.
+     *
+     * @param nowMillis current time
+     * @return number of fingerprints
+     */
+    public synchronized int refusedCount(long nowMillis) {
+        return table.refusedCount(nowMillis);
     }
 
     private static boolean isLoss(AttemptOutcome outcome) {
         return outcome instanceof AttemptOutcome.MayHaveRun unanswered
                 && !NON_CRASH_REASONS.contains(unanswered.reason());
     }
-
-    private static String fingerprint(HttpCall call) {
-        MessageDigest digest = Sha256.newDigest();
-        String line = call.method() + " " + call.header("Host", "") + " " + call.uri() + "\n";
-        digest.update(line.getBytes(StandardCharsets.UTF_8));
-        return HexFormat.of().formatHex(digest.digest(call.body()));
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -0,0 +1,104 @@
+package org.cuminreach.node.poison;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.HttpHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Notices when the target next to the node ends, and which calls it was running or had just been
+ * running. A closed connection alone does not show that a target has ended; one that refuses new
+ * connections has. Thread-safe.
+ */
+public final class PoisonGuard implements HttpHandler {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PoisonGuard.class);
+
+    /** Reasons of calls whose connection the target closed. */
+    private static final Set<String> CLOSED_BY_TARGET =
+            Set.of("connection_closed", "connection_lost");
+
+    /** Reasons of calls whose connection the node closed while the target ran them. */
+    private static final Set<String> CANCELLED = Set.of("abandoned", "timeout");
+
+    private static final String CANNOT_CONNECT = "cannot_connect";
+
+    private final HttpHandler target;
+    private final Supplier<CompletableFuture<Boolean>> endCheck;
+    private final InterruptedCalls interrupted = new InterruptedCalls();
+    private final AtomicBoolean checking = new AtomicBoolean();
+
+    private PoisonGuard(HttpHandler target, Supplier<CompletableFuture<Boolean>> endCheck) {
+        this.target = target;
+        this.endCheck = endCheck;
+    }
+
+    /**
+     * Returns the guard of a target.
+     *
+     * @param target passes calls to the target
+     * @param endCheck tells whether the target refuses connections
+     * @return the guard
+     */
+    public static PoisonGuard create(
+            HttpHandler target, Supplier<CompletableFuture<Boolean>> endCheck) {
+        return new PoisonGuard(target, endCheck);
+    }
+
+    @Override
+    public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        return target.handle(call).thenApply(answer -> observe(call, answer));
+    }
+
+    private HttpAnswer observe(HttpCall call, HttpAnswer answer) {
+        String reason = answer.headers().get(MeshHeaders.REASON, "");
+        boolean mayHaveRun =
+                MeshHeaders.MAY_HAVE_RUN.equals(answer.headers().get(MeshHeaders.OUTCOME));
+        if (mayHaveRun && (CLOSED_BY_TARGET.contains(reason) || CANCELLED.contains(reason))) {
+            String fingerprint = RequestFingerprint.of(call);
+            synchronized (interrupted) {
+                interrupted.add(fingerprint, ProcessClock.monotonicMillis());
+            }
+        }
+        if (reason.equals(CANNOT_CONNECT) || mayHaveRun && CLOSED_BY_TARGET.contains(reason)) {
+            checkWhetherEnded();
+        }
+        return answer;
+    }
+
+    private void checkWhetherEnded() {
+        synchronized (interrupted) {
+            if (interrupted.isEmpty(ProcessClock.monotonicMillis())) {
+                return;
+            }
+        }
+        if (!checking.compareAndSet(false, true)) {
+            return;
+        }
+        endCheck.get()
+                .whenComplete(
+                        (ended, failure) -> {
+                            checking.set(false);
+                            if (failure != null) {
+                                LOGGER.warn("event=target_end_check_failed", failure);
+                            } else if (ended) {
+                                recordEnd(ProcessClock.monotonicMillis());
+                            }
+                        });
+    }
+
+    private void recordEnd(long nowMillis) {
+        List<String> fingerprints;
+        synchronized (interrupted) {
+            fingerprints = interrupted.takeAll(nowMillis);
+        }
+        LOGGER.info("event=target_ended fingerprints={}", fingerprints);
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -3,13 +3,17 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -93,6 +97,26 @@
         return exchange.outcome();
     }
 
+    /**
+     * Tells whether a target refuses connections, since its process has ended.
+     *
+     * @param address address of the target
+     * @return completes with false when it accepts connections or does not respond
+     */
+    public CompletableFuture<Boolean> refusesConnections(Address address) {
+        CompletableFuture<Boolean> refuses = new CompletableFuture<>();
+        bootstrap(new ChannelInboundHandlerAdapter())
+                .connect(address.host(), address.port())
+                .addListener(
+                        (ChannelFuture done) -> {
+                            done.channel().close();
+                            refuses.complete(
+                                    done.cause() instanceof ConnectException
+                                            && !(done.cause() instanceof ConnectTimeoutException));
+                        });
+        return refuses;
+    }
+
     /** Closes the idle connections. */
     public synchronized void closeIdle() {
         idleConnections
@@ -132,13 +156,7 @@
 
     private void connect(Address address, TargetExchange exchange) {
         ChannelFuture connecting =
-                new Bootstrap()
-                        .group(eventLoops)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(initializer(address))
-                        .connect(address.host(), address.port());
+                bootstrap(initializer(address)).connect(address.host(), address.port());
         connecting.addListener(
                 done -> {
                     if (done.isSuccess()) {
@@ -153,6 +171,15 @@
                 });
     }
 
+    private Bootstrap bootstrap(ChannelHandler handler) {
+        return new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(handler);
+    }
+
     private static void startExchange(Channel channel, TargetExchange exchange) {
         channel.pipeline().get(TargetConnection.class).start(exchange);
     }
