--- a/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
@@ -18,6 +18,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
+import org.cuminreach.settings.Address;
 
 class PoisonRequestsOnNodesTest {
     private static final int NODES = 6;
@@ -64,14 +65,7 @@
         sendPoison(150, PROPAGATION_MILLIS + 2_000);
         int before = crashes.size();
 
-        for (int node = 0; node < NODES; node++) {
-            mesh.stopNode(node);
-            mesh.restartNode(node);
-        }
-        for (int node = 0; node < NODES; node++) {
-            int restarted = node;
-            InProcessMesh.await(() -> isAnswered(restarted, "/fine"));
-        }
+        restartAllNodes();
         sendPoison(150, 2_000);
 
         assertThat(crashes.size() - before).isAtMost(MAX_LATE_RUNS);
@@ -83,12 +77,7 @@
         AtomicBoolean stopping = new AtomicBoolean();
         AtomicInteger answered = new AtomicInteger();
         List<String> poisonous = new CopyOnWriteArrayList<>();
-        List<Thread> callers = new ArrayList<>();
-        for (int caller = 0; caller < NODES; caller++) {
-            int node = caller;
-            callers.add(
-                    Thread.ofVirtual().start(() -> callSound(node, stopping, answered, poisonous)));
-        }
+        List<Thread> callers = startSoundCallers(stopping, answered, poisonous);
         sendPoison(150, 3_000);
         Random random = new Random(SEED);
         for (int crash = 0; crash < 8; crash++) {
@@ -96,15 +85,75 @@
             Thread.sleep(random.nextInt(500));
         }
         stopping.set(true);
-        for (Thread caller : callers) {
-            caller.join();
-        }
+        join(callers);
 
         assertThat(poisonous).isEmpty();
         assertThat(answered.get()).isGreaterThan(NODES * 50);
         assertThat(answeredSoundCalls()).isEqualTo(NODES);
     }
 
+    @Example
+    void poisonRequestDoesNotCrashTheOnlyTargetAgainAndAgain() throws Exception {
+        startMesh();
+        closeAllTargetsButOne();
+
+        sendPoison(50, 14_000);
+
+        assertThat(lateCrashes()).isAtMost(MAX_LATE_RUNS);
+        assertThat(answeredSoundCalls()).isEqualTo(NODES);
+    }
+
+    @Example
+    void restartedNodesStillRefuseRequestThatCrashedTheOnlyTarget() throws Exception {
+        startMesh();
+        closeAllTargetsButOne();
+        sendPoison(150, 6_000);
+        int before = crashes.size();
+
+        restartAllNodes();
+        sendPoison(150, 4_000);
+
+        assertThat(crashes.size() - before).isAtMost(MAX_LATE_RUNS);
+    }
+
+    @Example
+    void poisonRequestWhoseCallersLeaveDoesNotCrashTargetAfterTarget() throws Exception {
+        startMesh();
+        AtomicBoolean stopping = new AtomicBoolean();
+        List<String> poisonous = new CopyOnWriteArrayList<>();
+        List<Thread> callers = startSoundCallers(stopping, new AtomicInteger(), poisonous);
+
+        sendPoisonAndLeave(300, 12_000);
+        stopping.set(true);
+        join(callers);
+
+        assertThat(lateCrashes()).isAtMost(MAX_LATE_RUNS);
+        assertThat(poisonous).isEmpty();
+        assertThat(answeredSoundCalls()).isEqualTo(NODES);
+    }
+
+    @Example
+    void soundRequestsAtAnOnlyTargetThatCrashesByItselfAreNeverRefusedAsPoisonous()
+            throws Exception {
+        startMesh();
+        closeAllTargetsButOne();
+        AtomicBoolean stopping = new AtomicBoolean();
+        AtomicInteger answered = new AtomicInteger();
+        List<String> poisonous = new CopyOnWriteArrayList<>();
+        List<Thread> callers = startSoundCallers(stopping, answered, poisonous);
+
+        Random random = new Random(SEED);
+        for (int crash = 0; crash < 8; crash++) {
+            targets.getFirst().crash(DOWN_MILLIS);
+            Thread.sleep(DOWN_MILLIS + 200 + random.nextInt(500));
+        }
+        stopping.set(true);
+        join(callers);
+
+        assertThat(poisonous).isEmpty();
+        assertThat(answered.get()).isGreaterThan(NODES * 50);
+    }
+
     private void callSound(
             int node, AtomicBoolean stopping, AtomicInteger answered, List<String> poisonous) {
         for (int number = 0; !stopping.get(); number++) {
@@ -158,6 +207,58 @@
         }
     }
 
+    /** Sends the request to one node after another, each time from a caller that soon leaves. */
+    private void sendPoisonAndLeave(long intervalMillis, long durationMillis) throws Exception {
+        long endMillis = nowMillis() + durationMillis;
+        for (int call = 0; nowMillis() < endMillis; call++) {
+            Address node = mesh.settings(call % NODES).callerAddress();
+            try (Socket socket = new Socket(node.host(), node.port())) {
+                ScriptedTarget.write(
+                        socket, "GET /poison HTTP/1.1\r\nHost: " + InProcessMesh.HOST + "\r\n\r\n");
+                Thread.sleep(RUN_BEFORE_CRASH_MILLIS / 2);
+            }
+            Thread.sleep(intervalMillis);
+        }
+    }
+
+    private List<Thread> startSoundCallers(
+            AtomicBoolean stopping, AtomicInteger answered, List<String> poisonous) {
+        List<Thread> callers = new ArrayList<>();
+        for (int caller = 0; caller < NODES; caller++) {
+            int node = caller;
+            callers.add(
+                    Thread.ofVirtual().start(() -> callSound(node, stopping, answered, poisonous)));
+        }
+        return callers;
+    }
+
+    private static void join(List<Thread> threads) throws InterruptedException {
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void restartAllNodes() throws InterruptedException {
+        for (int node = 0; node < NODES; node++) {
+            mesh.stopNode(node);
+            mesh.restartNode(node);
+        }
+        for (int node = 0; node < NODES; node++) {
+            int restarted = node;
+            InProcessMesh.await(() -> isAnswered(restarted, "/fine"));
+        }
+    }
+
+    private void closeAllTargetsButOne() throws IOException, InterruptedException {
+        for (ScriptedTarget target : targets.subList(1, NODES)) {
+            target.close();
+        }
+        for (int node = 0; node < NODES; node++) {
+            int caller = node;
+            InProcessMesh.await(() -> isAnswered(caller, "/fine"));
+        }
+    }
+
     private long lateCrashes() {
         assertThat(crashes.size()).isAtLeast(2);
         long fromMillis = crashes.size() < 3 ? Long.MAX_VALUE : crashes.get(2) + PROPAGATION_MILLIS;
