--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -82,6 +82,21 @@
         put(fingerprint, suspect);
     }
 
+    /**
+     * Records that the target next to this node ended while it ran a request, or shortly after that
+     * was cancelled, whichever node had sent it.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param node name of this node
+     * @param nowMillis current time
+     */
+    public void recordTargetEnd(String fingerprint, String node, long nowMillis) {
+        removeExpired(nowMillis);
+        Suspect suspect = suspects.get(fingerprint).orElseGet(Suspect::new);
+        suspect.losses.add(node, nowMillis);
+        put(fingerprint, suspect);
+    }
+
     /**
      * Records that a target answered a request.
      *
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -267,7 +267,9 @@
                                         TenantAuthenticator.create(keyFreshness), quotas),
                                 poisonFilter),
                         timer);
-        HttpHandler targetHandler = PoisonGuard.create(admissionHandler, this::hasTargetEnded);
+        HttpHandler targetHandler =
+                PoisonGuard.create(
+                        poisonFilter, settings.name(), admissionHandler, this::hasTargetEnded);
         HttpHandler inboundHandler =
                 call ->
                         call.headers().contains(MeshHeaders.KEY_HOME)
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -1,5 +1,6 @@
 package org.cuminreach.node.poison;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -120,10 +121,28 @@
                         answered.status());
             }
         }
-        report.ifPresent(changed -> exchange.send(changed, nowMillis));
+        report.ifPresent(changed -> exchange.send(List.of(changed), nowMillis));
         return suspected;
     }
 
+    /**
+     * Records that a target ended while it ran requests.
+     *
+     * @param fingerprints fingerprints of the requests
+     * @param node name of the node next to the target
+     * @param nowMillis current time
+     */
+    void recordTargetEnd(List<String> fingerprints, String node, long nowMillis) {
+        List<SuspectReport> changes = new ArrayList<>();
+        synchronized (this) {
+            for (String fingerprint : fingerprints) {
+                table.recordTargetEnd(fingerprint, node, nowMillis);
+                table.report(fingerprint, nowMillis).ifPresent(changes::add);
+            }
+        }
+        exchange.send(changes, nowMillis);
+    }
+
     private synchronized List<SuspectReport> reports(long nowMillis) {
         return table.reports(nowMillis);
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -14,9 +14,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Notices when the target next to the node ends, and which calls it was running or had just been
- * running. A closed connection alone does not show that a target has ended; one that refuses new
- * connections has. Thread-safe.
+ * Notices when the target next to the node ends, and records the requests that it was running or
+ * had just been running. The nodes that sent them do not see this when their caller has left. A
+ * closed connection alone does not show that a target has ended; one that refuses new connections
+ * has. Thread-safe.
  */
 public final class PoisonGuard implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonGuard.class);
@@ -30,12 +31,20 @@
 
     private static final String CANNOT_CONNECT = "cannot_connect";
 
+    private final PoisonFilter filter;
+    private final String node;
     private final HttpHandler target;
     private final Supplier<CompletableFuture<Boolean>> endCheck;
     private final InterruptedCalls interrupted = new InterruptedCalls();
     private final AtomicBoolean checking = new AtomicBoolean();
 
-    private PoisonGuard(HttpHandler target, Supplier<CompletableFuture<Boolean>> endCheck) {
+    private PoisonGuard(
+            PoisonFilter filter,
+            String node,
+            HttpHandler target,
+            Supplier<CompletableFuture<Boolean>> endCheck) {
+        this.filter = filter;
+        this.node = node;
         this.target = target;
         this.endCheck = endCheck;
     }
@@ -43,13 +52,18 @@
     /**
      * Returns the guard of a target.
      *
+     * @param filter the filter of the node
+     * @param node name of the node
      * @param target passes calls to the target
      * @param endCheck tells whether the target refuses connections
      * @return the guard
      */
     public static PoisonGuard create(
-            HttpHandler target, Supplier<CompletableFuture<Boolean>> endCheck) {
-        return new PoisonGuard(target, endCheck);
+            PoisonFilter filter,
+            String node,
+            HttpHandler target,
+            Supplier<CompletableFuture<Boolean>> endCheck) {
+        return new PoisonGuard(filter, node, target, endCheck);
     }
 
     @Override
@@ -100,5 +114,6 @@
             fingerprints = interrupted.takeAll(nowMillis);
         }
         LOGGER.info("event=target_ended fingerprints={}", fingerprints);
+        filter.recordTargetEnd(fingerprints, node, nowMillis);
     }
 }
--- a/node/src/main/java/org/cuminreach/node/poison/SuspectExchange.java
+++ b/node/src/main/java/org/cuminreach/node/poison/SuspectExchange.java
@@ -35,13 +35,13 @@
         return new SessionListener(listener);
     }
 
-    /** Sends a report, as soon as the control takes it. */
-    void send(SuspectReport report, long nowMillis) {
+    /** Sends reports, as soon as the control takes them. */
+    void send(List<SuspectReport> reports, long nowMillis) {
         synchronized (this) {
             if (control.isEmpty()) {
                 return;
             }
-            unsent.addAll(SuspectCodec.toFrames(List.of(report)));
+            unsent.addAll(SuspectCodec.toFrames(reports));
         }
         onTimer(nowMillis);
     }
