--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -9,10 +9,10 @@
 /**
  * Detects poison requests: requests whose targets crash while running them, by fingerprint. A
  * request is refused for a limited time once this node has lost {@value #LOSSES_BEFORE_REFUSAL}
- * different targets under it, or all nodes together have lost three, without an answer in between;
- * after that, one more loss refuses it again, for longer. An answer to any node clears the record,
- * so that requests that merely ran on the same target at the same time as a poison request are not
- * refused. Not thread-safe.
+ * different targets under it, or all nodes together have lost three, or one target has ended three
+ * times, without an answer in between; after that, one more loss refuses it again, for longer. An
+ * answer to any node clears the record, so that requests that merely ran on the same target at the
+ * same time as a poison request are not refused. Not thread-safe.
  */
 public final class PoisonRequestTable {
     /** Number of different targets lost by a request at one node after which it is refused. */
@@ -78,7 +78,7 @@
         if (suspect.targetsLostHere.size() < LOSSES_BEFORE_REFUSAL) {
             suspect.targetsLostHere.add(node);
         }
-        suspect.losses.add(node, nowMillis);
+        suspect.losses.add(node, nowMillis, false);
         put(fingerprint, suspect);
     }
 
@@ -93,7 +93,7 @@
     public void recordTargetEnd(String fingerprint, String node, long nowMillis) {
         removeExpired(nowMillis);
         Suspect suspect = suspects.get(fingerprint).orElseGet(Suspect::new);
-        suspect.losses.add(node, nowMillis);
+        suspect.losses.add(node, nowMillis, true);
         put(fingerprint, suspect);
     }
 
--- a/wire/mesh.thrift
+++ b/wire/mesh.thrift
@@ -109,7 +109,8 @@
 
 # Requests under which targets were lost. Sent only to processes that have said in their hello or
 # welcome that they share them. A request with answeredAgeMillis was answered that long ago.
-struct TargetLossStruct { 1: required string target, 2: required i64 ageMillis }
+# targetEnded is set if the node next to the target saw it end.
+struct TargetLossStruct { 1: required string target, 2: required i64 ageMillis, 3: optional bool targetEnded }
 struct SuspectStruct { 1: required string fingerprint, 2: optional list<TargetLossStruct> losses, 3: optional i64 answeredAgeMillis }
 struct SuspectBatch { 1: required list<SuspectStruct> suspects }
 
--- a/wire/src/main/java/org/cuminreach/wire/SuspectCodec.java
+++ b/wire/src/main/java/org/cuminreach/wire/SuspectCodec.java
@@ -60,18 +60,17 @@
         SuspectStruct struct = new SuspectStruct(report.fingerprint());
         return switch (report) {
             case SuspectReport.Lost lost ->
-                    struct.setLosses(
-                            lost.losses().stream()
-                                    .map(
-                                            loss ->
-                                                    new TargetLossStruct(
-                                                            loss.target(), loss.ageMillis()))
-                                    .toList());
+                    struct.setLosses(lost.losses().stream().map(SuspectCodec::toStruct).toList());
             case SuspectReport.Answered answered ->
                     struct.setAnsweredAgeMillis(answered.ageMillis());
         };
     }
 
+    private static TargetLossStruct toStruct(TargetLoss loss) {
+        TargetLossStruct struct = new TargetLossStruct(loss.target(), loss.ageMillis());
+        return loss.targetEnded() ? struct.setTargetEnded(true) : struct;
+    }
+
     private static SuspectReport toReport(SuspectStruct struct) throws MalformedFrameException {
         String fingerprint = checkedText(struct.getFingerprint());
         if (struct.isSetAnsweredAgeMillis()) {
@@ -84,7 +83,10 @@
         List<TargetLoss> losses = new ArrayList<>();
         for (TargetLossStruct loss : struct.getLosses()) {
             losses.add(
-                    new TargetLoss(checkedText(loss.getTarget()), checkedAge(loss.getAgeMillis())));
+                    new TargetLoss(
+                            checkedText(loss.getTarget()),
+                            checkedAge(loss.getAgeMillis()),
+                            loss.isTargetEnded()));
         }
         return new SuspectReport.Lost(fingerprint, losses);
     }
