--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -227,7 +227,7 @@
         long nowMillis = ProcessClock.monotonicMillis();
         OptionalLong refused = poisonFilter.remainingRefusalMillis(attempts.call(), nowMillis);
         if (refused.isPresent()) {
-            return FinalAnswers.refuse(attempts, "poisonous", refused.getAsLong());
+            return FinalAnswers.refuse(attempts, PoisonFilter.REFUSAL_REASON, refused.getAsLong());
         }
         if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
             return FinalAnswers.refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -18,6 +18,9 @@
  * targets of other nodes. Thread-safe.
  */
 public final class PoisonFilter {
+    /** Reason code of requests that are refused since they crash their targets. */
+    public static final String REFUSAL_REASON = "poisonous";
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonFilter.class);
 
     /** Failures that a running target or the caller can cause as well, so no sign of a crash. */
@@ -143,6 +146,11 @@
         exchange.send(changes, nowMillis);
     }
 
+    /** Tells whether a target was lost under a request that has not been answered since. */
+    synchronized boolean isSuspect(HttpCall call) {
+        return table.isSuspect(RequestFingerprint.of(call));
+    }
+
     private synchronized List<SuspectReport> reports(long nowMillis) {
         return table.reports(nowMillis);
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -1,10 +1,13 @@
 package org.cuminreach.node.poison;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -17,7 +20,7 @@
  * Notices when the target next to the node ends, and records the requests that it was running or
  * had just been running. The nodes that sent them do not see this when their caller has left. A
  * closed connection alone does not show that a target has ended; one that refuses new connections
- * has. Thread-safe.
+ * has. Calls of nodes that do not know that a request crashes its targets are refused. Thread-safe.
  */
 public final class PoisonGuard implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonGuard.class);
@@ -30,6 +33,7 @@
     private static final Set<String> CANCELLED = Set.of("abandoned", "timeout");
 
     private static final String CANNOT_CONNECT = "cannot_connect";
+    private static final int UNAVAILABLE = 503;
 
     private final PoisonFilter filter;
     private final String node;
@@ -68,6 +72,19 @@
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
+        OptionalLong refused = filter.remainingRefusalMillis(call, ProcessClock.monotonicMillis());
+        if (refused.isPresent()) {
+            LOGGER.info(
+                    "event=call_refused request={} reason={} retry_after_ms={}",
+                    call.header(MeshHeaders.REQUEST_ID, ""),
+                    PoisonFilter.REFUSAL_REASON,
+                    refused.getAsLong());
+            return CompletableFuture.completedFuture(
+                    CallAnswers.notRun(
+                            UNAVAILABLE,
+                            PoisonFilter.REFUSAL_REASON,
+                            Optional.of(refused.getAsLong())));
+        }
         return target.handle(call).thenApply(answer -> observe(call, answer));
     }
 
