--- a/decisions/src/main/java/org/cuminreach/decisions/poison/LossHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/LossHistory.java
@@ -53,6 +53,12 @@
         return true;
     }
 
+    /** Tells whether there is a loss besides that of a target at a time. */
+    boolean hasOther(String target, long atMillis) {
+        Loss known = new Loss(target, atMillis, false);
+        return losses.stream().anyMatch(loss -> !loss.isSameAs(known));
+    }
+
     private boolean replaceUncertain(Loss known, Loss certain) {
         if (known.targetEnded()) {
             return false;
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -161,12 +161,26 @@
      * Tells whether a request lost a target and has not been answered since.
      *
      * @param fingerprint fingerprint of the request
-     * @return true when its losses are no evidence against the version that ran it
+     * @return true until it is answered
      */
     public boolean isSuspect(String fingerprint) {
         return suspects.get(fingerprint).isPresent();
     }
 
+    /**
+     * Tells whether a request has lost a target before a loss that this node has just noticed.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param node name of the node next to the target that was lost now
+     * @param nowMillis time of that loss
+     * @return true when the loss is no evidence against the version that ran the request
+     */
+    public boolean hasEarlierLoss(String fingerprint, String node, long nowMillis) {
+        return suspects.get(fingerprint)
+                .filter(suspect -> suspect.losses.hasOther(node, nowMillis))
+                .isPresent();
+    }
+
     /**
      * Returns for how long a request is still refused.
      *
--- a/decisions/src/test/java/org/cuminreach/decisions/poison/PoisonRequestTableTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/poison/PoisonRequestTableTest.java
@@ -188,6 +188,16 @@
         assertThat(table.isEmpty()).isTrue();
     }
 
+    @Example
+    void lossThatTheTargetsNodeReportedFirstIsNoEarlierLoss() {
+        PoisonRequestTable table = PoisonRequestTable.empty();
+        table.recordTargetEnd(POISON, "node-1", 1_000);
+        assertThat(table.hasEarlierLoss(POISON, "node-1", 1_005)).isFalse();
+        assertThat(table.hasEarlierLoss(POISON, "node-2", 1_005)).isTrue();
+        assertThat(table.hasEarlierLoss(POISON, "node-1", 5_000)).isTrue();
+        assertThat(table.hasEarlierLoss("other", "node-1", 5_000)).isFalse();
+    }
+
     private static SuspectReport lost(TargetLoss... losses) {
         return new SuspectReport.Lost(POISON, List.of(losses));
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -88,19 +88,21 @@
      * @param node name of the node next to the target
      * @param outcome outcome of the attempt
      * @param nowMillis current time
-     * @return whether the call was suspected before the attempt
+     * @return whether the outcome is no evidence about the version, since the request has lost a
+     *     target before
      */
     public boolean record(
             HttpCall call, String requestId, String node, AttemptOutcome outcome, long nowMillis) {
         Optional<SuspectReport> report = Optional.empty();
-        boolean suspected;
+        boolean excused;
         synchronized (this) {
             boolean lost = isLoss(outcome);
             if (table.isEmpty() && !lost) {
                 return false;
             }
             String fingerprint = RequestFingerprint.of(call);
-            suspected = table.isSuspect(fingerprint);
+            boolean suspected = table.isSuspect(fingerprint);
+            excused = lost ? table.hasEarlierLoss(fingerprint, node, nowMillis) : suspected;
             if (lost) {
                 table.recordLoss(fingerprint, node, nowMillis);
                 report = table.report(fingerprint, nowMillis);
@@ -125,7 +127,7 @@
             }
         }
         report.ifPresent(changed -> exchange.send(List.of(changed), nowMillis));
-        return suspected;
+        return excused;
     }
 
     /**
--- /dev/null
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
@@ -0,0 +1,29 @@
+package org.cuminreach.node.poison;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.cuminreach.decisions.retry.AttemptOutcome;
+import org.cuminreach.runtime.http.HttpCall;
+
+class PoisonFilterTest {
+    private static final AttemptOutcome LOST = new AttemptOutcome.MayHaveRun("connection_closed");
+    private static final HttpCall CALL =
+            new HttpCall("GET", "/poison", new DefaultHttpHeaders(), new byte[0], "127.0.0.1");
+
+    private final PoisonFilter filter = PoisonFilter.create();
+
+    @Example
+    void lossThatTheTargetsNodeReportedFirstIsEvidenceAgainstTheVersion() {
+        filter.recordTargetEnd(List.of(RequestFingerprint.of(CALL)), "node-1", 1_000);
+
+        assertThat(record("node-1", LOST, 1_005)).isFalse();
+        assertThat(record("node-2", LOST, 1_200)).isTrue();
+    }
+
+    private boolean record(String node, AttemptOutcome outcome, long nowMillis) {
+        return filter.record(CALL, "request", node, outcome, nowMillis);
+    }
+}
