--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -8,6 +8,7 @@
 import org.cuminreach.decisions.poison.PoisonRequestTable;
 import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.decisions.retry.AttemptOutcome;
+import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.wire.frame.FrameListener;
 import org.slf4j.Logger;
@@ -101,8 +102,8 @@
                 return false;
             }
             String fingerprint = RequestFingerprint.of(call);
-            boolean suspected = table.isSuspect(fingerprint);
-            excused = lost ? table.hasEarlierLoss(fingerprint, node, nowMillis) : suspected;
+            boolean cleared = isAnsweredWithoutFailure(outcome) && table.isSuspect(fingerprint);
+            excused = lost ? table.hasEarlierLoss(fingerprint, node, nowMillis) : cleared;
             if (lost) {
                 table.recordLoss(fingerprint, node, nowMillis);
                 report = table.report(fingerprint, nowMillis);
@@ -115,15 +116,15 @@
                         outcome,
                         report.map(SuspectReport::targets).orElse(List.of()),
                         table.remainingRefusalMillis(fingerprint, nowMillis).isPresent());
-            } else if (suspected && outcome instanceof AttemptOutcome.Answered answered) {
+            } else if (cleared) {
                 table.recordAnswer(fingerprint);
                 report = Optional.of(new SuspectReport.Answered(fingerprint, 0));
                 LOGGER.info(
-                        "event=request_cleared request={} fingerprint={} node={} status={}",
+                        "event=request_cleared request={} fingerprint={} node={} outcome={}",
                         requestId,
                         fingerprint,
                         node,
-                        answered.status());
+                        outcome);
             }
         }
         report.ifPresent(changed -> exchange.send(List.of(changed), nowMillis));
@@ -177,6 +178,11 @@
         return table.refusedCount(nowMillis);
     }
 
+    private static boolean isAnsweredWithoutFailure(AttemptOutcome outcome) {
+        return outcome instanceof AttemptOutcome.Answered answered
+                && !CallAnswers.isFailure(answered.status());
+    }
+
     private static boolean isLoss(AttemptOutcome outcome) {
         return outcome instanceof AttemptOutcome.MayHaveRun unanswered
                 && !NON_CRASH_REASONS.contains(unanswered.reason());
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
@@ -23,6 +23,32 @@
         assertThat(record("node-2", LOST, 1_200)).isTrue();
     }
 
+    @Example
+    void failureInAnAnswerDoesNotClearARequestThatCrashesItsTargets() {
+        record("node-1", LOST, 1_000);
+        record("node-2", new AttemptOutcome.Answered(500), 2_000);
+        record("node-2", LOST, 3_000);
+
+        assertThat(filter.remainingRefusalMillis(CALL, 3_000).isPresent()).isTrue();
+    }
+
+    @Example
+    void failuresInAnswersToASuspectedRequestAreEvidenceAgainstTheVersion() {
+        record("node-1", LOST, 1_000);
+
+        assertThat(record("node-2", new AttemptOutcome.Answered(500), 2_000)).isFalse();
+        assertThat(record("node-2", new AttemptOutcome.Answered(500), 3_000)).isFalse();
+    }
+
+    @Example
+    void successfulAnswerClearsARequest() {
+        record("node-1", LOST, 1_000);
+        record("node-2", new AttemptOutcome.Answered(200), 2_000);
+        record("node-2", LOST, 3_000);
+
+        assertThat(filter.remainingRefusalMillis(CALL, 3_000).isPresent()).isFalse();
+    }
+
     private boolean record(String node, AttemptOutcome outcome, long nowMillis) {
         return filter.record(CALL, "request", node, outcome, nowMillis);
     }
