--- a/decisions/src/main/java/org/cuminreach/decisions/retry/RetryBudget.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/retry/RetryBudget.java
@@ -10,7 +10,7 @@
     private static final int MAX_RESERVE = 100;
     private static final int INITIAL_RESERVE = 10;
 
-    private final int maxBalance;
+    private int maxBalance;
     private int balance;
 
     private RetryBudget(int initialRetries, int maxRetries) {
@@ -38,6 +38,16 @@
         return new RetryBudget(retries, retries);
     }
 
+    /**
+     * Changes the maximum reserve.
+     *
+     * @param retries the maximum; a larger balance is reduced to it
+     */
+    synchronized void limitReserve(int retries) {
+        maxBalance = retries * COST_PER_RETRY;
+        balance = Math.min(balance, maxBalance);
+    }
+
     /** Adds the credit of a new call. */
     public synchronized void deposit() {
         balance = Math.min(maxBalance, balance + CREDIT_PER_CALL);
--- a/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/retry/RetryPolicyTest.java
@@ -92,27 +92,35 @@
         assertThat(retries).isAtMost(10 + calls / 10);
     }
 
-    /**
-     * Simulates 24 nodes whose calls to a service all fail at once after a long time of success.
-     */
     @Example
     void retriesOfAllNodesTogetherAreBounded() {
+        assertThat(retriesWhenAllCallsFail(24, 100)).isAtMost(24 * 100 / 5 + 64);
+    }
+
+    @Example
+    void reservesOfManyNodesWithFewCallsAreBoundedTogether() {
+        assertThat(retriesWhenAllCallsFail(84, 1)).isAtMost(84 / 5 + 208);
+    }
+
+    /**
+     * Returns the retries of all nodes whose calls to a service all fail at once after a long time
+     * of success.
+     */
+    private static int retriesWhenAllCallsFail(int nodes, int callsOfEachNode) {
         int retries = 0;
-        int calls = 0;
-        for (int node = 0; node < 24; node++) {
-            RetryBudget budget = ServiceRetryBudgets.create().forService("verksted");
+        for (int node = 0; node < nodes; node++) {
+            RetryBudget budget = ServiceRetryBudgets.create(() -> nodes).forService("verksted");
             for (int earlierCall = 0; earlierCall < 10_000; earlierCall++) {
                 budget.deposit();
             }
-            for (int call = 0; call < 100; call++) {
+            for (int call = 0; call < callsOfEachNode; call++) {
                 budget.deposit();
-                calls++;
                 while (budget.tryWithdraw()) {
                     retries++;
                 }
             }
         }
-        assertThat(retries).isAtMost(calls / 5 + 64);
+        return retries;
     }
 
     @Example
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -54,7 +54,7 @@
     private final CallDeduplicator deduplicator;
     private final ScheduledExecutorService timer;
     private final RouteStatistics routeStatistics = new RouteStatistics();
-    private final ServiceRetryBudgets budgets = ServiceRetryBudgets.create();
+    private final ServiceRetryBudgets budgets;
     private final SplitSelector splits = new SplitSelector();
     private final PoisonFilter poisonFilter;
     private final RouteTableCache routes;
@@ -81,6 +81,7 @@
         this.deduplicator = deduplicator;
         this.poisonFilter = checks.poisonFilter();
         this.timer = timer;
+        this.budgets = ServiceRetryBudgets.create(view::readyCount);
         this.hedges = new HedgeScheduler(routeStatistics, budgets, timer);
     }
 
