--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -83,24 +83,19 @@
         }
     }
 
-    private final ControlProcess control;
-    private final Address controlAddress;
-    private final Address operatorAddress;
+    private final ControlSettings controlSettings;
     private final Layout layout;
     private final List<NodeSettings> settings = new ArrayList<>();
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final EventLoopGroup eventLoops = EventLoops.start(1);
     private final HttpSender sender = HttpSender.create(eventLoops);
 
-    private InProcessMesh(
-            ControlProcess control,
-            Address controlAddress,
-            Address operatorAddress,
-            Layout layout) {
-        this.control = control;
-        this.controlAddress = controlAddress;
-        this.operatorAddress = operatorAddress;
+    private ControlProcess control;
+
+    private InProcessMesh(ControlSettings controlSettings, Layout layout) throws IOException {
+        this.controlSettings = controlSettings;
         this.layout = layout;
+        control = ControlProcess.start(controlSettings);
     }
 
     /**
@@ -136,12 +131,7 @@
             throws IOException, InterruptedException {
         ControlSettings settings = controlSettings(folder);
         initialise(settings);
-        InProcessMesh mesh =
-                new InProcessMesh(
-                        ControlProcess.start(settings),
-                        settings.nodeAddress(),
-                        settings.operatorAddress(),
-                        layout);
+        InProcessMesh mesh = new InProcessMesh(settings, layout);
         mesh.submit(settings.operatorAddress(), timeoutMillis);
         for (int target = 0; target < targets.size(); target++) {
             mesh.startNode(targets.get(target), layout.dataCentres().get(target));
@@ -170,7 +160,7 @@
                         FreeAddresses.next(),
                         FreeAddresses.next(),
                         FreeAddresses.next(),
-                        List.of(controlAddress),
+                        List.of(controlSettings.nodeAddress()),
                         Optional.of(new NodeSettings.Target(SERVICE, VERSION, target, SLOTS)),
                         false,
                         SHUTDOWN_DELAY_MILLIS,
@@ -200,6 +190,17 @@
         nodes.set(node, NodeProcess.start(settings.get(node)));
     }
 
+    /**
+     * Stops the control and starts it again on the same folder.
+     *
+     * @throws IOException if its folder or addresses cannot be used
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public void restartControl() throws IOException, InterruptedException {
+        control.stop();
+        control = ControlProcess.start(controlSettings);
+    }
+
     /**
      * Starts or ends the evacuation of a data centre.
      *
@@ -211,7 +212,9 @@
         String uri = "/evacuations?" + (evacuate ? "start=" : "end=") + dataCentre;
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", HOST);
         HttpCall call = new HttpCall("POST", uri, headers, new byte[0], "127.0.0.1");
-        SendOutcome sent = sender.send(operatorAddress, call, headers, MAX_WAIT_MILLIS).join();
+        SendOutcome sent =
+                sender.send(controlSettings.operatorAddress(), call, headers, MAX_WAIT_MILLIS)
+                        .join();
         return sent instanceof SendOutcome.Completed completed ? completed.answer().status() : 0;
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
@@ -116,6 +116,22 @@
         assertThat(crashes.size() - before).isAtMost(MAX_LATE_RUNS);
     }
 
+    @Example
+    void restartedNodesStillRefuseRequestThatARestartedControlLearnedFromNodes() throws Exception {
+        startMesh();
+        closeAllTargetsButOne();
+        sendPoison(50, PROPAGATION_MILLIS + 2_000);
+        int before = crashes.size();
+
+        mesh.restartControl();
+        sendPoison(150, 4_000);
+        restartAllNodes();
+        sendPoison(150, 4_000);
+
+        assertThat(crashes.size() - before).isAtMost(MAX_LATE_RUNS);
+        awaitSoundAnswers();
+    }
+
     @Example
     void poisonRequestWhoseCallersLeaveDoesNotCrashTargetAfterTarget() throws Exception {
         startMesh();
