--- a/decisions/src/main/java/org/cuminreach/decisions/poison/LossHistory.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/LossHistory.java
@@ -16,13 +16,13 @@
     /** Losses after which a request is refused by the whole mesh. */
     static final int LOSSES_IN_MESH = 3;
 
-    /** Targets of which connections must be lost if fewer ends than necessary are certain. */
+    /** Minimum number of different targets lost, unless enough losses are certain. */
     private static final int MIN_LOST_TARGETS = 2;
 
     /** Time that a target needs at least to start again, in milliseconds. */
     private static final long MIN_RESTART_MILLIS = 500;
 
-    /** Time by which the nodes at both ends of a connection notice a loss apart at most. */
+    /** Maximum time between the notices of one loss by two nodes, in milliseconds. */
     private static final long MAX_NOTICE_SKEW_MILLIS = 2_000;
 
     /** Losses that are kept; more of them do not lengthen the refusal. */
