--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -12,7 +12,8 @@
  * different targets under it, or all nodes together have lost three, or one target has ended three
  * times, without an answer in between; after that, one more loss refuses it again, for longer. An
  * answer to any node clears the record, so that requests that merely ran on the same target at the
- * same time as a poison request are not refused. Not thread-safe.
+ * same time as a poison request are not refused. Only answers that tell no failure are recorded.
+ * Not thread-safe.
  */
 public final class PoisonRequestTable {
     /** Number of different targets lost by a request at one node after which it is refused. */
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -149,11 +149,6 @@
         exchange.send(changes, nowMillis);
     }
 
-    /** Tells whether a target was lost under a request that has not been answered since. */
-    synchronized boolean isSuspect(HttpCall call) {
-        return table.isSuspect(RequestFingerprint.of(call));
-    }
-
     private synchronized List<SuspectReport> reports(long nowMillis) {
         return table.reports(nowMillis);
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -3,12 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.target.TargetClient;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
@@ -25,14 +25,6 @@
 public final class PoisonGuard implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonGuard.class);
 
-    /** Reasons of calls whose connection the target closed. */
-    private static final Set<String> CLOSED_BY_TARGET =
-            Set.of("connection_closed", "connection_lost");
-
-    /** Reasons of calls whose connection the node closed while the target ran them. */
-    private static final Set<String> CANCELLED = Set.of("abandoned", "timeout");
-
-    private static final String CANNOT_CONNECT = "cannot_connect";
     private static final int UNAVAILABLE = 503;
 
     private final PoisonFilter filter;
@@ -92,13 +84,14 @@
         String reason = answer.headers().get(MeshHeaders.REASON, "");
         boolean mayHaveRun =
                 MeshHeaders.MAY_HAVE_RUN.equals(answer.headers().get(MeshHeaders.OUTCOME));
-        if (mayHaveRun && (CLOSED_BY_TARGET.contains(reason) || CANCELLED.contains(reason))) {
+        boolean closedByTarget = mayHaveRun && TargetClient.CLOSED_BY_TARGET.contains(reason);
+        if (closedByTarget || (mayHaveRun && TargetClient.CANCELLED.contains(reason))) {
             String fingerprint = RequestFingerprint.of(call);
             synchronized (interrupted) {
                 interrupted.add(fingerprint, ProcessClock.monotonicMillis());
             }
         }
-        if (reason.equals(CANNOT_CONNECT) || mayHaveRun && CLOSED_BY_TARGET.contains(reason)) {
+        if (closedByTarget || reason.equals(TargetClient.CANNOT_CONNECT)) {
             checkWhetherEnded();
         }
         return answer;
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -20,6 +20,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.ProcessClock;
@@ -41,7 +42,15 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Reason of a call that was not sent because no connection could be made. */
-    static final String CANNOT_CONNECT = "cannot_connect";
+    public static final String CANNOT_CONNECT = "cannot_connect";
+
+    /** Reasons of calls whose connection the target closed while it ran them. */
+    public static final Set<String> CLOSED_BY_TARGET =
+            Set.of(TargetConnection.CLOSED, TargetConnection.BROKEN);
+
+    /** Reasons of calls whose connection this client closed while the target ran them. */
+    public static final Set<String> CANCELLED =
+            Set.of(TargetExchange.ABANDONED, TargetExchange.TIMED_OUT);
 
     /** Maximum size of the headers of an answer: twice as much as callers may send. */
     private static final int MAX_HEADER_BYTES = 32 * 1024;
@@ -83,7 +92,8 @@
             ExpectedAnswer expected,
             long timeoutMillis) {
         if (call.abandoned().isDone()) {
-            return CompletableFuture.completedFuture(new SendOutcome.NotSent("abandoned"));
+            return CompletableFuture.completedFuture(
+                    new SendOutcome.NotSent(TargetExchange.ABANDONED));
         }
         TargetExchange exchange = new TargetExchange(call, headers, expected, timeoutMillis);
         Optional<TargetConnection> reused =
@@ -93,7 +103,7 @@
         } else {
             connect(address, exchange);
         }
-        call.abandoned().thenRun(() -> exchange.cancel("abandoned"));
+        call.abandoned().thenRun(() -> exchange.cancel(TargetExchange.ABANDONED));
         return exchange.outcome();
     }
 
--- a/node/src/main/java/org/cuminreach/node/target/TargetExchange.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetExchange.java
@@ -7,6 +7,9 @@
 
 /** A call to a target and its outcome, which is set once. */
 final class TargetExchange {
+    static final String ABANDONED = "abandoned";
+    static final String TIMED_OUT = "timeout";
+
     private final HttpCall call;
     private final HttpHeaders headers;
     private final ExpectedAnswer expected;
