--- a/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
@@ -24,7 +24,7 @@
     }
 
     @Example
-    void failureInAnAnswerDoesNotClearARequestThatCrashesItsTargets() {
+    void failedAnswerDoesNotClearRequestThatCrashesItsTargets() {
         record("node-1", LOST, 1_000);
         record("node-2", new AttemptOutcome.Answered(500), 2_000);
         record("node-2", LOST, 3_000);
@@ -33,7 +33,7 @@
     }
 
     @Example
-    void failuresInAnswersToASuspectedRequestAreEvidenceAgainstTheVersion() {
+    void failedAnswersToSuspectedRequestAreEvidenceAgainstTheVersion() {
         record("node-1", LOST, 1_000);
 
         assertThat(record("node-2", new AttemptOutcome.Answered(500), 2_000)).isFalse();
@@ -41,7 +41,7 @@
     }
 
     @Example
-    void successfulAnswerClearsARequest() {
+    void successfulAnswerClearsRequest() {
         record("node-1", LOST, 1_000);
         record("node-2", new AttemptOutcome.Answered(200), 2_000);
         record("node-2", LOST, 3_000);
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
@@ -64,7 +64,7 @@
     }
 
     @Example
-    void callWhoseConnectionIsClosedByARunningTargetIsNotRecorded() {
+    void callWhoseConnectionIsClosedByRunningTargetIsNotRecorded() {
         handle("/fine", CallAnswers.mayHaveRun("connection_closed"), false);
         handle("/late", CallAnswers.mayHaveRun("timeout"), false);
 
--- a/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/PoisonRequestsOnNodesTest.java
@@ -117,7 +117,7 @@
     }
 
     @Example
-    void restartedNodesStillRefuseRequestThatARestartedControlLearnedFromNodes() throws Exception {
+    void restartedNodesStillRefuseRequestThatRestartedControlLearnedFromNodes() throws Exception {
         startMesh();
         closeAllTargetsButOne();
         sendPoison(50, PROPAGATION_MILLIS + 2_000);
