--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -89,12 +89,12 @@
      *
      * @param fingerprint fingerprint of the request
      * @param node name of this node
-     * @param nowMillis current time
+     * @param atMillis time at which the request was interrupted
      */
-    public void recordTargetEnd(String fingerprint, String node, long nowMillis) {
-        removeExpired(nowMillis);
+    public void recordTargetEnd(String fingerprint, String node, long atMillis) {
+        removeExpired(atMillis);
         Suspect suspect = suspects.get(fingerprint).orElseGet(Suspect::new);
-        suspect.losses.add(node, nowMillis, true);
+        suspect.losses.add(node, atMillis, true);
         put(fingerprint, suspect);
     }
 
--- a/node/src/main/java/org/cuminreach/node/poison/InterruptedCalls.java
+++ b/node/src/main/java/org/cuminreach/node/poison/InterruptedCalls.java
@@ -2,7 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
  * Calls that a target began to run and did not answer a short time ago, by fingerprint. If it turns
@@ -31,13 +32,13 @@
         return calls.isEmpty();
     }
 
-    /** Removes all calls and returns the fingerprint of each request once. */
-    List<String> takeAll(long nowMillis) {
+    /** Removes all calls; returns for each fingerprint when its last call was interrupted. */
+    Map<String, Long> takeAll(long nowMillis) {
         removeExpired(nowMillis);
-        List<String> fingerprints =
-                calls.stream().map(Interrupted::fingerprint).distinct().toList();
+        Map<String, Long> interruptedMillis = new LinkedHashMap<>();
+        calls.forEach(call -> interruptedMillis.put(call.fingerprint(), call.atMillis()));
         calls.clear();
-        return fingerprints;
+        return interruptedMillis;
     }
 
     private void removeExpired(long nowMillis) {
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -132,19 +133,21 @@
     }
 
     /**
-     * Records that a target ended while it ran requests.
+     * Records that a target ended while it ran requests. An answer that any node got after the
+     * request was interrupted clears it, however late the end of the target was certain.
      *
-     * @param fingerprints fingerprints of the requests
+     * @param interruptedMillis when each request was interrupted, by fingerprint
      * @param node name of the node next to the target
      * @param nowMillis current time
      */
-    void recordTargetEnd(List<String> fingerprints, String node, long nowMillis) {
+    void recordTargetEnd(Map<String, Long> interruptedMillis, String node, long nowMillis) {
         List<SuspectReport> changes = new ArrayList<>();
         synchronized (this) {
-            for (String fingerprint : fingerprints) {
-                table.recordTargetEnd(fingerprint, node, nowMillis);
-                table.report(fingerprint, nowMillis).ifPresent(changes::add);
-            }
+            interruptedMillis.forEach(
+                    (fingerprint, atMillis) -> {
+                        table.recordTargetEnd(fingerprint, node, atMillis);
+                        table.report(fingerprint, nowMillis).ifPresent(changes::add);
+                    });
         }
         exchange.send(changes, nowMillis);
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -1,11 +1,12 @@
 package org.cuminreach.node.poison;
 
-import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.target.TargetClient;
@@ -20,7 +21,8 @@
  * Notices when the target next to the node ends, and records the requests that it was running or
  * had just been running. The nodes that sent them do not see this when their caller has left. A
  * closed connection alone does not show that a target has ended; one that refuses new connections
- * has. Calls of nodes that do not know that a request crashes its targets are refused. Thread-safe.
+ * has. Answers of the target clear what was recorded. Calls of nodes that do not know that a
+ * request crashes its targets are refused. Thread-safe.
  */
 public final class PoisonGuard implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(PoisonGuard.class);
@@ -84,6 +86,15 @@
         String reason = answer.headers().get(MeshHeaders.REASON, "");
         boolean mayHaveRun =
                 MeshHeaders.MAY_HAVE_RUN.equals(answer.headers().get(MeshHeaders.OUTCOME));
+        if (MeshHeaders.ANSWERED.equals(answer.headers().get(MeshHeaders.OUTCOME))) {
+            filter.record(
+                    call,
+                    call.header(MeshHeaders.REQUEST_ID, ""),
+                    node,
+                    new AttemptOutcome.Answered(answer.status()),
+                    ProcessClock.monotonicMillis());
+            return answer;
+        }
         boolean closedByTarget = mayHaveRun && TargetClient.CLOSED_BY_TARGET.contains(reason);
         if (closedByTarget || (mayHaveRun && TargetClient.CANCELLED.contains(reason))) {
             String fingerprint = RequestFingerprint.of(call);
@@ -119,11 +130,11 @@
     }
 
     private void recordEnd(long nowMillis) {
-        List<String> fingerprints;
+        Map<String, Long> interruptedMillis;
         synchronized (interrupted) {
-            fingerprints = interrupted.takeAll(nowMillis);
+            interruptedMillis = interrupted.takeAll(nowMillis);
         }
-        LOGGER.info("event=target_ended fingerprints={}", fingerprints);
-        filter.recordTargetEnd(fingerprints, node, nowMillis);
+        LOGGER.info("event=target_ended fingerprints={}", interruptedMillis.keySet());
+        filter.recordTargetEnd(interruptedMillis, node, nowMillis);
     }
 }
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
@@ -3,7 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Example;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.runtime.http.HttpCall;
@@ -17,7 +17,7 @@
 
     @Example
     void lossThatTheTargetsNodeReportedFirstIsEvidenceAgainstTheVersion() {
-        filter.recordTargetEnd(List.of(RequestFingerprint.of(CALL)), "node-1", 1_000);
+        filter.recordTargetEnd(Map.of(RequestFingerprint.of(CALL), 1_000L), "node-1", 1_000);
 
         assertThat(record("node-1", LOST, 1_005)).isFalse();
         assertThat(record("node-2", LOST, 1_200)).isTrue();
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
@@ -22,16 +22,9 @@
     private final PoisonFilter filter = PoisonFilter.create();
     private final List<HttpCall> passed = new ArrayList<>();
     private HttpAnswer nextAnswer = HttpAnswer.of(200, "text/plain", "fine");
-    private boolean targetEnded;
+    private CompletableFuture<Boolean> targetEnded = CompletableFuture.completedFuture(false);
     private final PoisonGuard guard =
-            PoisonGuard.create(
-                    filter,
-                    NODE,
-                    call -> {
-                        passed.add(call);
-                        return CompletableFuture.completedFuture(nextAnswer);
-                    },
-                    () -> CompletableFuture.completedFuture(targetEnded));
+            PoisonGuard.create(filter, NODE, this::answer, () -> targetEnded);
 
     @Example
     void requestThatLostThreeTargetsIsRefusedThoughItsSenderDoesNotKnow() {
@@ -83,9 +76,44 @@
         assertThat(isSuspect("/cut")).isTrue();
     }
 
+    @Example
+    void endThatIsCertainLateCountsFromTheInterruptionOfTheCall() throws Exception {
+        long nowMillis = ProcessClock.monotonicMillis();
+        targetEnded = new CompletableFuture<>();
+        nextAnswer = CallAnswers.mayHaveRun("connection_closed");
+        guard.handle(call("/other")).join();
+        filter.record(call("/other"), "request", "node-2", LOST, nowMillis - 9_000);
+        filter.record(call("/other"), "request", "node-3", LOST, nowMillis - 9_000);
+        Thread.sleep(300);
+        targetEnded.complete(true);
+
+        long confirmedMillis = ProcessClock.monotonicMillis();
+        assertThat(filter.remainingRefusalMillis(call("/other"), confirmedMillis).getAsLong())
+                .isAtMost(59_750);
+    }
+
+    @Example
+    void answerOfTheTargetClearsTheRecordOfItsNode() {
+        handle("/fine", CallAnswers.mayHaveRun("connection_closed"), true);
+        handle("/fine", answered(500), false);
+        handle("/fine", answered(200), false);
+
+        assertThat(isSuspect("/fine")).isFalse();
+    }
+
+    private static HttpAnswer answered(int status) {
+        return HttpAnswer.of(status, "text/plain", "x")
+                .setHeader(MeshHeaders.OUTCOME, MeshHeaders.ANSWERED);
+    }
+
+    private CompletableFuture<HttpAnswer> answer(HttpCall call) {
+        passed.add(call);
+        return CompletableFuture.completedFuture(nextAnswer);
+    }
+
     private void handle(String path, HttpAnswer answer, boolean ended) {
         nextAnswer = answer;
-        targetEnded = ended;
+        targetEnded = CompletableFuture.completedFuture(ended);
         guard.handle(call(path)).join();
     }
 
