--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -168,7 +168,7 @@
     private static boolean areFree(int first) {
         for (int port = first; port < first + PORTS; port++) {
             try (ServerSocket socket = new ServerSocket()) {
-                socket.bind(new InetSocketAddress(port));
+                socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             } catch (IOException busy) {
                 return false;
             }
