--- a/control/src/main/java/org/cuminreach/control/replica/MembershipManager.java
+++ b/control/src/main/java/org/cuminreach/control/replica/MembershipManager.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.cuminreach.decisions.agreement.Member;
+import org.cuminreach.decisions.agreement.Membership;
 import org.cuminreach.decisions.agreement.MembershipPolicy;
 import org.cuminreach.decisions.agreement.MembershipRequest;
 import org.cuminreach.settings.Address;
@@ -17,18 +20,13 @@
 public final class MembershipManager {
     private static final Logger LOGGER = LoggerFactory.getLogger(MembershipManager.class);
 
-    /**
-     * Time without a leader after which a member requests admission again, in milliseconds, since
-     * it may have been removed. Twice the longest election timeout.
-     */
-    private static final long LEADERLESS_TIMEOUT_MILLIS = 4_000;
-
     private final ReplicaDriver replica;
     private final PeerConnections peers;
     private final Address ownAddress;
     private volatile List<Address> controlAddresses;
     private int nextAddress;
     private long lastQuorumMillis;
+    private Membership loggedMembership = Membership.empty();
 
     private MembershipManager(
             ReplicaDriver replica,
@@ -73,11 +71,12 @@
 
     /**
      * Removes unresponsive members as the leader, and requests admission while this control is not
-     * a member or has had no leader for too long.
+     * a member or has had no contact with a quorum for too long.
      *
      * @param nowMillis current time
      */
     public void onTimer(long nowMillis) {
+        logMembership(replica.membership());
         if (replica.isLeader()) {
             MembershipPolicy.removeSilent(replica.membership(), replica.silentMillis(nowMillis))
                     .ifPresent(request -> changeMembership(request, nowMillis));
@@ -86,7 +85,7 @@
             lastQuorumMillis = nowMillis;
         }
         boolean member = replica.membership().member(replica.self()).isPresent();
-        if (!member || nowMillis - lastQuorumMillis > LEADERLESS_TIMEOUT_MILLIS) {
+        if (MembershipPolicy.requestsAdmission(member, nowMillis - lastQuorumMillis)) {
             requestAdmission();
         }
     }
@@ -113,15 +112,23 @@
     }
 
     private void requestAdmission() {
-        List<Address> addresses = controlAddresses;
+        List<Address> addresses = otherAddresses();
         if (addresses.isEmpty()) {
             return;
         }
         Address address = addresses.get(Math.floorMod(nextAddress, addresses.size()));
         nextAddress++;
-        if (!address.equals(ownAddress)) {
-            peers.sendJoinRequest(address, new JoinRequest(replica.self(), ownAddress.toString()));
-        }
+        peers.sendJoinRequest(address, new JoinRequest(replica.self(), ownAddress.toString()));
+    }
+
+    /** Returns the configured addresses and, since these may be outdated, those of the members. */
+    private List<Address> otherAddresses() {
+        return Stream.concat(
+                        controlAddresses.stream(),
+                        replica.membership().members().stream().map(Member::address))
+                .filter(address -> !address.equals(ownAddress))
+                .distinct()
+                .toList();
     }
 
     private void changeMembership(MembershipRequest request, long nowMillis) {
@@ -129,6 +136,16 @@
                 .thenAccept(refusal -> logRefusal(request, refusal));
     }
 
+    private void logMembership(Membership membership) {
+        if (!membership.equals(loggedMembership)) {
+            loggedMembership = membership;
+            LOGGER.info(
+                    "event=membership_updated voters={} learners={}",
+                    membership.voters(),
+                    membership.learners());
+        }
+    }
+
     private static void logRefusal(MembershipRequest request, Optional<String> refusal) {
         refusal.ifPresent(
                 reason ->
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/Membership.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/Membership.java
@@ -57,6 +57,15 @@
         return members.stream().filter(Member::voter).map(Member::id).toList();
     }
 
+    /**
+     * Returns the identities that do not vote.
+     *
+     * @return learners in the order of the membership
+     */
+    public List<String> learners() {
+        return members.stream().filter(member -> !member.voter()).map(Member::id).toList();
+    }
+
     /**
      * Returns the size of a quorum.
      *
--- a/decisions/src/main/java/org/cuminreach/decisions/agreement/MembershipPolicy.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/agreement/MembershipPolicy.java
@@ -1,5 +1,6 @@
 package org.cuminreach.decisions.agreement;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminreach.settings.Address;
@@ -16,6 +17,19 @@
      */
     private static final long MAX_SILENCE_MILLIS = 12_000;
 
+    /**
+     * Time without a response after which a voter is removed while the number of voters is even, in
+     * milliseconds. Its removal makes the quorum smaller, so that the group tolerates one more
+     * loss.
+     */
+    private static final long MAX_SURPLUS_VOTER_SILENCE_MILLIS = 1_500;
+
+    /**
+     * Time without contact to a quorum after which a member requests admission again, in
+     * milliseconds, since it may have been removed.
+     */
+    private static final long MAX_MILLIS_WITHOUT_QUORUM = 1_000;
+
     /**
      * Number of voters that automatic removal always leaves: with fewer, the loss of one more would
      * cost the group its quorum.
@@ -47,7 +61,9 @@
     }
 
     /**
-     * Decides whether to remove a member that does not respond.
+     * Decides whether to remove a member that does not respond. Of an even number of voters, one is
+     * removed soon: a control that was replaced at another address does not return, and until it is
+     * removed the quorum counts both it and its successor.
      *
      * @param membership current membership
      * @param silentMillis time since the last response of each other member, in milliseconds
@@ -56,19 +72,39 @@
     public static Optional<MembershipRequest> removeSilent(
             Membership membership, Map<String, Long> silentMillis) {
         return membership.members().stream()
-                .filter(member -> silentMillis.getOrDefault(member.id(), 0L) > MAX_SILENCE_MILLIS)
+                .filter(member -> isSilent(membership, member, silentMillis))
                 .filter(member -> !member.voter() || canRemoveVoter(membership, silentMillis))
-                .findFirst()
+                .max(Comparator.comparingLong(member -> silentMillis.get(member.id())))
                 .map(member -> new MembershipRequest.Remove(member.id()));
     }
 
+    private static boolean isSilent(
+            Membership membership, Member member, Map<String, Long> silentMillis) {
+        boolean surplus = member.voter() && membership.voters().size() % 2 == 0;
+        long maxMillis = surplus ? MAX_SURPLUS_VOTER_SILENCE_MILLIS : MAX_SILENCE_MILLIS;
+        return silentMillis.getOrDefault(member.id(), 0L) > maxMillis;
+    }
+
     /** A silent voter can be removed if enough voters remain and most of those respond. */
     private static boolean canRemoveVoter(Membership membership, Map<String, Long> silentMillis) {
         long remaining = membership.voters().size() - 1;
         long responding =
-                membership.voters().stream()
-                        .filter(voter -> silentMillis.getOrDefault(voter, 0L) <= MAX_SILENCE_MILLIS)
+                membership.members().stream()
+                        .filter(Member::voter)
+                        .filter(voter -> !isSilent(membership, voter, silentMillis))
                         .count();
         return remaining >= MIN_VOTERS && responding > remaining / 2;
     }
+
+    /**
+     * Decides whether a control requests admission to the group.
+     *
+     * @param member true if its own log names it as a member; it may have been removed since
+     * @param quorumLostMillis time since its last contact with a quorum or since its start, in
+     *     milliseconds
+     * @return true if it should send a request, which changes nothing if it is a member
+     */
+    public static boolean requestsAdmission(boolean member, long quorumLostMillis) {
+        return !member || quorumLostMillis > MAX_MILLIS_WITHOUT_QUORUM;
+    }
 }
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MembershipPolicyTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MembershipPolicyTest.java
@@ -28,6 +28,32 @@
         assertThat(MembershipPolicy.admit(FOUR, "r2", address)).isEmpty();
     }
 
+    @Example
+    void replacedVoterIsRemovedBeforeItsSuccessorCountsAsCaughtUp() {
+        Membership five = FOUR.with(voter(5));
+        Membership withSuccessor = five.with(voter(6));
+        Map<String, Long> silentMillis = Map.of("r2", 400L, "r3", 4_000L);
+
+        assertThat(MembershipPolicy.removeSilent(withSuccessor, silentMillis))
+                .hasValue(new MembershipRequest.Remove("r3"));
+        assertThat(MembershipPolicy.removeSilent(five, silentMillis)).isEmpty();
+    }
+
+    @Example
+    void longestSilentVoterIsRemovedFirst() {
+        Membership six = FOUR.with(voter(5)).with(voter(6));
+
+        assertThat(MembershipPolicy.removeSilent(six, Map.of("r2", 2_000L, "r3", 9_000L)))
+                .hasValue(new MembershipRequest.Remove("r3"));
+    }
+
+    @Example
+    void memberRemovedWhileDownRequestsAdmissionBeforeItCountsAsCaughtUp() {
+        assertThat(MembershipPolicy.requestsAdmission(true, 900)).isFalse();
+        assertThat(MembershipPolicy.requestsAdmission(true, 1_500)).isTrue();
+        assertThat(MembershipPolicy.requestsAdmission(false, 0)).isTrue();
+    }
+
     @Example
     void silentVoterIsRemovedWhileEnoughOthersRespond() {
         assertThat(MembershipPolicy.removeSilent(FOUR, Map.of("r4", SILENT_MILLIS)))
--- a/trial/src/test/java/org/cuminreach/trial/control/ControlProcesses.java
+++ b/trial/src/test/java/org/cuminreach/trial/control/ControlProcesses.java
@@ -35,14 +35,26 @@
     private final HttpClient client =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
-    private ControlProcesses(Path folder) {
+    private final boolean joining;
+
+    private ControlProcesses(Path folder, boolean joining) {
         this.folder = folder;
+        this.joining = joining;
     }
 
     /** Starts the controls of a new mesh, named c1, c2 and so on. */
     public static ControlProcesses start(int count) throws Exception {
+        return start(count, false);
+    }
+
+    /** Starts the controls of a new mesh, which maintain their membership themselves. */
+    public static ControlProcesses startJoining(int count) throws Exception {
+        return start(count, true);
+    }
+
+    private static ControlProcesses start(int count, boolean joining) throws Exception {
         ControlProcesses controls =
-                new ControlProcesses(Files.createTempDirectory("control-processes"));
+                new ControlProcesses(Files.createTempDirectory("control-processes"), joining);
         for (int number = 1; number <= count; number++) {
             controls.ports.put("c" + number, freePorts());
         }
@@ -63,6 +75,12 @@
         restart(name);
     }
 
+    /** Starts a control with an empty data folder at an address of its own. */
+    public void startSuccessor(String name) throws IOException {
+        ports.put(name, freePorts());
+        restart(name);
+    }
+
     public void restart(String name) throws IOException {
         running.put(name, run(name, "serve"));
     }
@@ -205,7 +223,7 @@
           "name": "%s", "dataCentre": "here", "dataFolder": "%s",
           "replicaAddress": "%s", "nodeAddress": "%s",
           "operatorAddress": "%s", "administrationAddress": "%s",
-          "controls": [%s]
+          "joins": %s, "controls": [%s]
         }
         """
                 .formatted(
@@ -215,6 +233,7 @@
                         address(name, 1),
                         address(name, 2),
                         address(name, 3),
+                        joining,
                         peers);
     }
 
--- a/trial/src/test/java/org/cuminreach/trial/control/ControlProcessesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/control/ControlProcessesTest.java
@@ -14,6 +14,9 @@
 class ControlProcessesTest {
     private static final long TIMEOUT_MILLIS = 20_000;
     private static final long SUSPENSION_MILLIS = 4_000;
+    private static final long SUCCESSOR_DELAY_MILLIS = 1_000;
+    private static final long CATCH_UP_MILLIS = 4_000;
+    private static final long START_MILLIS = 1_500;
 
     private final List<Long> accepted = new ArrayList<>();
     private long current;
@@ -99,6 +102,28 @@
         }
     }
 
+    @Example
+    void twoDisksLostAfterReplacementAtAnotherAddressLeaveMajority() throws Exception {
+        try (ControlProcesses controls = ControlProcesses.startJoining(5)) {
+            submitDocuments(controls, "before", 2);
+            List<String> others = new ArrayList<>(controls.names());
+            others.remove(controls.leader(TIMEOUT_MILLIS));
+            controls.kill(others.get(0));
+            TimeUnit.MILLISECONDS.sleep(SUCCESSOR_DELAY_MILLIS);
+            controls.startSuccessor("c6");
+            TimeUnit.MILLISECONDS.sleep(CATCH_UP_MILLIS + START_MILLIS);
+
+            for (String lost : others.subList(1, 3)) {
+                controls.kill(lost);
+            }
+            for (String lost : others.subList(1, 3)) {
+                controls.restartWithEmptyDataFolder(lost);
+            }
+            submitDocuments(controls, "after", 2);
+            assertHistoryMatchesAccepted(controls);
+        }
+    }
+
     private static boolean isVoter(ControlProcesses controls, String name, String identity) {
         Optional<ControlProcesses.Answer> members = controls.get(name, "/members");
         if (members.isPresent()) {
