--- a/decisions/src/main/java/org/cuminreach/decisions/routing/VersionAvailability.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionAvailability.java
@@ -1,5 +1,7 @@
 package org.cuminreach.decisions.routing;
 
+import java.util.Optional;
+
 /** State of the versions of a service, as seen by the node that chooses one. */
 public interface VersionAvailability {
     /**
@@ -29,8 +31,9 @@
     /**
      * Returns the version that a service runs when the document names none.
      *
-     * @return the established version, which its targets have run for longest, or an empty string
-     *     when none is known
+     * @param rolledOut version that a rollout of the service moves its calls to, if there is one
+     * @return the established version, which is another than the one rolled out if the node knows
+     *     any, or an empty string when none is known
      */
-    String establishedVersion();
+    String establishedVersion(Optional<String> rolledOut);
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/VersionChooser.java
@@ -32,11 +32,15 @@
             Service service,
             VersionAvailability availability,
             RandomGenerator random) {
+        Optional<RolloutProgress> known = configuration.rollout(service.name());
         Optional<RolloutProgress> progress =
-                configuration
-                        .rollout(service.name())
-                        .filter(rollout -> rollout.phase() != RolloutPhase.TAKEN_BACK);
-        String oldVersion = service.version().orElseGet(availability::establishedVersion);
+                known.filter(rollout -> rollout.phase() != RolloutPhase.TAKEN_BACK);
+        String oldVersion =
+                service.version()
+                        .orElseGet(
+                                () ->
+                                        availability.establishedVersion(
+                                                known.map(RolloutProgress::version)));
         if (progress.isEmpty()) {
             return oldVersion;
         }
--- a/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/routing/VersionChooserTest.java
@@ -35,7 +35,7 @@
         }
 
         @Override
-        public String establishedVersion() {
+        public String establishedVersion(Optional<String> rolledOut) {
             return "1";
         }
     }
--- a/node/src/main/java/org/cuminreach/node/caller/PermittedTargets.java
+++ b/node/src/main/java/org/cuminreach/node/caller/PermittedTargets.java
@@ -1,6 +1,7 @@
 package org.cuminreach.node.caller;
 
 import java.util.List;
+import java.util.Optional;
 import org.cuminreach.decisions.routing.TargetChoice;
 import org.cuminreach.decisions.routing.TargetFilter;
 import org.cuminreach.decisions.routing.TargetView;
@@ -19,8 +20,8 @@
     }
 
     /** Returns the version to use when the document names none. */
-    String establishedVersion(String service) {
-        return view.establishedVersion(service);
+    String establishedVersion(String service, Optional<String> rolledOut) {
+        return view.establishedVersion(service, rolledOut);
     }
 
     /** Returns why a call has no target; a target that is not permitted is named as the reason. */
--- a/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
+++ b/node/src/main/java/org/cuminreach/node/caller/RolloutObserver.java
@@ -43,8 +43,8 @@
             }
 
             @Override
-            public String establishedVersion() {
-                return targets.establishedVersion(service);
+            public String establishedVersion(Optional<String> rolledOut) {
+                return targets.establishedVersion(service, rolledOut);
             }
         };
     }
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -210,10 +210,12 @@
      * Returns the established version of a service, which is used when the document names none.
      *
      * @param service name of the service
+     * @param rolledOut version that a rollout of the service moves its calls to, if there is one;
+     *     returned only if no other version is known
      * @return the version, or an empty string when no target of the service was ever ready
      */
-    public synchronized String establishedVersion(String service) {
-        return establishedVersions.version(service).orElse("");
+    public synchronized String establishedVersion(String service, Optional<String> rolledOut) {
+        return establishedVersions.version(service, rolledOut).orElse("");
     }
 
     /**
