--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -80,7 +80,8 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceRecorder evidence = EvidenceRecorder.empty();
     private final HttpSender httpSender = HttpSender.create(eventLoops);
-    private final TargetClient targetClient = TargetClient.create(eventLoops);
+    private final TargetClient targetClient =
+            TargetClient.create(eventLoops, httpSender.answerMemory());
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
     private final NodeProtocolAdapter protocolAdapter;
     private final LocalTarget localTarget;
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -22,6 +22,8 @@
 import org.asynchttpclient.Response;
 import org.cuminreach.decisions.retry.StaleConnectionDetector;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.BodyMemory;
+import org.cuminreach.runtime.http.BodyMemoryExhaustedException;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.settings.Address;
@@ -41,9 +43,11 @@
     private final Map<Address, StaleConnectionDetector> staleConnectionDetectors =
             new ConcurrentHashMap<>();
     private final AsyncHttpClient client;
+    private final BodyMemory answerMemory;
 
-    private HttpSender(AsyncHttpClient client) {
+    private HttpSender(AsyncHttpClient client, BodyMemory answerMemory) {
         this.client = client;
+        this.answerMemory = answerMemory;
     }
 
     /**
@@ -53,6 +57,10 @@
      * @return the sender
      */
     public static HttpSender create(EventLoopGroup eventLoops) {
+        return create(eventLoops, BodyMemory.forHeap());
+    }
+
+    static HttpSender create(EventLoopGroup eventLoops, BodyMemory answerMemory) {
         return new HttpSender(
                 Dsl.asyncHttpClient(
                         Dsl.config()
@@ -67,7 +75,17 @@
                                 .setCookieStore(null)
                                 .setSslEngineFactory(HttpSender::refuseTls)
                                 .setEnableAutomaticDecompression(false)
-                                .setCompressionEnforced(false)));
+                                .setCompressionEnforced(false)),
+                answerMemory);
+    }
+
+    /**
+     * Returns the memory for answers that are being received, to share it with other clients.
+     *
+     * @return the memory
+     */
+    public BodyMemory answerMemory() {
+        return answerMemory;
     }
 
     /** Avoids loading certificates at startup: the client creates a TLS context by default. */
@@ -108,12 +126,12 @@
 
     private CompletableFuture<SendOutcome> execute(Address to, HttpCall call, Request request) {
         long startMillis = ProcessClock.monotonicMillis();
-        SendProgress progress = new SendProgress();
+        SendProgress progress = new SendProgress(answerMemory.newShare());
         ListenableFuture<Response> sending = client.executeRequest(request, progress);
         call.abandoned().thenRun(() -> sending.cancel(true));
         return sending.toCompletableFuture()
                 .handle((response, failure) -> toOutcome(call, response, failure))
-                .thenApply(progress::correct)
+                .thenApply(progress::end)
                 .whenComplete((outcome, error) -> closeStaleConnections(to, outcome, startMillis));
     }
 
@@ -156,6 +174,7 @@
             case CancellationException cancelled -> new SendOutcome.Lost("abandoned");
             case ConnectException unreachable -> new SendOutcome.NotSent("cannot_connect");
             case TimeoutException timedOut -> TIMED_OUT;
+            case BodyMemoryExhaustedException tooLong -> new SendOutcome.Lost("answer_too_long");
             default -> new SendOutcome.Lost("connection_lost");
         };
     }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -32,7 +32,8 @@
                     "abandoned",
                     "malformed_answer",
                     "answer_without_identity",
-                    "answer_too_long");
+                    "answer_too_long",
+                    "unexpected_answers");
 
     private final PoisonRequestTable table = PoisonRequestTable.empty();
     private final SuspectExchange exchange = new SuspectExchange(this::reports, this::merge);
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.settings.Address;
 import org.slf4j.Logger;
@@ -59,10 +60,12 @@
     private static final int MAX_CHUNK_BYTES = 16 * 1024;
 
     private final EventLoopGroup eventLoops;
+    private final BodyMemory answerMemory;
     private final Map<Address, Deque<TargetConnection>> idleConnections = new HashMap<>();
 
-    private TargetClient(EventLoopGroup eventLoops) {
+    private TargetClient(EventLoopGroup eventLoops, BodyMemory answerMemory) {
         this.eventLoops = eventLoops;
+        this.answerMemory = answerMemory;
     }
 
     /**
@@ -72,7 +75,22 @@
      * @return the client
      */
     public static TargetClient create(EventLoopGroup eventLoops) {
-        return new TargetClient(eventLoops);
+        return create(eventLoops, BodyMemory.forHeap());
+    }
+
+    /**
+     * Returns a client without connections that shares the memory for answers with others.
+     *
+     * @param eventLoops threads that serve the connections
+     * @param answerMemory memory for answers that are being received
+     * @return the client
+     */
+    public static TargetClient create(EventLoopGroup eventLoops, BodyMemory answerMemory) {
+        return new TargetClient(eventLoops, answerMemory);
+    }
+
+    BodyMemory answerMemory() {
+        return answerMemory;
     }
 
     /**
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -1,7 +1,5 @@
 package org.cuminreach.node.target;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -39,6 +37,11 @@
     static final String CLOSED = "connection_closed";
     static final String BROKEN = "connection_lost";
 
+    /** The answer exceeds its bound, or the memory that is left for it beside others. */
+    static final String TOO_LONG = "answer_too_long";
+
+    static final String UNEXPECTED_ANSWERS = "unexpected_answers";
+
     private static final Logger LOGGER = LoggerFactory.getLogger(TargetConnection.class);
     private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
@@ -56,6 +59,12 @@
     /** Maximum size of the body of an answer: as much as that of a call. */
     private static final long MAX_BODY_BYTES = HttpServer.MAX_BODY_BYTES;
 
+    /**
+     * Informational and mismatched answers that are dropped before the answer to a call. A target
+     * that sends more would occupy the event loop with them.
+     */
+    private static final int MAX_DROPPED_ANSWERS = 16;
+
     /** Calls refused on a connection after which it is closed, so that none is forgotten. */
     private static final int MAX_REFUSED_CALLS = 256;
 
@@ -65,8 +74,9 @@
     private final Set<String> refusedCalls = ConcurrentHashMap.newKeySet();
     private TargetExchange exchange;
     private HttpResponse answer;
-    private ByteBuf body;
+    private AnswerBody body;
     private long bodyBytes;
+    private int droppedAnswers;
     private boolean discarding;
     private boolean answeredBefore;
     private ScheduledFuture<?> timeout;
@@ -165,7 +175,7 @@
     private void beginAnswer(HttpResponse response) {
         bodyBytes = 0;
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            discarding = true;
+            drop();
             return;
         }
         discarding = exchange == null || !exchange.expected().matches().test(response.headers());
@@ -175,6 +185,7 @@
                     address,
                     response.status().code(),
                     exchange != null);
+            drop();
             return;
         }
         if (answeredBefore && !exchange.expected().isIdentified().test(response.headers())) {
@@ -182,18 +193,27 @@
             return;
         }
         answer = response;
-        body = channel.alloc().buffer();
+        body = new AnswerBody(client.answerMemory().newShare());
+    }
+
+    private void drop() {
+        discarding = true;
+        droppedAnswers++;
+        if (droppedAnswers > MAX_DROPPED_ANSWERS) {
+            fail(UNEXPECTED_ANSWERS);
+        }
     }
 
     private void readContent(HttpContent content) {
         bodyBytes += content.content().readableBytes();
         if (bodyBytes > MAX_BODY_BYTES) {
             // Applies to discarded answers too: an endless one would occupy the connection forever.
-            fail("answer_too_long");
+            fail(TOO_LONG);
             return;
         }
-        if (!discarding && body != null) {
-            body.writeBytes(content.content());
+        if (!discarding && body != null && !body.append(content.content())) {
+            fail(TOO_LONG);
+            return;
         }
         if (!(content instanceof LastHttpContent)) {
             return;
@@ -207,7 +227,7 @@
 
     private void endAnswer() {
         HttpResponse complete = answer;
-        byte[] bytes = ByteBufUtil.getBytes(body);
+        byte[] bytes = body.toBytes();
         TargetExchange finished = exchange;
         reset();
         updateIdleTimeout(complete);
@@ -215,6 +235,7 @@
         boolean chunked =
                 HttpUtil.isKeepAlive(complete) && HttpUtil.isTransferEncodingChunked(complete);
         answeredBefore = true;
+        droppedAnswers = 0;
         if (complete.status().codeClass() != HttpStatusClass.SUCCESS) {
             refusedCalls.add(finished.expected().requestId());
         }
--- a/node/src/test/java/org/cuminreach/node/http/SendProgressTest.java
+++ b/node/src/test/java/org/cuminreach/node/http/SendProgressTest.java
@@ -3,13 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import net.jqwik.api.Example;
+import org.cuminreach.runtime.http.BodyMemory;
 
 class SendProgressTest {
-    private final SendProgress progress = new SendProgress();
+    private final SendProgress progress = new SendProgress(BodyMemory.of(0).newShare());
 
     @Example
     void callReportedAsNotSentIsNeverWritten() {
-        assertThat(progress.correct(new SendOutcome.Lost("timeout")))
+        assertThat(progress.end(new SendOutcome.Lost("timeout")))
                 .isEqualTo(new SendOutcome.NotSent("timeout_before_sending"));
 
         assertThat(isWritten()).isFalse();
@@ -19,7 +20,7 @@
     void writtenCallMayHaveRun() {
         assertThat(isWritten()).isTrue();
 
-        assertThat(progress.correct(new SendOutcome.Lost("timeout")))
+        assertThat(progress.end(new SendOutcome.Lost("timeout")))
                 .isEqualTo(new SendOutcome.Lost("timeout"));
     }
 
--- a/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/TargetClientTest.java
@@ -10,7 +10,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiFunction;
@@ -18,6 +20,7 @@
 import net.jqwik.api.Example;
 import org.cuminreach.node.http.SendOutcome;
 import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.settings.Address;
@@ -91,6 +94,61 @@
                 .isEqualTo(new SendOutcome.Lost("malformed_answer"));
     }
 
+    /** Answers that a target sends before the answer to a call must not occupy the event loop. */
+    @Example
+    void endlessAnswersBeforeTheAnswerToTheCallAreRejectedAtLimit() throws Exception {
+        String informational = "HTTP/1.1 100 Continue\r\n\r\n";
+        String mismatched = answer("other", "late");
+        for (String dropped : List.of(informational, mismatched)) {
+            assertThat(sendCalls(1, number -> new Reply(dropped.repeat(10_000), false)).getFirst())
+                    .isEqualTo(new SendOutcome.Lost("unexpected_answers"));
+            Reply few = new Reply(dropped.repeat(3) + matchingAnswer(1), false);
+            assertThat(body(sendCalls(1, number -> few).getFirst())).isEqualTo("body-1");
+        }
+    }
+
+    /** Answers that never end, many at once, must not take the memory of other calls' answers. */
+    @Example
+    void endlessAnswersAtOnceLeaveMemoryForOtherAnswers() throws Exception {
+        int endlessCalls = 20;
+        BodyMemory memory = BodyMemory.of(1024 * 1024);
+        EventLoopGroup loops = EventLoops.start(1);
+        TargetClient client = TargetClient.create(loops, memory);
+        try (ServerSocket target = new ServerSocket(0, 64, InetAddress.getLoopbackAddress())) {
+            startThread(
+                    () ->
+                            serveConnections(
+                                    target,
+                                    (connection, request) ->
+                                            connection <= endlessCalls
+                                                    ? openAnswer(connection)
+                                                    : matchingAnswer(endlessCalls + 1)));
+            Address address = new Address("127.0.0.1", target.getLocalPort());
+            List<CompletableFuture<SendOutcome>> endless = new ArrayList<>();
+            for (int number = 1; number <= endlessCalls; number++) {
+                endless.add(send(client, address, number));
+            }
+            CompletableFuture.anyOf(endless.toArray(CompletableFuture[]::new))
+                    .get(WAIT_SECONDS, TimeUnit.SECONDS);
+
+            assertThat(body(sendCalls(client, address, endlessCalls + 1)))
+                    .isEqualTo("body-" + (endlessCalls + 1));
+            assertThat(memory.usedBytes()).isLessThan(1024 * 1024);
+            for (CompletableFuture<SendOutcome> outcome : endless) {
+                assertThat(outcome.get(WAIT_SECONDS, TimeUnit.SECONDS))
+                        .isInstanceOf(SendOutcome.Lost.class);
+            }
+            assertThat(memory.usedBytes()).isEqualTo(0);
+        } finally {
+            client.closeIdle();
+            EventLoops.stop(loops);
+        }
+    }
+
+    private static String openAnswer(int number) {
+        return "HTTP/1.1 200 OK\r\nId: " + number + "\r\n\r\n" + "x".repeat(700_000);
+    }
+
     @Example
     void answerWithoutLengthEndsAtConnectionClose() throws Exception {
         String open = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole";
@@ -273,7 +331,7 @@
         try (ServerSocket target = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
             startThread(() -> serve(target, connections, replies));
             Address address = new Address("127.0.0.1", target.getLocalPort());
-            List<SendOutcome> outcomes = new java.util.ArrayList<>();
+            List<SendOutcome> outcomes = new ArrayList<>();
             for (int number = 1; number <= calls; number++) {
                 outcomes.add(sendCalls(client, address, number));
             }
@@ -286,19 +344,23 @@
 
     private static SendOutcome sendCalls(TargetClient client, Address address, int number)
             throws Exception {
+        return send(client, address, number).get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static CompletableFuture<SendOutcome> send(
+            TargetClient client, Address address, int number) {
         String id = Integer.toString(number);
         HttpCall call =
                 new HttpCall("GET", "/", new DefaultHttpHeaders(), new byte[0], "127.0.0.1");
         return client.send(
-                        address,
-                        call,
-                        new DefaultHttpHeaders().set("Host", "a"),
-                        new ExpectedAnswer(
-                                id,
-                                headers -> headers.get(ID_HEADER, id).equals(id),
-                                headers -> headers.contains(ID_HEADER)),
-                        TIMEOUT_MILLIS)
-                .get(WAIT_SECONDS, TimeUnit.SECONDS);
+                address,
+                call,
+                new DefaultHttpHeaders().set("Host", "a"),
+                new ExpectedAnswer(
+                        id,
+                        headers -> headers.get(ID_HEADER, id).equals(id),
+                        headers -> headers.contains(ID_HEADER)),
+                TIMEOUT_MILLIS);
     }
 
     private static void serve(
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -16,6 +16,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.cuminreach.runtime.EventLoops;
+import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.settings.Address;
 import org.cuminreach.trial.once.ScriptedTarget;
@@ -80,6 +81,26 @@
                 });
     }
 
+    @Example
+    void endlessAnswerIsRejectedWhenItsMemoryIsUsedUp() throws Exception {
+        sender.close();
+        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024));
+        String chunk = "1000\r\n" + "x".repeat(0x1000) + "\r\n";
+        try (ScriptedTarget peer =
+                ScriptedTarget.start(
+                        (head, body, socket) -> {
+                            ScriptedTarget.write(
+                                    socket, "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n");
+                            while (true) {
+                                ScriptedTarget.write(socket, chunk);
+                            }
+                        })) {
+            assertThat(send(peer.address(), call(), TEST_TIMEOUT_MILLIS))
+                    .isEqualTo(new SendOutcome.Lost("answer_too_long"));
+        }
+        assertThat(sender.answerMemory().usedBytes()).isEqualTo(0);
+    }
+
     @Example
     void answerShorterThanItsLengthIsLost() throws Exception {
         assertLost(
