--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -130,13 +130,18 @@
         if (closing || closesAfterPendingCalls) {
             return;
         }
+        if (request.decoderResult().cause() instanceof BodyMemoryExhaustedException exhausted) {
+            LOGGER.info("event=request_refused reason=\"{}\"", exhausted.getMessage());
+            answerWithoutRunning(context, request, exhausted.getMessage());
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             refuseMalformed(context, request);
             return;
         }
         InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
         if (server.refusesRequests()) {
-            answerWithoutRunning(context, request);
+            answerWithoutRunning(context, request, "this process stops");
             return;
         }
         HttpCall call =
@@ -164,13 +169,13 @@
                 context, request, HttpAnswer.of(400, "text/plain", "malformed: " + reason + "\n"));
     }
 
-    /** Refuses a call that arrives during shutdown; the call is not run. */
-    private void answerWithoutRunning(ChannelHandlerContext context, FullHttpRequest request) {
+    /** Refuses a call that cannot be served now; the call is not run. */
+    private void answerWithoutRunning(
+            ChannelHandlerContext context, FullHttpRequest request, String reason) {
         answerAndClose(
                 context,
                 request,
-                HttpAnswer.of(503, "text/plain", "this process stops\n")
-                        .setHeader("Retry-After", 1));
+                HttpAnswer.of(503, "text/plain", reason + "\n").setHeader("Retry-After", 1));
     }
 
     private void answerAndClose(
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -31,6 +31,9 @@
     /** Reads of one connection before others get their turn. */
     private static final int READS_PER_EVENT = 16;
 
+    /** Memory for the bodies of requests to all servers of this process. */
+    private static final BodyMemory REQUEST_MEMORY = BodyMemory.forHeap();
+
     /** User event that closes a connection unless a request is in progress on it. */
     enum CloseIfIdle {
         /** Closes the connection immediately. */
@@ -38,6 +41,7 @@
     }
 
     private final HttpHandler handler;
+    private final BodyMemory requestMemory;
     private final ChannelGroup connections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final AtomicLong receivedRequests = new AtomicLong();
@@ -47,8 +51,9 @@
     private volatile boolean draining;
     private volatile boolean refusing;
 
-    private HttpServer(HttpHandler handler) {
+    private HttpServer(HttpHandler handler, BodyMemory requestMemory) {
         this.handler = handler;
+        this.requestMemory = requestMemory;
     }
 
     /**
@@ -61,7 +66,15 @@
      */
     public static CompletableFuture<HttpServer> listen(
             Address address, EventLoopGroup eventLoops, HttpHandler handler) {
-        HttpServer server = new HttpServer(handler);
+        return listen(address, eventLoops, handler, REQUEST_MEMORY);
+    }
+
+    static CompletableFuture<HttpServer> listen(
+            Address address,
+            EventLoopGroup eventLoops,
+            HttpHandler handler,
+            BodyMemory requestMemory) {
+        HttpServer server = new HttpServer(handler, requestMemory);
         CompletableFuture<HttpServer> result = new CompletableFuture<>();
         new ServerBootstrap()
                 .group(eventLoops)
@@ -172,6 +185,7 @@
                         .addLast(
                                 new HttpServerCodec(
                                         MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(new RequestMemoryGuard(requestMemory))
                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                         .addLast(new HttpConnectionHandler(HttpServer.this));
             }
--- a/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
@@ -10,6 +10,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterContainer;
@@ -53,6 +55,51 @@
         assertThat(line).contains(" 413 ");
     }
 
+    /** Requests that do not end, many at once, must not take the memory of other requests. */
+    @Example
+    void endlessRequestsAtOnceAreRefusedAndLeaveMemoryForOthers() throws Exception {
+        BodyMemory memory = BodyMemory.of(1024 * 1024);
+        Address bounded;
+        try (ServerSocket free = new ServerSocket(0)) {
+            bounded = new Address("127.0.0.1", free.getLocalPort());
+        }
+        HttpServer server =
+                HttpServer.listen(bounded, eventLoops, HttpServerTest::echoPath, memory).join();
+        List<Socket> clients = new ArrayList<>();
+        String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
+        for (int client = 0; client < 10; client++) {
+            Socket socket = new Socket(bounded.host(), bounded.port());
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            clients.add(socket);
+            write(socket, "POST /endless HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            write(socket, chunk.repeat(40));
+        }
+        BufferedReader refusal =
+                new BufferedReader(new InputStreamReader(clients.getFirst().getInputStream()));
+        assertThat(refusal.readLine()).contains(" 503 ");
+
+        try (Socket sound = new Socket(bounded.host(), bounded.port())) {
+            sound.setSoTimeout(TIMEOUT_MILLIS);
+            write(sound, "POST /fine HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + "y".repeat(2000));
+            BufferedReader answer =
+                    new BufferedReader(new InputStreamReader(sound.getInputStream()));
+            assertThat(answer.readLine()).contains(" 200 ");
+        }
+        for (Socket client : clients) {
+            client.close();
+        }
+        while (server.openConnections() > 0) {
+            Thread.sleep(10);
+        }
+        assertThat(memory.usedBytes()).isEqualTo(0);
+        server.close();
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
     @Example
     void handlerFailureIsAnsweredWithStatus500() throws IOException {
         assertThat(firstLine("GET /fail HTTP/1.1\r\nHost: h\r\n\r\n")).contains(" 500 ");
