--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/FakeCluster.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/FakeCluster.java
@@ -189,6 +189,24 @@
                 .map(replica -> executeIfAppended(host, replica.changeMembership(now(host), next)));
     }
 
+    /** Lets each leader remove a member that the policy names. */
+    void removeSilentMembers() {
+        for (Host host : List.copyOf(hosts.values())) {
+            runningReplica(host)
+                    .flatMap(
+                            replica ->
+                                    MembershipPolicy.removeSilent(
+                                            replica.membership(), replica.silentMillis(now(host))))
+                    .map(request -> request.decide(host.process.get().membership()))
+                    .ifPresent(
+                            decision -> {
+                                if (decision instanceof MembershipRequest.Decision.Change change) {
+                                    changeMembership(host, change.next());
+                                }
+                            });
+        }
+    }
+
     void confirm(Host host) {
         runningReplica(host)
                 .ifPresent(
--- a/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/agreement/MemberReplacementTest.java
@@ -15,6 +15,11 @@
 /** Replacement of members that have lost their disks. */
 class MemberReplacementTest {
     private static final int ENTRIES = 60;
+    private static final long CATCH_UP_MILLIS = 4_000;
+    private static final int POLICY_INTERVAL_MILLIS = 300;
+
+    /** Mean time by which the clock of the cluster advances in a step, in milliseconds. */
+    private static final int MEAN_STEP_MILLIS = 4;
 
     @Property(tries = 300, seed = "43", shrinking = ShrinkingMode.OFF)
     void secondDiskLossDuringReplacementLosesNoCommittedEntry(
@@ -62,6 +67,38 @@
         assertThat(cluster.leader().appliedIndex).isGreaterThan(committedBefore);
     }
 
+    @Property(tries = 100, seed = "4502", shrinking = ShrinkingMode.OFF)
+    void twoDisksLostAfterReplacementAtAnotherAddressLeaveMajority(
+            @ForAll long seed, @ForAll boolean planned) {
+        FakeCluster cluster = new FakeCluster(seed, 5);
+        commitEntries(cluster);
+        String replaced = cluster.random.nextBoolean() ? follower(cluster) : cluster.leader().id;
+        if (!planned) {
+            cluster.destroy(replaced);
+        }
+        cluster.startWithEmptyDisk("r6");
+        change(cluster, "r6", false);
+        runWithPolicy(cluster, 1_000);
+        if (planned) {
+            cluster.destroy(replaced);
+        }
+        runWithPolicy(cluster, CATCH_UP_MILLIS);
+        long committedBefore = cluster.safetyChecker.lastCommitted();
+        List<String> remaining = new ArrayList<>(cluster.hosts.keySet());
+        Collections.shuffle(remaining, cluster.random);
+        remaining.subList(0, 2).forEach(cluster::destroy);
+
+        commitEntries(cluster);
+        assertThat(cluster.leader().appliedIndex).isGreaterThan(committedBefore);
+    }
+
+    private static void runWithPolicy(FakeCluster cluster, long millis) {
+        for (long ran = 0; ran < millis; ran += POLICY_INTERVAL_MILLIS) {
+            cluster.removeSilentMembers();
+            cluster.run(POLICY_INTERVAL_MILLIS / MEAN_STEP_MILLIS);
+        }
+    }
+
     @Example
     void learnerIsPromotedOnlyAfterCatchingUp() {
         FakeCluster cluster = new FakeCluster(7, 3);
