--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Returns the memory for answers that are being received, to share it with other clients.
+     * Returns the memory for answers that are being received, which other clients may share.
      *
      * @return the memory
      */
--- a/node/src/main/java/org/cuminreach/node/http/SendProgress.java
+++ b/node/src/main/java/org/cuminreach/node/http/SendProgress.java
@@ -19,9 +19,6 @@
         ENDED_UNWRITTEN
     }
 
-    /** Memory of each part of an answer beside its bytes. */
-    private static final int PART_OVERHEAD_BYTES = 64;
-
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.OPEN);
     private final BodyMemory.Share share;
 
@@ -32,7 +29,7 @@
     /** Closes the connection by its failure when there is no memory for the answer. */
     @Override
     public State onBodyPartReceived(HttpResponseBodyPart part) throws Exception {
-        if (!share.tryGrow(part.length() + PART_OVERHEAD_BYTES)) {
+        if (!share.tryGrow(part.length())) {
             throw new BodyMemoryExhaustedException();
         }
         return super.onBodyPartReceived(part);
@@ -48,8 +45,9 @@
     }
 
     /**
-     * Returns the memory of the answer and the outcome, as not sent when the call was lost before
-     * it was written.
+     * Releases the memory of the answer.
+     *
+     * @return the outcome, as not sent when the call was lost before it was written
      */
     SendOutcome end(SendOutcome outcome) {
         share.release();
--- a/runtime/src/main/java/org/cuminreach/runtime/http/BodyMemory.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/BodyMemory.java
@@ -1,14 +1,17 @@
 package org.cuminreach.runtime.http;
 
 /**
- * Bounds the memory for answers that are being received, over all connections of the process. An
- * answer may take as much as is left for the others, so that long answers leave room for short ones
- * however many arrive at once. Thread-safe.
+ * Bounds the memory for bodies that are being received, over all connections. A body may take as
+ * much as is left for the others, so that long bodies leave room for short ones however many arrive
+ * at once. Thread-safe.
  */
 public final class BodyMemory {
     /** Part of the heap that the bodies may take. */
     private static final int HEAP_DIVISOR = 4;
 
+    /** Memory of each part of a body beside its bytes. */
+    private static final int PART_OVERHEAD_BYTES = 64;
+
     /** The memory that one body has taken. */
     public final class Share {
         private long heldBytes;
@@ -16,19 +19,20 @@
         private Share() {}
 
         /**
-         * Takes more memory for the body.
+         * Takes memory for another part of the body.
          *
-         * @param bytes additional size, in bytes
+         * @param bytes size of the part, in bytes
          * @return false if the body would hold more than would be left for the others; nothing is
          *     taken then
          */
-        public boolean tryGrow(long bytes) {
+        public boolean tryGrow(int bytes) {
+            long growth = (long) bytes + PART_OVERHEAD_BYTES;
             synchronized (BodyMemory.this) {
-                if (heldBytes + bytes > capacityBytes - usedBytes - bytes) {
+                if (heldBytes + growth > capacityBytes - usedBytes - growth) {
                     return false;
                 }
-                usedBytes += bytes;
-                heldBytes += bytes;
+                usedBytes += growth;
+                heldBytes += growth;
                 return true;
             }
         }
--- a/runtime/src/main/java/org/cuminreach/runtime/http/RequestMemoryGuard.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/RequestMemoryGuard.java
@@ -13,9 +13,6 @@
  * BodyMemoryExhaustedException}, and discards what else arrives on its connection.
  */
 final class RequestMemoryGuard extends ChannelInboundHandlerAdapter {
-    /** Memory of each part of a body beside its bytes. */
-    private static final int PART_OVERHEAD_BYTES = 64;
-
     private final BodyMemory.Share share;
     private boolean discarding;
 
@@ -41,7 +38,7 @@
     private boolean isAccepted(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         int bytes = content.content().readableBytes();
-        boolean accepted = last && bytes == 0 || share.tryGrow((long) bytes + PART_OVERHEAD_BYTES);
+        boolean accepted = last && bytes == 0 || share.tryGrow(bytes);
         if (last || !accepted) {
             share.release();
         }
