--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -7,9 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.node.caller.CallChecks;
 import org.cuminreach.node.caller.CallDeduplicator;
@@ -73,7 +71,11 @@
 
     private final NodeSettings settings;
     private final EventLoopGroup eventLoops = EventLoops.start(EVENT_LOOP_THREADS);
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    /** The event loop itself, so that a timer hands no work from one thread to another. */
+    private final ScheduledExecutorService timer = eventLoops.next();
+
+    private final NodeTimers timers = NodeTimers.create(timer);
     private final TrafficCounter controlTraffic = TrafficCounter.zero();
     private final ConfigurationHolder configurationHolder = ConfigurationHolder.empty();
     private final MeshView meshView;
@@ -230,7 +232,7 @@
     }
 
     private void close() {
-        timer.shutdownNow();
+        timers.stop();
         callerServer.close();
         inboundServer.close();
         extraServers.forEach(HttpServer::close);
@@ -345,32 +347,21 @@
     }
 
     private void startTimers() {
-        repeat(
-                "control_session",
+        timers.repeat(
                 SESSION_TIMER_INTERVAL_MILLIS,
-                () -> controlSession.onTimer(ProcessClock.wallMillis()));
-        repeat(
-                "deduplication",
-                SESSION_TIMER_INTERVAL_MILLIS,
-                () -> deduplicator.onTimer(ProcessClock.wallMillis()));
-        repeat("log", SESSION_TIMER_INTERVAL_MILLIS, LogSetup::reportDroppedLines);
-        repeat(
-                "admission",
-                ADMISSION_TIMER_INTERVAL_MILLIS,
-                () -> admissionHandler.onTimer(ProcessClock.monotonicMillis()));
-        repeat(
-                "quotas",
+                RepeatedTask.of(
+                        "control_session", () -> controlSession.onTimer(ProcessClock.wallMillis())),
+                RepeatedTask.of(
+                        "deduplication", () -> deduplicator.onTimer(ProcessClock.wallMillis())),
+                RepeatedTask.of("log", LogSetup::reportDroppedLines));
+        timers.repeat(
                 ADMISSION_TIMER_INTERVAL_MILLIS,
-                () -> quotas.onTimer(ProcessClock.monotonicMillis()));
-        repeat(
-                "suspects",
-                ADMISSION_TIMER_INTERVAL_MILLIS,
-                () -> poisonFilter.onTimer(ProcessClock.monotonicMillis()));
-    }
-
-    private void repeat(String name, long intervalMillis, Runnable task) {
-        timer.scheduleWithFixedDelay(
-                RepeatedTask.of(name, task), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+                RepeatedTask.of(
+                        "admission",
+                        () -> admissionHandler.onTimer(ProcessClock.monotonicMillis())),
+                RepeatedTask.of("quotas", () -> quotas.onTimer(ProcessClock.monotonicMillis())),
+                RepeatedTask.of(
+                        "suspects", () -> poisonFilter.onTimer(ProcessClock.monotonicMillis())));
     }
 
     private Readiness readiness() {
--- a/node/src/main/java/org/cuminreach/node/caller/CallerMetricsHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerMetricsHandler.java
@@ -66,18 +66,21 @@
     public static CallerMetricsHandler of(HttpHandler handler, PrometheusRegistry registry) {
         Counter counter =
                 Counter.builder()
+                        .withoutExemplars()
                         .name("cuminreach_node_caller_calls_total")
                         .help("Calls of callers, by the outcome they were told")
                         .labelNames("outcome")
                         .register(registry);
         Counter reasons =
                 Counter.builder()
+                        .withoutExemplars()
                         .name("cuminreach_node_caller_unanswered_total")
                         .help("Calls of callers that no target answered, by reason")
                         .labelNames("reason")
                         .register(registry);
         Counter abandoned =
                 Counter.builder()
+                        .withoutExemplars()
                         .name("cuminreach_node_caller_abandoned_total")
                         .help("Calls whose caller closed the connection before their answer")
                         .register(registry);
--- a/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cuminreach.node.http.CallAnswers;
@@ -49,7 +50,10 @@
         HedgedCall hedge = new HedgedCall(first);
         first.answer().whenComplete(hedge::onAttemptCompleted);
         if (!hedge.result.isDone()) {
-            timer.schedule(() -> hedge.startSecond(starter), delayMillis, TimeUnit.MILLISECONDS);
+            ScheduledFuture<?> overdue =
+                    timer.schedule(
+                            () -> hedge.startSecond(starter), delayMillis, TimeUnit.MILLISECONDS);
+            hedge.result.whenComplete((answer, failure) -> overdue.cancel(false));
         }
         return hedge.result;
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetMetrics.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetMetrics.java
@@ -46,6 +46,7 @@
     public static TargetMetrics register(PrometheusRegistry registry) {
         Counter counter =
                 Counter.builder()
+                        .withoutExemplars()
                         .name("cuminreach_node_target_calls_total")
                         .help("Calls that arrived for the target, by outcome")
                         .labelNames("outcome")
--- a/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -56,6 +57,21 @@
         return future.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    @Example
+    void answeredCallLeavesNoTimerBehind() {
+        ScheduledThreadPoolExecutor delays = new ScheduledThreadPoolExecutor(1);
+        delays.setRemoveOnCancelPolicy(true);
+        HedgedCall.start(
+                new HedgedCall.Attempt(first, () -> firstCancelled.complete(null)),
+                TimeUnit.HOURS.toMillis(1),
+                delays,
+                Optional::empty);
+        first.complete(answered(200));
+
+        assertThat(delays.getQueue()).isEmpty();
+        delays.shutdownNow();
+    }
+
     @Example
     void secondAnswerWinsAndCancelsFirstAttempt() throws Exception {
         CompletableFuture<HttpAnswer> result = startHedgedCall(true);
