--- a/control/src/main/java/org/cuminreach/control/rollout/RolloutReporter.java
+++ b/control/src/main/java/org/cuminreach/control/rollout/RolloutReporter.java
@@ -23,6 +23,7 @@
     private final Map<String, RolloutProgress> rollouts = new HashMap<>();
     private final Counter outcomes =
             Counter.builder()
+                    .withoutExemplars()
                     .name("cuminreach_control_rollout_outcomes")
                     .help("Rollouts that were done, taken back or found late")
                     .labelNames("outcome")
--- a/runtime/src/main/java/org/cuminreach/runtime/administration/Histograms.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/administration/Histograms.java
@@ -41,6 +41,7 @@
                 .help(help)
                 .classicOnly()
                 .classicUpperBounds(upperBounds)
+                .withoutExemplars()
                 .register(registry);
     }
 }
