--- a/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/PoisonRequestTable.java
@@ -224,6 +224,7 @@
     }
 
     private void removeExpired(long nowMillis) {
-        suspects.removeIf(suspect -> nowMillis - suspect.losses.latestMillis() > RETENTION_MILLIS);
+        suspects.removeExpired(
+                suspect -> nowMillis - suspect.losses.latestMillis() > RETENTION_MILLIS, nowMillis);
     }
 }
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
@@ -54,7 +54,7 @@
      * @return false when it tells nothing new, and need not be passed on
      */
     public boolean merge(SuspectReport report, long nowMillis) {
-        suspects.removeIf(suspect -> suspect.isExpired(nowMillis));
+        suspects.removeExpired(suspect -> suspect.isExpired(nowMillis), nowMillis);
         return switch (report) {
             case SuspectReport.Lost lost -> mergeLosses(lost, nowMillis);
             case SuspectReport.Answered answered -> mergeAnswer(answered, nowMillis);
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectStore.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectStore.java
@@ -14,8 +14,15 @@
  * @param <S> type of the record
  */
 final class SuspectStore<S> {
+    /**
+     * Interval at which expired records are looked for. All records are looked through each time,
+     * which must not be done for each report.
+     */
+    static final long EXPIRY_INTERVAL_MILLIS = 1_000;
+
     private final Map<String, S> lostOnce;
     private final Map<String, S> lostRepeatedly;
+    private long nextExpiryMillis = Long.MIN_VALUE;
 
     SuspectStore(int maxSize) {
         lostOnce = BoundedMaps.withMaxSize(maxSize);
@@ -39,7 +46,12 @@
         return Optional.ofNullable(once != null ? once : repeated);
     }
 
-    void removeIf(Predicate<S> expired) {
+    /** Removes expired records, unless that was done within the interval. */
+    void removeExpired(Predicate<S> expired, long nowMillis) {
+        if (nowMillis < nextExpiryMillis) {
+            return;
+        }
+        nextExpiryMillis = nowMillis + EXPIRY_INTERVAL_MILLIS;
         lostOnce.values().removeIf(expired);
         lostRepeatedly.values().removeIf(expired);
     }
