--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -107,6 +107,9 @@
      */
     public static int intHeader(HttpCall call, String header, int defaultValue) {
         String text = call.header(header, "");
+        if (text.isEmpty()) {
+            return defaultValue;
+        }
         try {
             int value = Integer.parseInt(text);
             return value < 0 ? defaultValue : value;
@@ -180,8 +183,12 @@
     }
 
     private static long retryAfterMillis(HttpAnswer answer) {
+        String text = answer.headers().get(MeshHeaders.RETRY_AFTER_MILLIS, "");
+        if (text.isEmpty()) {
+            return 0;
+        }
         try {
-            long millis = Long.parseLong(answer.headers().get(MeshHeaders.RETRY_AFTER_MILLIS, ""));
+            long millis = Long.parseLong(text);
             return Math.clamp(millis, 0, MAX_RETRY_AFTER_MILLIS);
         } catch (NumberFormatException malformed) {
             return 0;
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -128,13 +128,20 @@
         long startMillis = ProcessClock.monotonicMillis();
         SendProgress progress = new SendProgress(answerMemory.newShare());
         ListenableFuture<Response> sending = client.executeRequest(request, progress);
-        call.abandoned().thenRun(() -> sending.cancel(true));
+        call.abandoned().thenRun(() -> cancel(sending));
         return sending.toCompletableFuture()
                 .handle((response, failure) -> toOutcome(call, response, failure))
                 .thenApply(progress::end)
                 .whenComplete((outcome, error) -> closeStaleConnections(to, outcome, startMillis));
     }
 
+    /** Cancels a call that has no outcome yet; the client creates an exception for each one. */
+    private static void cancel(ListenableFuture<Response> sending) {
+        if (!sending.isDone()) {
+            sending.cancel(true);
+        }
+    }
+
     /** Closes the idle connections to a peer when timeouts suggest that they are stale. */
     private void closeStaleConnections(Address to, SendOutcome outcome, long startMillis) {
         StaleConnectionDetector detector =
