--- a/decisions/src/main/java/org/cuminreach/decisions/routing/ColdNotice.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/ColdNotice.java
@@ -38,6 +38,9 @@
      * @return the notice, or empty when the value is malformed
      */
     public static Optional<ColdNotice> parse(String text) {
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
         Matcher matcher = TEXT.matcher(text);
         if (!matcher.matches()) {
             return Optional.empty();
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/StatedLoad.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/StatedLoad.java
@@ -1,16 +1,20 @@
 package org.cuminreach.decisions.routing;
 
 import java.util.OptionalInt;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /** Load that a target states in an answer: calls that run, calls that wait, and its slots. */
 public sealed interface StatedLoad {
     /** Value of the work time on a VM that runs at its usual speed, in percent. */
     int USUAL_WORK_PERCENT = 100;
 
-    /** Three or four decimal numbers of a bounded size. */
-    Pattern NUMBERS = Pattern.compile("(\\d{1,6}),(\\d{1,6}),(\\d{1,6})(?:,(\\d{1,6}))?");
+    /** Maximum number of digits of a figure. */
+    int MAX_DIGITS = 6;
+
+    /** Number of figures of a statement without the time of work. */
+    int REQUIRED_FIGURES = 3;
+
+    /** Number of figures of a statement with the time of work. */
+    int MAX_FIGURES = 4;
 
     /**
      * Shortest credible time of work, in percent of the usual one. A VM that is shared with others
@@ -57,21 +61,40 @@
         if (trimmed.isEmpty()) {
             return new Silent();
         }
-        Matcher numbers = NUMBERS.matcher(trimmed);
-        if (!numbers.matches()) {
+        int[] figures = new int[MAX_FIGURES];
+        int count = readFigures(trimmed, figures);
+        if (count < REQUIRED_FIGURES) {
             return unreadable(trimmed);
         }
-        int slots = Integer.parseInt(numbers.group(3));
-        int percent =
-                numbers.group(4) == null ? USUAL_WORK_PERCENT : Integer.parseInt(numbers.group(4));
+        int slots = figures[2];
+        int percent = count == MAX_FIGURES ? figures[3] : USUAL_WORK_PERCENT;
         if (slots < 1 || percent < MIN_WORK_PERCENT || percent > MAX_WORK_PERCENT) {
             return unreadable(trimmed);
         }
         return new Figures(
-                Integer.parseInt(numbers.group(1)),
-                Integer.parseInt(numbers.group(2)),
+                figures[0],
+                figures[1],
                 slots,
-                numbers.group(4) == null ? OptionalInt.empty() : OptionalInt.of(percent));
+                count == MAX_FIGURES ? OptionalInt.of(percent) : OptionalInt.empty());
+    }
+
+    /** Reads numbers separated by commas; returns their count, or 0 when the text is malformed. */
+    private static int readFigures(String text, int[] figures) {
+        int count = 0;
+        int digits = 0;
+        for (int index = 0; index < text.length(); index++) {
+            char next = text.charAt(index);
+            if (next == ',' && digits > 0 && count < MAX_FIGURES - 1) {
+                count++;
+                digits = 0;
+            } else if (next >= '0' && next <= '9' && digits < MAX_DIGITS) {
+                figures[count] = figures[count] * 10 + (next - '0');
+                digits++;
+            } else {
+                return 0;
+            }
+        }
+        return digits == 0 ? 0 : count + 1;
     }
 
     private static Unreadable unreadable(String text) {
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -81,6 +81,7 @@
     private boolean answeredBefore;
     private ScheduledFuture<?> timeout;
     private ChannelFuture writeFuture;
+    private String lastKeepAlive = "";
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private volatile long usableUntilMillis = Long.MAX_VALUE;
 
@@ -261,9 +262,10 @@
 
     private void updateIdleTimeout(HttpResponse response) {
         String keepAlive = response.headers().get("Keep-Alive");
-        if (keepAlive == null) {
+        if (keepAlive == null || keepAlive.equals(lastKeepAlive)) {
             return;
         }
+        lastKeepAlive = keepAlive;
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
         if (matcher.find()) {
             long millis = Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND;
