--- a/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshConfiguration.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/configuration/MeshConfiguration.java
@@ -74,6 +74,11 @@
      * @return the state, or empty if the service has no rollout
      */
     public Optional<RolloutProgress> rollout(String service) {
-        return rollouts.stream().filter(progress -> progress.service().equals(service)).findFirst();
+        for (RolloutProgress progress : rollouts) {
+            if (progress.service().equals(service)) {
+                return Optional.of(progress);
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/document/src/main/java/org/cuminreach/document/MeshDocument.java
+++ b/document/src/main/java/org/cuminreach/document/MeshDocument.java
@@ -66,6 +66,11 @@
      * @return the service, or empty when the document does not declare it
      */
     public Optional<Service> service(String name) {
-        return services.stream().filter(service -> service.name().equals(name)).findFirst();
+        for (Service service : services) {
+            if (service.name().equals(name)) {
+                return Optional.of(service);
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/node/src/main/java/org/cuminreach/node/peer/MeshView.java
+++ b/node/src/main/java/org/cuminreach/node/peer/MeshView.java
@@ -37,6 +37,7 @@
     private Consumer<List<Announcement>> changeListener = changes -> {};
     private volatile ToDoubleFunction<String> coldRates = service -> 0;
     private volatile Map<String, Map<String, List<TargetView>>> readyTargets = Map.of();
+    private volatile int readyCount;
 
     private final LoadBalancingPolicy loadBalancingPolicy;
 
@@ -187,6 +188,7 @@
                                 !present.contains(entry.getKey())
                                         && !isLeavingOfKnownNode(entry.getKey(), nowMillis));
         readyTargets = next;
+        readyCount = present.size();
     }
 
     /** Tells whether a target that is not ready now could be announced as ready by mistake. */
@@ -224,10 +226,7 @@
      * @return ready targets of all services
      */
     public int readyCount() {
-        return readyTargets.values().stream()
-                .flatMap(versions -> versions.values().stream())
-                .mapToInt(List::size)
-                .sum();
+        return readyCount;
     }
 
     private TargetView targetView(Announcement announcement, long nowMillis) {
--- a/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
+++ b/node/src/test/java/org/cuminreach/node/peer/MeshViewTest.java
@@ -49,6 +49,17 @@
         assertThat(target().statistics().status(0)).isEqualTo(TargetStatus.USABLE);
     }
 
+    /** The retry budget of a node depends on this number. */
+    @Example
+    void targetThatIsGoneIsNotCountedAsReady() {
+        view.merge(List.of(ready(1, START)));
+        assertThat(view.readyCount()).isEqualTo(1);
+
+        view.merge(List.of(ready(1, START).withPhase(TargetPhase.GONE, 2)));
+
+        assertThat(view.readyCount()).isEqualTo(0);
+    }
+
     @Example
     void coldTimeOfAnnouncementIsTakenUpOnlyWhereServiceHasLimit() {
         view.merge(List.of(cold(1, 4_000)));
