--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -1,12 +1,10 @@
 package org.cuminreach.node.http;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
+import java.util.stream.Stream;
 
 /** HTTP headers that carry the state of a call through the mesh. */
 public final class MeshHeaders {
@@ -114,8 +112,8 @@
     public static final String MAY_HAVE_RUN = "may-have-run";
 
     /** Answer headers that only nodes may set; removed from answers of targets. */
-    private static final List<String> SET_BY_NODES =
-            List.of(
+    private static final List<AsciiString> SET_BY_NODES =
+            names(
                     OUTCOME,
                     REQUEST_ID,
                     CONFIGURATION,
@@ -129,8 +127,8 @@
                     REASON,
                     RETRY_AFTER_MILLIS);
 
-    private static final List<String> HOP_BY_HOP =
-            List.of(
+    private static final List<AsciiString> HOP_BY_HOP =
+            names(
                     "connection",
                     "keep-alive",
                     "proxy-authenticate",
@@ -143,8 +141,8 @@
                     "expect");
 
     /** Request headers that the node beside a target reads and does not pass on. */
-    private static final List<String> FOR_TARGET_NODE =
-            List.of(TARGET_NODE, TARGET_START, TARGET_LIMIT, TARGET_COLD, KEY_VALID_MILLIS);
+    private static final List<AsciiString> FOR_TARGET_NODE =
+            names(TARGET_NODE, TARGET_START, TARGET_LIMIT, TARGET_COLD, KEY_VALID_MILLIS);
 
     private MeshHeaders() {}
 
@@ -156,8 +154,7 @@
      */
     public static HttpHeaders forTarget(HttpHeaders headers) {
         HttpHeaders copy = endToEnd(headers);
-        FOR_TARGET_NODE.forEach(copy::remove);
-        return copy;
+        return removeAll(copy, FOR_TARGET_NODE);
     }
 
     /**
@@ -168,8 +165,7 @@
      */
     public static HttpHeaders fromTarget(HttpHeaders headers) {
         HttpHeaders copy = endToEnd(headers);
-        SET_BY_NODES.forEach(copy::remove);
-        return copy;
+        return removeAll(copy, SET_BY_NODES);
     }
 
     /**
@@ -179,25 +175,22 @@
      * @return a copy without hop-by-hop headers
      */
     public static HttpHeaders endToEnd(HttpHeaders headers) {
-        HttpHeaders copy = new DefaultHttpHeaders();
-        List<String> connectionOptions = headers.getAll(HttpHeaderNames.CONNECTION);
-        Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
-        while (entries.hasNext()) {
-            Map.Entry<CharSequence, CharSequence> header = entries.next();
-            if (!containsIgnoreCase(HOP_BY_HOP, header.getKey())
-                    && !containsIgnoreCase(connectionOptions, header.getKey())) {
-                copy.add(header.getKey(), header.getValue());
-            }
+        HttpHeaders copy = headers.copy();
+        if (headers.contains(HttpHeaderNames.CONNECTION)) {
+            headers.getAll(HttpHeaderNames.CONNECTION).forEach(copy::remove);
         }
-        return copy;
+        return removeAll(copy, HOP_BY_HOP);
     }
 
-    private static boolean containsIgnoreCase(List<String> names, CharSequence name) {
-        for (String candidate : names) {
-            if (AsciiString.contentEqualsIgnoreCase(candidate, name)) {
-                return true;
-            }
+    private static HttpHeaders removeAll(HttpHeaders headers, List<AsciiString> names) {
+        for (int index = 0; index < names.size(); index++) {
+            headers.remove(names.get(index));
         }
-        return false;
+        return headers;
+    }
+
+    /** Returns names whose hash codes are computed once. */
+    private static List<AsciiString> names(String... names) {
+        return Stream.of(names).map(AsciiString::cached).toList();
     }
 }
