--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -81,6 +81,7 @@
     private boolean answeredBefore;
     private ScheduledFuture<?> timeout;
     private ChannelFuture writeFuture;
+    private String lastKeepAlive = "";
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private volatile long usableUntilMillis = Long.MAX_VALUE;
 
@@ -136,8 +137,7 @@
 
     private static FullHttpRequest request(TargetExchange exchange) {
         byte[] bytes = exchange.call().body();
-        DefaultHttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(exchange.headers());
+        HttpHeaders headers = exchange.headers();
         boolean hasLength = bytes.length > 0 || isSentWithBody(exchange.call().method());
         if (hasLength) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
@@ -261,9 +261,10 @@
 
     private void updateIdleTimeout(HttpResponse response) {
         String keepAlive = response.headers().get("Keep-Alive");
-        if (keepAlive == null) {
+        if (keepAlive == null || keepAlive.equals(lastKeepAlive)) {
             return;
         }
+        lastKeepAlive = keepAlive;
         Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(keepAlive);
         if (matcher.find()) {
             long millis = Long.parseLong(matcher.group(1)) * MILLIS_PER_SECOND;
