--- a/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
@@ -31,6 +31,15 @@
      */
     public static final double RUN_TIME_MARGIN_FACTOR = 1.5;
 
+    /** Bounds every wait: callers without a deadline are better off elsewhere after a second. */
+    private static final long MAX_WAIT_MILLIS = 1_000;
+
+    /** Time by which a refusal after a wait precedes its caller's deadline, in milliseconds. */
+    private static final long MAX_REFUSAL_MARGIN_MILLIS = 150;
+
+    /** The same as a share of the time that the call had left when it arrived. */
+    private static final double REFUSAL_MARGIN_SHARE = 0.1;
+
     /** Objective of a call that has none. */
     public static final long NO_OBJECTIVE = Long.MAX_VALUE / 2;
 
@@ -74,6 +83,18 @@
                         objectiveMillis - Math.round(RUN_TIME_MARGIN_FACTOR * typicalRunMillis));
     }
 
+    /** Returns the latest time at which the call can start and still end within its deadline. */
+    long latestStartMillis(double minRunMillis, long nowMillis) {
+        double runMillis = Math.max(minRunMillis, typicalRunMillis);
+        return Math.min(deadlineMillis - Math.round(runMillis), nowMillis + MAX_WAIT_MILLIS);
+    }
+
+    /** Returns the latest time at which the refusal of a call still arrives within its deadline. */
+    long latestRefusalMillis(long nowMillis) {
+        double margin = REFUSAL_MARGIN_SHARE * (deadlineMillis - nowMillis);
+        return deadlineMillis - Math.min(MAX_REFUSAL_MARGIN_MILLIS, Math.round(margin));
+    }
+
     /** Returns the priority, limited to {@link #PRIORITIES} values. */
     int clampedPriority() {
         return Math.clamp(priority, 0, PRIORITIES - 1);
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -22,15 +22,6 @@
     /** Bounds the memory of a queue. Where routes have objectives, these bound it earlier. */
     private static final int MAX_WAITING_PER_SLOT = 8;
 
-    /** Bounds every wait: callers without a deadline are better off elsewhere after a second. */
-    private static final long MAX_WAIT_MILLIS = 1_000;
-
-    /** Time by which a refusal after a wait precedes its caller's deadline, in milliseconds. */
-    private static final long MAX_REFUSAL_MARGIN_MILLIS = 150;
-
-    /** The same as a share of the time that the call had left when it arrived. */
-    private static final double REFUSAL_MARGIN_SHARE = 0.1;
-
     private static final String DEADLINE = "deadline_cannot_be_met";
     private static final String OBJECTIVE = "objective_cannot_be_met";
     private static final String QUEUE_FULL = "queue_full";
@@ -150,9 +141,9 @@
         }
         long waitsUntil =
                 waitingCalls.hasLessUrgentCalls(request, nowMillis)
-                        ? latestStart(request, nowMillis)
+                        ? request.latestStartMillis(capacity.minRunMillis(), nowMillis)
                         : latest;
-        waitsUntil = Math.min(waitsUntil, latestRefusal(request, nowMillis));
+        waitsUntil = Math.min(waitsUntil, request.latestRefusalMillis(nowMillis));
         band.add(request.caller(), new SourceQueue.QueuedCall<>(call, runMillis, waitsUntil));
         return new AdmissionOutcome.Queued();
     }
@@ -168,20 +159,9 @@
 
     /** Returns the latest time at which starting a call is still worth a slot. */
     private long latestUsefulStart(AdmissionRequest request, long nowMillis) {
-        return Math.min(latestStart(request, nowMillis), request.latestStartMillis());
-    }
-
-    /** Returns the latest time at which the refusal of a call still arrives within its deadline. */
-    private static long latestRefusal(AdmissionRequest request, long nowMillis) {
-        double margin = REFUSAL_MARGIN_SHARE * (request.deadlineMillis() - nowMillis);
-        return request.deadlineMillis() - Math.min(MAX_REFUSAL_MARGIN_MILLIS, Math.round(margin));
-    }
-
-    /** Returns the latest time at which a call can start and still end within its deadline. */
-    private long latestStart(AdmissionRequest request, long nowMillis) {
-        double runMillis = Math.max(capacity.minRunMillis(), request.typicalRunMillis());
         return Math.min(
-                request.deadlineMillis() - Math.round(runMillis), nowMillis + MAX_WAIT_MILLIS);
+                request.latestStartMillis(capacity.minRunMillis(), nowMillis),
+                request.latestStartMillis());
     }
 
     /**
@@ -208,12 +188,32 @@
      */
     public List<C> release(
             AdmissionRequest request, double runMillis, double slowness, long nowMillis) {
+        freeSlot(request, runMillis);
+        capacity.recordEnd(runMillis, slowness, nowMillis);
+        return startWaiting(nowMillis);
+    }
+
+    /**
+     * Releases the slot of a call that ended without a success, and starts the next calls.
+     *
+     * @param request the value with which the call was offered
+     * @param elapsedMillis time since its start, in milliseconds
+     * @param slowness ratio of that time to the typical running time of such a call
+     * @param nowMillis current time
+     * @return the calls to run now
+     */
+    public List<C> releaseFailed(
+            AdmissionRequest request, double elapsedMillis, double slowness, long nowMillis) {
+        freeSlot(request, elapsedMillis);
+        capacity.recordFailure(elapsedMillis, slowness, nowMillis);
+        return startWaiting(nowMillis);
+    }
+
+    private void freeSlot(AdmissionRequest request, double millis) {
         running--;
         waitingCalls
                 .band(request.band())
-                .recordEnd(request.caller(), runMillis, capacity.meanRunMillis());
-        capacity.recordEnd(runMillis, slowness, nowMillis);
-        return startWaiting(nowMillis);
+                .recordEnd(request.caller(), millis, capacity.meanRunMillis());
     }
 
     /** Takes back the start of a call that was not sent; it is still released as usual. */
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
@@ -82,6 +82,16 @@
         concurrency.recordRunTime(slowness, nowMillis);
     }
 
+    /**
+     * Records the end of a call without a success. Its running time would have been at least the
+     * elapsed time, which says something only if that is longer than usual.
+     */
+    void recordFailure(double elapsedMillis, double slowness, long nowMillis) {
+        if (slowness > 1) {
+            recordEnd(elapsedMillis, slowness, nowMillis);
+        }
+    }
+
     /** Returns the calls that the target can sustain at once, at least 1. */
     int sustainableCalls() {
         double atLimit = Math.ceil(rate.callsPerSecond() * meanRunMillis / MILLIS_PER_SECOND);
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cuminreach.decisions.admission.AdmissionOutcome;
+import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.FairQueue;
 import org.cuminreach.decisions.admission.RefusedCall;
 import org.cuminreach.decisions.admission.RunTimes;
@@ -332,22 +333,21 @@
     }
 
     private void release(PendingCall pending, double runMillis, SendOutcome sent) {
+        AdmissionRequest request = pending.admissionRequest();
         List<PendingCall> next;
         List<RefusedCall<PendingCall>> refused;
         synchronized (queue) {
-            double slowness = runTimes.slowness(pending.admissionRequest().route(), runMillis);
+            long nowMillis = ProcessClock.monotonicMillis();
+            double slowness = runTimes.slowness(request.route(), runMillis);
             if (sent instanceof SendOutcome.NotSent) {
                 queue.cancelStart();
             }
             if (sent instanceof SendOutcome.Completed) {
-                runTimes.record(pending.admissionRequest().route(), runMillis);
+                runTimes.record(request.route(), runMillis);
+                next = queue.release(request, runMillis, slowness, nowMillis);
+            } else {
+                next = queue.releaseFailed(request, runMillis, slowness, nowMillis);
             }
-            next =
-                    queue.release(
-                            pending.admissionRequest(),
-                            runMillis,
-                            slowness,
-                            ProcessClock.monotonicMillis());
             refused = queue.takeRefused();
         }
         next.forEach(this::run);
