--- a/node/src/main/java/org/cuminreach/node/caller/RouteStatistics.java
+++ b/node/src/main/java/org/cuminreach/node/caller/RouteStatistics.java
@@ -24,9 +24,10 @@
     private final CallSizes sizes = CallSizes.empty();
 
     /**
-     * Records an attempt and returns its running time relative to what is typical for its route.
-     * Uses the running time that the target's node reports; without a report the wait at that node
-     * is included.
+     * Records an attempt and returns its running time relative to what is typical for its route. A
+     * failure may end long before a success would, so it does not count as typical. Uses the
+     * running time that the target's node reports; without a report the wait at that node is
+     * included.
      */
     synchronized double record(
             CallAttempts attempts,
@@ -39,7 +40,8 @@
                         .orElse(elapsedMicros / MICROS_PER_MILLI);
         String route = attempts.route().name();
         if (sent instanceof SendOutcome.Completed completed
-                && CallAnswers.outcome(sent) instanceof AttemptOutcome.Answered) {
+                && CallAnswers.outcome(sent) instanceof AttemptOutcome.Answered answered
+                && !CallAnswers.isFailure(answered.status())) {
             runTimes.record(route, runMillis);
             sizes.record(
                     route, attempts.call().body().length + (long) completed.answer().body().length);
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -342,7 +342,8 @@
             if (sent instanceof SendOutcome.NotSent) {
                 queue.cancelStart();
             }
-            if (sent instanceof SendOutcome.Completed) {
+            if (sent instanceof SendOutcome.Completed completed
+                    && !CallAnswers.isFailure(completed.answer().status())) {
                 runTimes.record(request.route(), runMillis);
                 next = queue.release(request, runMillis, slowness, nowMillis);
             } else {
--- a/node/src/test/java/org/cuminreach/node/target/SheddingTargetTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/SheddingTargetTest.java
@@ -26,10 +26,12 @@
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.settings.Address;
 
-/** A target with one slot that answers calls, refuses them at once or keeps them. */
+/** A target with one slot that answers calls, refuses them, fails at once or keeps them. */
 class SheddingTargetTest {
     private static final int RUN_MILLIS = 100;
-    private static final int CALLS = 25;
+    private static final int ANSWERED_CALLS = 25;
+    private static final int UNSUCCESSFUL_CALLS = 60;
+    private static final int FAILED_STATUS = 500;
     private static final int REFUSED_STATUS = 503;
     private static final int LONG_DEADLINE_MILLIS = 60_000;
     private static final long WAIT_SECONDS = 60;
@@ -41,16 +43,29 @@
     /** Guards against refusals that are taken for short runs, which hides how long calls wait. */
     @Example
     void refusalsOfTargetDoNotShortenReportedWaits() throws Exception {
+        assertThat(reportedWaitMillisAfter("/refuse", REFUSED_STATUS))
+                .isAtLeast((int) (0.9 * 2 * RUN_MILLIS));
+    }
+
+    /** Guards against failures that are taken for short runs, which hides how long calls wait. */
+    @Example
+    void failuresOfTargetDoNotShortenReportedWaits() throws Exception {
+        assertThat(reportedWaitMillisAfter("/fail", FAILED_STATUS))
+                .isAtLeast((int) (0.9 * 2 * RUN_MILLIS));
+    }
+
+    /** Returns the wait behind a running and a waiting call, after calls without a success. */
+    private int reportedWaitMillisAfter(String path, int status) throws Exception {
         Address address = freeAddress();
         HttpServer target = HttpServer.listen(address, eventLoops, this::runAtTarget).join();
         TargetClient client = TargetClient.create(eventLoops);
         try {
             TargetAdmissionHandler handler = handler(address, client);
-            for (int call = 0; call < CALLS; call++) {
+            for (int call = 0; call < ANSWERED_CALLS; call++) {
                 assertThat(answer(handler, "/answer").status()).isEqualTo(200);
             }
-            for (int call = 0; call < CALLS; call++) {
-                assertThat(answer(handler, "/refuse").status()).isEqualTo(REFUSED_STATUS);
+            for (int call = 0; call < UNSUCCESSFUL_CALLS; call++) {
+                assertThat(answer(handler, path).status()).isEqualTo(status);
             }
             CompletableFuture<HttpAnswer> running =
                     handler.handle(call("/keep", LONG_DEADLINE_MILLIS));
@@ -62,9 +77,8 @@
             kept.complete(HttpAnswer.of(200, "text/plain", ""));
             running.get(WAIT_SECONDS, TimeUnit.SECONDS);
             waiting.get(WAIT_SECONDS, TimeUnit.SECONDS);
-
             assertThat(report.waiting()).isEqualTo(1);
-            assertThat(report.waitMillis(0)).isAtLeast((int) (0.9 * 2 * RUN_MILLIS));
+            return report.waitMillis(0);
         } finally {
             client.closeIdle();
             target.close();
@@ -85,6 +99,10 @@
             return CompletableFuture.completedFuture(
                     HttpAnswer.of(REFUSED_STATUS, "text/plain", ""));
         }
+        if (call.path().equals("/fail")) {
+            return CompletableFuture.completedFuture(
+                    HttpAnswer.of(FAILED_STATUS, "text/plain", ""));
+        }
         CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
         timer.schedule(
                 () -> answer.complete(HttpAnswer.of(200, "text/plain", "")),
