--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -34,6 +34,7 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.administration.AdministrationHandler;
+import org.cuminreach.runtime.administration.ProcessLoad;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
@@ -221,6 +222,7 @@
         QuotaMetrics.register(registry, quotas);
         evacuationReporter.register(registry);
         ControlMetrics.register(registry, replica, sessions, nodeTraffic);
+        ProcessLoad.start(eventLoops, registry);
         HttpServer.listen(
                         settings.administrationAddress(),
                         eventLoops,
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -38,8 +38,10 @@
 import org.cuminreach.node.tenant.TenantAuthenticator;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.ProcessorTime;
 import org.cuminreach.runtime.RepeatedTask;
 import org.cuminreach.runtime.administration.AdministrationHandler;
+import org.cuminreach.runtime.administration.ProcessLoad;
 import org.cuminreach.runtime.administration.Readiness;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
@@ -57,18 +59,10 @@
     private static final long CONTROL_SILENCE_TIMEOUT_MILLIS = 1_800;
     private static final long SESSION_TIMER_INTERVAL_MILLIS = 400;
     private static final long ADMISSION_TIMER_INTERVAL_MILLIS = 50;
-    private static final long STOP_POLL_INTERVAL_MILLIS = 20;
-    private static final long IDLE_BEFORE_STOP_MILLIS = 300;
 
     /** Time within which other nodes receive the announcement that the target is gone. */
     private static final long ANNOUNCEMENT_PROPAGATION_MILLIS = 500;
 
-    /** Time in which connections are closed after their next answer while new ones are accepted. */
-    private static final long CONNECTION_RETIREMENT_MILLIS = 500;
-
-    /** Time in which calls on open connections are accepted after the server stops listening. */
-    private static final long KEEP_ALIVE_GRACE_MILLIS = 200;
-
     private static final long EVENT_LOOP_STOP_TIMEOUT_MILLIS = 3_000;
 
     private final NodeSettings settings;
@@ -93,6 +87,7 @@
     private final TargetAdmissionHandler admissionHandler;
     private final ControlSession controlSession;
     private final CallDeduplicator deduplicator;
+    private final ProcessLoad load = ProcessLoad.start(eventLoops, registry);
     private HttpServer callerServer;
     private HttpServer inboundServer;
     private HttpServer administrationServer;
@@ -197,38 +192,16 @@
                 Math.min(settings.shutdownDelayMillis(), settings.shutdownTimeoutMillis());
         admissionHandler.drain(
                 startedMillis + Math.min(delayMillis, ANNOUNCEMENT_PROPAGATION_MILLIS));
-        Thread.sleep(Math.max(0, delayMillis - CONNECTION_RETIREMENT_MILLIS));
-        callerServer.drainConnections();
-        inboundServer.drainConnections();
-        Thread.sleep(Math.min(delayMillis, CONNECTION_RETIREMENT_MILLIS));
-        callerServer.stopAccepting();
-        inboundServer.stopAccepting();
-        Thread.sleep(Math.min(delayMillis, KEEP_ALIVE_GRACE_MILLIS));
-        callerServer.refuseRequests();
-        awaitIdle(startedMillis + settings.shutdownTimeoutMillis());
-        LOGGER.info("event=node_stopped aborted={}", inProgress());
+        ServerRetirement retirement = new ServerRetirement(callerServer, inboundServer);
+        retirement.run(delayMillis, startedMillis + settings.shutdownTimeoutMillis());
+        LOGGER.info(
+                "event=node_stopped aborted={} processor_ms={} highest_lag_ms={}",
+                retirement.inProgress(),
+                ProcessorTime.usedMillis(),
+                load.highestLagMillis());
         close();
     }
 
-    /**
-     * Waits until no request is in progress and none has arrived on open connections for a while.
-     */
-    private void awaitIdle(long deadlineMillis) throws InterruptedException {
-        long received = -1;
-        long idleSinceMillis = 0;
-        while (ProcessClock.monotonicMillis() < deadlineMillis) {
-            long nowMillis = ProcessClock.monotonicMillis();
-            long receivedNow = callerServer.receivedRequests() + inboundServer.receivedRequests();
-            if (inProgress() > 0 || receivedNow != received) {
-                received = receivedNow;
-                idleSinceMillis = nowMillis;
-            } else if (nowMillis - idleSinceMillis >= IDLE_BEFORE_STOP_MILLIS) {
-                return;
-            }
-            Thread.sleep(STOP_POLL_INTERVAL_MILLIS);
-        }
-    }
-
     private void close() {
         timer.shutdownNow();
         callerServer.close();
@@ -245,10 +218,6 @@
         eventLoops.terminationFuture().awaitUninterruptibly(EVENT_LOOP_STOP_TIMEOUT_MILLIS);
     }
 
-    private int inProgress() {
-        return callerServer.requestsInProgress() + inboundServer.requestsInProgress();
-    }
-
     private void listen() {
         CallerHandler callerHandler =
                 CallerHandler.create(
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -55,6 +56,7 @@
     }
 
     private final HttpServer server;
+    private final PartialRequest partialRequest;
     private final Deque<PendingCall> pendingCalls = new ArrayDeque<>();
     private final Deque<FullHttpRequest> waitingRequests = new ArrayDeque<>();
     private int waitingBytes;
@@ -62,8 +64,9 @@
     private boolean startingWaiting;
     private boolean closing;
 
-    HttpConnectionHandler(HttpServer server) {
+    HttpConnectionHandler(HttpServer server, PartialRequest partialRequest) {
         this.server = server;
+        this.partialRequest = partialRequest;
     }
 
     @Override
@@ -128,6 +131,7 @@
     private void start(ChannelHandlerContext context, FullHttpRequest request) {
         boolean closesAfterPendingCalls = server.closesConnections() && !pendingCalls.isEmpty();
         if (closing || closesAfterPendingCalls) {
+            LOGGER.info("event=requests_dropped reason=connection_closes requests=1");
             return;
         }
         if (request.decoderResult().cause() instanceof BodyMemoryExhaustedException exhausted) {
@@ -191,15 +195,45 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-        boolean idle = pendingCalls.isEmpty() && waitingRequests.isEmpty();
-        if (event instanceof HttpServer.CloseIfIdle && idle && !closing) {
-            closing = true;
-            context.close();
+        if (event == HttpServer.CloseEvent.IF_IDLE) {
+            closeIfIdle(context);
+        } else if (event == HttpServer.CloseEvent.NOW) {
+            closeNow(context);
         } else {
             super.userEventTriggered(context, event);
         }
     }
 
+    private void closeIfIdle(ChannelHandlerContext context) {
+        if (!closing && pendingCalls.isEmpty() && waitingRequests.isEmpty()) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    private void closeNow(ChannelHandlerContext context) {
+        if (!closing) {
+            readArrivedInput(context);
+        }
+        boolean cut = !pendingCalls.isEmpty() || !waitingRequests.isEmpty();
+        if (!closing && (cut || partialRequest.isPresent())) {
+            LOGGER.info(
+                    "event=connection_cut remote={} running={} waiting={} partial={}",
+                    context.channel().remoteAddress(),
+                    pendingCalls.size(),
+                    waitingRequests.size(),
+                    partialRequest.isPresent());
+        }
+        context.close();
+    }
+
+    /** Reads what the operating system has received, which the event loop may not have seen yet. */
+    private static void readArrivedInput(ChannelHandlerContext context) {
+        if (context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe input) {
+            input.read();
+        }
+    }
+
     private static void runInEventLoop(ChannelHandlerContext context, Runnable task) {
         if (context.executor().inEventLoop()) {
             task.run();
@@ -239,6 +273,7 @@
             wrote = true;
         }
         if (closing) {
+            logDroppedRequests();
             abandonPendingCalls();
         }
         if (wrote) {
@@ -247,6 +282,13 @@
         }
     }
 
+    private void logDroppedRequests() {
+        int dropped = pendingCalls.size() + waitingRequests.size();
+        if (dropped > 0) {
+            LOGGER.info("event=requests_dropped reason=connection_closes requests={}", dropped);
+        }
+    }
+
     private void abandonPendingCalls() {
         dropWaitingRequests();
         // Each call is removed before its future completes, which may re-enter this method.
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -34,8 +34,11 @@
     /** Memory for the bodies of requests to all servers of this process. */
     private static final BodyMemory REQUEST_MEMORY = BodyMemory.forHeap();
 
-    /** User event that closes a connection unless a request is in progress on it. */
-    enum CloseIfIdle {
+    /** User event that closes a connection. */
+    enum CloseEvent {
+        /** Closes the connection unless a request is in progress on it. */
+        IF_IDLE,
+
         /** Closes the connection immediately. */
         NOW
     }
@@ -110,7 +113,7 @@
     /** Closes idle connections and refuses all further requests. */
     public void refuseRequests() {
         refusing = true;
-        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(CloseIfIdle.NOW));
+        fireOnConnections(CloseEvent.IF_IDLE);
     }
 
     /** Accepts no more connections and closes each open one after its next answer. */
@@ -122,9 +125,14 @@
     /** Stops listening and closes all connections. */
     public void close() {
         stopAccepting();
+        fireOnConnections(CloseEvent.NOW);
         connections.close();
     }
 
+    private void fireOnConnections(CloseEvent event) {
+        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(event));
+    }
+
     /**
      * Returns the number of requests whose answers are not yet written completely.
      *
@@ -181,13 +189,16 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                PartialRequest partialRequest = new PartialRequest();
                 channel.pipeline()
+                        .addLast(partialRequest.beforeDecoder())
                         .addLast(
                                 new HttpServerCodec(
                                         MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(partialRequest.afterDecoder())
                         .addLast(new RequestMemoryGuard(requestMemory))
                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                        .addLast(new HttpConnectionHandler(HttpServer.this));
+                        .addLast(new HttpConnectionHandler(HttpServer.this, partialRequest));
             }
         };
     }
