--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -192,7 +192,7 @@
                 Math.min(settings.shutdownDelayMillis(), settings.shutdownTimeoutMillis());
         admissionHandler.drain(
                 startedMillis + Math.min(delayMillis, ANNOUNCEMENT_PROPAGATION_MILLIS));
-        ServerRetirement retirement = new ServerRetirement(callerServer, inboundServer);
+        ServerRetirement retirement = new ServerRetirement(eventLoops, callerServer, inboundServer);
         retirement.run(delayMillis, startedMillis + settings.shutdownTimeoutMillis());
         LOGGER.info(
                 "event=node_stopped aborted={} processor_ms={} highest_lag_ms={}",
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -19,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -72,6 +73,9 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         server.addConnection(context.channel());
+        if (server.refusesRequests()) {
+            context.executor().execute(() -> closeIfIdle(context));
+        }
     }
 
     @Override
@@ -144,8 +148,9 @@
             return;
         }
         InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
-        if (server.refusesRequests()) {
-            answerWithoutRunning(context, request, "this process stops");
+        Optional<HttpAnswer> refusal = server.refusal();
+        if (refusal.isPresent()) {
+            answerAndClose(context, request, refusal.get());
             return;
         }
         HttpCall call =
@@ -205,12 +210,23 @@
     }
 
     private void closeIfIdle(ChannelHandlerContext context) {
-        if (!closing && pendingCalls.isEmpty() && waitingRequests.isEmpty()) {
+        if (!isIdle()) {
+            return;
+        }
+        readArrivedInput(context);
+        if (isIdle()) {
             closing = true;
             context.close();
         }
     }
 
+    private boolean isIdle() {
+        return !closing
+                && pendingCalls.isEmpty()
+                && waitingRequests.isEmpty()
+                && !partialRequest.isPresent();
+    }
+
     private void closeNow(ChannelHandlerContext context) {
         if (!closing) {
             readArrivedInput(context);
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -13,9 +13,11 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.cuminreach.settings.Address;
 
 /** HTTP/1.1 server that listens on one address and accepts requests of bounded size. */
@@ -52,7 +54,7 @@
     private volatile Channel listening;
     private volatile boolean closing;
     private volatile boolean draining;
-    private volatile boolean refusing;
+    private volatile Optional<Supplier<HttpAnswer>> refusal = Optional.empty();
 
     private HttpServer(HttpHandler handler, BodyMemory requestMemory) {
         this.handler = handler;
@@ -110,9 +112,21 @@
         draining = true;
     }
 
-    /** Closes idle connections and refuses all further requests. */
+    /** Refuses all further requests and closes each connection once it has been read empty. */
     public void refuseRequests() {
-        refusing = true;
+        refuseRequests(
+                () ->
+                        HttpAnswer.of(503, "text/plain", "this process stops\n")
+                                .setHeader("Retry-After", 1));
+    }
+
+    /**
+     * Refuses all further requests and closes each connection once it has been read empty.
+     *
+     * @param answer supplies the answer to a request, which is not run
+     */
+    public void refuseRequests(Supplier<HttpAnswer> answer) {
+        refusal = Optional.of(answer);
         fireOnConnections(CloseEvent.IF_IDLE);
     }
 
@@ -164,8 +178,12 @@
         return handler;
     }
 
+    Optional<HttpAnswer> refusal() {
+        return refusal.map(Supplier::get);
+    }
+
     boolean refusesRequests() {
-        return refusing;
+        return refusal.isPresent();
     }
 
     boolean closesConnections() {
