--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -19,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -56,6 +58,7 @@
     }
 
     private final HttpServer server;
+    private final PartialRequest partialRequest;
     private final Deque<PendingCall> pendingCalls = new ArrayDeque<>();
     private final Deque<FullHttpRequest> waitingRequests = new ArrayDeque<>();
     private int waitingBytes;
@@ -63,13 +66,17 @@
     private boolean startingWaiting;
     private boolean closing;
 
-    HttpConnectionHandler(HttpServer server) {
+    HttpConnectionHandler(HttpServer server, PartialRequest partialRequest) {
         this.server = server;
+        this.partialRequest = partialRequest;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         server.addConnection(context.channel());
+        if (server.refusesRequests()) {
+            context.executor().execute(() -> closeIfIdle(context));
+        }
     }
 
     @Override
@@ -129,6 +136,7 @@
     private void start(ChannelHandlerContext context, FullHttpRequest request) {
         boolean closesAfterPendingCalls = server.closesConnections() && !pendingCalls.isEmpty();
         if (closing || closesAfterPendingCalls) {
+            LOGGER.info("event=requests_dropped reason=connection_closes requests=1");
             return;
         }
         if (request.decoderResult().cause() instanceof BodyMemoryExhaustedException exhausted) {
@@ -141,8 +149,9 @@
             return;
         }
         InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
-        if (server.refusesRequests()) {
-            answerWithoutRunning(context, request, "this process stops");
+        Optional<HttpAnswer> refusal = server.refusal();
+        if (refusal.isPresent()) {
+            answerAndClose(context, request, refusal.get());
             return;
         }
         HttpCall call =
@@ -192,15 +201,56 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
-        boolean idle = pendingCalls.isEmpty() && waitingRequests.isEmpty();
-        if (event instanceof HttpServer.CloseIfIdle && idle && !closing) {
-            closing = true;
-            context.close();
+        if (event == HttpServer.CloseEvent.IF_IDLE) {
+            closeIfIdle(context);
+        } else if (event == HttpServer.CloseEvent.NOW) {
+            closeNow(context);
         } else {
             super.userEventTriggered(context, event);
         }
     }
 
+    private void closeIfIdle(ChannelHandlerContext context) {
+        if (!isIdle()) {
+            return;
+        }
+        readArrivedInput(context);
+        if (isIdle()) {
+            closing = true;
+            context.close();
+        }
+    }
+
+    private boolean isIdle() {
+        return !closing
+                && pendingCalls.isEmpty()
+                && waitingRequests.isEmpty()
+                && !partialRequest.isPresent();
+    }
+
+    private void closeNow(ChannelHandlerContext context) {
+        if (!closing) {
+            readArrivedInput(context);
+        }
+        boolean cut = !pendingCalls.isEmpty() || !waitingRequests.isEmpty();
+        if (!closing && (cut || partialRequest.isPresent())) {
+            LOGGER.info(
+                    "event=connection_cut remote={} running={} waiting={} partial={}",
+                    context.channel().remoteAddress(),
+                    pendingCalls.size(),
+                    waitingRequests.size(),
+                    partialRequest.isPresent());
+        }
+        context.close();
+    }
+
+    /** Reads what the operating system has received, which the event loop may not have seen yet. */
+    private static void readArrivedInput(ChannelHandlerContext context) {
+        if (context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe input) {
+            input.read();
+        }
+    }
+
     private static void runInEventLoop(ChannelHandlerContext context, Runnable task) {
         if (context.executor().inEventLoop()) {
             task.run();
@@ -240,6 +290,7 @@
             wrote = true;
         }
         if (closing) {
+            logDroppedRequests();
             abandonPendingCalls();
         }
         if (wrote) {
@@ -248,6 +299,13 @@
         }
     }
 
+    private void logDroppedRequests() {
+        int dropped = pendingCalls.size() + waitingRequests.size();
+        if (dropped > 0) {
+            LOGGER.info("event=requests_dropped reason=connection_closes requests={}", dropped);
+        }
+    }
+
     private void abandonPendingCalls() {
         dropWaitingRequests();
         // Each call is removed before its future completes, which may re-enter this method.
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -13,9 +13,11 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.cuminreach.settings.Address;
 
 /** HTTP/1.1 server that listens on one address and accepts requests of bounded size. */
@@ -34,8 +36,11 @@
     /** Memory for the bodies of requests to all servers of this process. */
     private static final BodyMemory REQUEST_MEMORY = BodyMemory.forHeap();
 
-    /** User event that closes a connection unless a request is in progress on it. */
-    enum CloseIfIdle {
+    /** User event that closes a connection. */
+    enum CloseEvent {
+        /** Closes the connection unless a request is in progress on it. */
+        IF_IDLE,
+
         /** Closes the connection immediately. */
         NOW
     }
@@ -49,7 +54,7 @@
     private volatile Channel listening;
     private volatile boolean closing;
     private volatile boolean draining;
-    private volatile boolean refusing;
+    private volatile Optional<Supplier<HttpAnswer>> refusal = Optional.empty();
 
     private HttpServer(HttpHandler handler, BodyMemory requestMemory) {
         this.handler = handler;
@@ -107,10 +112,22 @@
         draining = true;
     }
 
-    /** Closes idle connections and refuses all further requests. */
+    /** Refuses all further requests and closes each connection once it has been read empty. */
     public void refuseRequests() {
-        refusing = true;
-        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(CloseIfIdle.NOW));
+        refuseRequests(
+                () ->
+                        HttpAnswer.of(503, "text/plain", "this process stops\n")
+                                .setHeader("Retry-After", 1));
+    }
+
+    /**
+     * Refuses all further requests and closes each connection once it has been read empty.
+     *
+     * @param answer supplies the answer to a request, which is not run
+     */
+    public void refuseRequests(Supplier<HttpAnswer> answer) {
+        refusal = Optional.of(answer);
+        fireOnConnections(CloseEvent.IF_IDLE);
     }
 
     /** Accepts no more connections and closes each open one after its next answer. */
@@ -122,9 +139,14 @@
     /** Stops listening and closes all connections. */
     public void close() {
         stopAccepting();
+        fireOnConnections(CloseEvent.NOW);
         connections.close();
     }
 
+    private void fireOnConnections(CloseEvent event) {
+        connections.forEach(channel -> channel.pipeline().fireUserEventTriggered(event));
+    }
+
     /**
      * Returns the number of requests whose answers are not yet written completely.
      *
@@ -156,8 +178,12 @@
         return handler;
     }
 
+    Optional<HttpAnswer> refusal() {
+        return refusal.map(Supplier::get);
+    }
+
     boolean refusesRequests() {
-        return refusing;
+        return refusal.isPresent();
     }
 
     boolean closesConnections() {
@@ -181,13 +207,16 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                PartialRequest partialRequest = new PartialRequest();
                 channel.pipeline()
+                        .addLast(partialRequest.beforeDecoder())
                         .addLast(
                                 new HttpServerCodec(
                                         MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(partialRequest.afterDecoder())
                         .addLast(new RequestMemoryGuard(requestMemory))
                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                        .addLast(new HttpConnectionHandler(HttpServer.this));
+                        .addLast(new HttpConnectionHandler(HttpServer.this, partialRequest));
             }
         };
     }
