--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -11,6 +11,7 @@
 import org.cuminreach.document.Route;
 import org.cuminreach.document.Tenant;
 import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.node.poison.RequestFingerprint;
 import org.cuminreach.runtime.http.HttpCall;
 
 /**
@@ -19,6 +20,7 @@
  */
 final class CallAttempts {
     private final HttpCall call;
+    private final RequestFingerprint fingerprint;
     private final Route route;
     private final String service;
     private final String requestId;
@@ -46,6 +48,7 @@
             long configurationVersion,
             int previousAttempts) {
         this.call = call;
+        this.fingerprint = RequestFingerprint.of(call);
         this.route = route;
         this.service = service;
         this.requestId = requestId;
@@ -61,6 +64,10 @@
         return call;
     }
 
+    RequestFingerprint fingerprint() {
+        return fingerprint;
+    }
+
     /** Ends the attempt in progress, and the hedged one, since the call has its answer. */
     void abandon() {
         call.abandoned().complete(null);
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -226,7 +226,8 @@
     private CompletableFuture<HttpAnswer> attempt(
             CallAttempts attempts, MeshConfiguration configuration) {
         long nowMillis = ProcessClock.monotonicMillis();
-        OptionalLong refused = poisonFilter.remainingRefusalMillis(attempts.call(), nowMillis);
+        OptionalLong refused =
+                poisonFilter.remainingRefusalMillis(attempts.fingerprint(), nowMillis);
         if (refused.isPresent()) {
             return FinalAnswers.refuse(attempts, PoisonFilter.REFUSAL_REASON, refused.getAsLong());
         }
@@ -323,7 +324,7 @@
         TargetFeedback.record(target, sent, report, slowness, nowMillis);
         permissions.recordRefusal(attempts, version, target, sent);
         if (!poisonFilter.record(
-                attempts.call(), attempts.requestId(), target.node(), outcome, nowMillis)) {
+                attempts.fingerprint(), attempts.requestId(), target.node(), outcome, nowMillis)) {
             RolloutObserver.record(
                     attempts, configuration, version, target, outcome, micros, view, evidence);
         }
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonFilter.java
@@ -10,7 +10,6 @@
 import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.decisions.retry.AttemptOutcome;
 import org.cuminreach.node.http.CallAnswers;
-import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.wire.frame.FrameListener;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -72,21 +71,22 @@
     /**
      * Returns how long to refuse a call.
      *
-     * @param call the call
+     * @param request fingerprint of the call
      * @param nowMillis current time
      * @return the remaining time, in milliseconds, or empty if it may run
      */
-    public synchronized OptionalLong remainingRefusalMillis(HttpCall call, long nowMillis) {
+    public synchronized OptionalLong remainingRefusalMillis(
+            RequestFingerprint request, long nowMillis) {
         if (table.isEmpty()) {
             return OptionalLong.empty();
         }
-        return table.remainingRefusalMillis(RequestFingerprint.of(call), nowMillis);
+        return table.remainingRefusalMillis(request.text(), nowMillis);
     }
 
     /**
      * Records an attempt.
      *
-     * @param call the call
+     * @param request fingerprint of the call
      * @param requestId request ID of the call, for the log
      * @param node name of the node next to the target
      * @param outcome outcome of the attempt
@@ -95,7 +95,11 @@
      *     target before
      */
     public boolean record(
-            HttpCall call, String requestId, String node, AttemptOutcome outcome, long nowMillis) {
+            RequestFingerprint request,
+            String requestId,
+            String node,
+            AttemptOutcome outcome,
+            long nowMillis) {
         Optional<SuspectReport> report = Optional.empty();
         boolean excused;
         synchronized (this) {
@@ -103,7 +107,7 @@
             if (table.isEmpty() && !lost) {
                 return false;
             }
-            String fingerprint = RequestFingerprint.of(call);
+            String fingerprint = request.text();
             boolean cleared = isAnsweredWithoutFailure(outcome) && table.isSuspect(fingerprint);
             excused = lost ? table.hasEarlierLoss(fingerprint, node, nowMillis) : cleared;
             if (lost) {
@@ -160,10 +164,11 @@
     private synchronized void merge(List<SuspectReport> reports, long nowMillis) {
         for (SuspectReport report : reports) {
             table.merge(report, nowMillis);
-            LOGGER.info(
-                    "event=suspect_received report={} refused={}",
-                    report,
-                    table.remainingRefusalMillis(report.fingerprint(), nowMillis).isPresent());
+            if (table.remainingRefusalMillis(report.fingerprint(), nowMillis).isPresent()) {
+                LOGGER.info("event=suspect_received report={} refused=true", report);
+            } else {
+                LOGGER.debug("event=suspect_received report={} refused=false", report);
+            }
         }
     }
 
--- a/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
+++ b/node/src/main/java/org/cuminreach/node/poison/PoisonGuard.java
@@ -66,7 +66,9 @@
 
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
-        OptionalLong refused = filter.remainingRefusalMillis(call, ProcessClock.monotonicMillis());
+        RequestFingerprint request = RequestFingerprint.of(call);
+        OptionalLong refused =
+                filter.remainingRefusalMillis(request, ProcessClock.monotonicMillis());
         if (refused.isPresent()) {
             LOGGER.info(
                     "event=call_refused request={} reason={} retry_after_ms={}",
@@ -79,16 +81,16 @@
                             PoisonFilter.REFUSAL_REASON,
                             Optional.of(refused.getAsLong())));
         }
-        return target.handle(call).thenApply(answer -> observe(call, answer));
+        return target.handle(call).thenApply(answer -> observe(call, request, answer));
     }
 
-    private HttpAnswer observe(HttpCall call, HttpAnswer answer) {
+    private HttpAnswer observe(HttpCall call, RequestFingerprint request, HttpAnswer answer) {
         String reason = answer.headers().get(MeshHeaders.REASON, "");
         boolean mayHaveRun =
                 MeshHeaders.MAY_HAVE_RUN.equals(answer.headers().get(MeshHeaders.OUTCOME));
         if (MeshHeaders.ANSWERED.equals(answer.headers().get(MeshHeaders.OUTCOME))) {
             filter.record(
-                    call,
+                    request,
                     call.header(MeshHeaders.REQUEST_ID, ""),
                     node,
                     new AttemptOutcome.Answered(answer.status()),
@@ -97,9 +99,8 @@
         }
         boolean closedByTarget = mayHaveRun && TargetClient.CLOSED_BY_TARGET.contains(reason);
         if (closedByTarget || (mayHaveRun && TargetClient.CANCELLED.contains(reason))) {
-            String fingerprint = RequestFingerprint.of(call);
             synchronized (interrupted) {
-                interrupted.add(fingerprint, ProcessClock.monotonicMillis());
+                interrupted.add(request.text(), ProcessClock.monotonicMillis());
             }
         }
         if (closedByTarget || reason.equals(TargetClient.CANNOT_CONNECT)) {
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonFilterTest.java
@@ -17,7 +17,7 @@
 
     @Example
     void lossThatTheTargetsNodeReportedFirstIsEvidenceAgainstTheVersion() {
-        filter.recordTargetEnd(Map.of(RequestFingerprint.of(CALL), 1_000L), "node-1", 1_000);
+        filter.recordTargetEnd(Map.of(RequestFingerprint.of(CALL).text(), 1_000L), "node-1", 1_000);
 
         assertThat(record("node-1", LOST, 1_005)).isFalse();
         assertThat(record("node-2", LOST, 1_200)).isTrue();
@@ -29,7 +29,8 @@
         record("node-2", new AttemptOutcome.Answered(500), 2_000);
         record("node-2", LOST, 3_000);
 
-        assertThat(filter.remainingRefusalMillis(CALL, 3_000).isPresent()).isTrue();
+        assertThat(filter.remainingRefusalMillis(RequestFingerprint.of(CALL), 3_000).isPresent())
+                .isTrue();
     }
 
     @Example
@@ -46,10 +47,11 @@
         record("node-2", new AttemptOutcome.Answered(200), 2_000);
         record("node-2", LOST, 3_000);
 
-        assertThat(filter.remainingRefusalMillis(CALL, 3_000).isPresent()).isFalse();
+        assertThat(filter.remainingRefusalMillis(RequestFingerprint.of(CALL), 3_000).isPresent())
+                .isFalse();
     }
 
     private boolean record(String node, AttemptOutcome outcome, long nowMillis) {
-        return filter.record(CALL, "request", node, outcome, nowMillis);
+        return filter.record(RequestFingerprint.of(CALL), "request", node, outcome, nowMillis);
     }
 }
--- a/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
+++ b/node/src/test/java/org/cuminreach/node/poison/PoisonGuardTest.java
@@ -30,7 +30,7 @@
     void requestThatLostThreeTargetsIsRefusedThoughItsSenderDoesNotKnow() {
         for (int target = 0; target < 3; target++) {
             filter.record(
-                    call("/poison"),
+                    RequestFingerprint.of(call("/poison")),
                     "request",
                     "node-" + target,
                     LOST,
@@ -82,13 +82,26 @@
         targetEnded = new CompletableFuture<>();
         nextAnswer = CallAnswers.mayHaveRun("connection_closed");
         guard.handle(call("/other")).join();
-        filter.record(call("/other"), "request", "node-2", LOST, nowMillis - 9_000);
-        filter.record(call("/other"), "request", "node-3", LOST, nowMillis - 9_000);
+        filter.record(
+                RequestFingerprint.of(call("/other")),
+                "request",
+                "node-2",
+                LOST,
+                nowMillis - 9_000);
+        filter.record(
+                RequestFingerprint.of(call("/other")),
+                "request",
+                "node-3",
+                LOST,
+                nowMillis - 9_000);
         Thread.sleep(300);
         targetEnded.complete(true);
 
         long confirmedMillis = ProcessClock.monotonicMillis();
-        assertThat(filter.remainingRefusalMillis(call("/other"), confirmedMillis).getAsLong())
+        assertThat(
+                        filter.remainingRefusalMillis(
+                                        RequestFingerprint.of(call("/other")), confirmedMillis)
+                                .getAsLong())
                 .isAtMost(59_750);
     }
 
@@ -119,7 +132,12 @@
 
     /** Loses another target under the request, which is excused if it has lost one before. */
     private boolean isSuspect(String path) {
-        return filter.record(call(path), "request", "node-2", LOST, ProcessClock.monotonicMillis());
+        return filter.record(
+                RequestFingerprint.of(call(path)),
+                "request",
+                "node-2",
+                LOST,
+                ProcessClock.monotonicMillis());
     }
 
     private static HttpCall call(String path) {
