--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
@@ -127,8 +127,9 @@
     private static void addReports(
             String fingerprint, Suspect suspect, long nowMillis, List<SuspectReport> reports) {
         if (suspect.answeredMillis != Long.MIN_VALUE) {
-            reports.add(
-                    new SuspectReport.Answered(fingerprint, nowMillis - suspect.answeredMillis));
+            // An answer may have been merged after the caller read its clock.
+            long ageMillis = Math.max(0, nowMillis - suspect.answeredMillis);
+            reports.add(new SuspectReport.Answered(fingerprint, ageMillis));
         }
         if (!suspect.losses.isEmpty()) {
             reports.add(new SuspectReport.Lost(fingerprint, suspect.losses.reported(nowMillis)));
--- a/wire/src/test/java/org/cuminreach/wire/SuspectCodecTest.java
+++ b/wire/src/test/java/org/cuminreach/wire/SuspectCodecTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
+import org.cuminreach.decisions.poison.SuspectRegistry;
 import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.decisions.poison.TargetLoss;
 import org.cuminreach.wire.generated.Frame;
@@ -34,6 +35,35 @@
         assertThat(decoded).isEqualTo(reports);
     }
 
+    /** The timer of a control reads its clock before the reports of other threads are merged. */
+    @Example
+    void answerThatIsLaterThanTheTimeOfTheSenderClosesNoConnection() throws Exception {
+        SuspectRegistry registry = SuspectRegistry.empty();
+        long timerMillis = 1_000;
+        registry.merge(
+                new SuspectReport.Lost(
+                        "request-1",
+                        List.of(
+                                new TargetLoss("node-1", 20, false),
+                                new TargetLoss("node-2", 10, false))),
+                timerMillis);
+        registry.merge(new SuspectReport.Answered("request-1", 0), timerMillis + 276);
+
+        assertThat(decoded(registry.changesForNodes(0, timerMillis)))
+                .containsExactly(new SuspectReport.Answered("request-1", 0));
+        assertThat(decoded(registry.all(timerMillis)))
+                .containsExactly(new SuspectReport.Answered("request-1", 0));
+    }
+
+    private static List<SuspectReport> decoded(List<SuspectReport> reports)
+            throws MalformedFrameException {
+        List<SuspectReport> decoded = new ArrayList<>();
+        for (Frame frame : SuspectCodec.toFrames(reports)) {
+            decoded.addAll(SuspectCodec.toReports(frame.getSuspects()));
+        }
+        return decoded;
+    }
+
     @Example
     void reportsWithValuesOutOfRangeAreMalformed() {
         List<SuspectStruct> malformed =
