--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -133,6 +135,20 @@
     /** Accepts no more connections and closes each open one after its next answer. */
     public void stopAccepting() {
         closing = true;
+        if (listening.isOpen()) {
+            listening.eventLoop().execute(this::acceptWaitingAndClose);
+        }
+    }
+
+    /** Accepts the connections that wait, whose requests may have arrived, and stops listening. */
+    private void acceptWaitingAndClose() {
+        if (listening.isOpen()
+                && listening.unsafe() instanceof AbstractNioChannel.NioUnsafe input
+                && listening.config().getRecvByteBufAllocator()
+                        instanceof MaxMessagesRecvByteBufAllocator bound) {
+            bound.maxMessagesPerRead(BACKLOG_CONNECTIONS);
+            input.read();
+        }
         listening.close();
     }
 
--- a/runtime/src/test/java/org/cuminreach/runtime/http/StoppingServerTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/StoppingServerTest.java
@@ -78,6 +78,25 @@
         assertThat(reader.readLine()).startsWith("HTTP/1.1 503 ");
     }
 
+    @Example
+    void requestOnConnectionThatIsNotYetAcceptedIsAnsweredWhenServerStopsAccepting()
+            throws Exception {
+        useConnection();
+        occupyEventLoop();
+        try (Socket waiting = new Socket(socket.getInetAddress(), socket.getPort())) {
+            waiting.setSoTimeout(TIMEOUT_MILLIS);
+            waiting.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            server.stopAccepting();
+            released.countDown();
+
+            BufferedReader answer =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    waiting.getInputStream(), StandardCharsets.US_ASCII));
+            assertThat(answer.readLine()).startsWith("HTTP/1.1 200 ");
+        }
+    }
+
     @Example
     void idleConnectionIsClosedWithoutFurtherInput() throws Exception {
         useConnection();
