--- a/node/src/test/java/org/cuminreach/node/PlannedNodeStopTest.java
+++ b/node/src/test/java/org/cuminreach/node/PlannedNodeStopTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
-import net.jqwik.api.lifecycle.BeforeTry;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -33,6 +32,7 @@
 class PlannedNodeStopTest {
     private static final int TIMEOUT_MILLIS = 30_000;
     private static final int SHUTDOWN_TIMEOUT_MILLIS = 20_000;
+    private static final int SHORT_SHUTDOWN_TIMEOUT_MILLIS = 1_000;
 
     /** Time for which the event loop is occupied, over that without a request before a stop. */
     private static final int OCCUPIED_MILLIS = 2_000;
@@ -46,8 +46,7 @@
     private Address blocking;
     private NodeProcess node;
 
-    @BeforeTry
-    void start() throws IOException {
+    private void start(long shutdownTimeoutMillis) throws IOException {
         settings =
                 new NodeSettings(
                         "node",
@@ -59,7 +58,7 @@
                         Optional.empty(),
                         false,
                         0,
-                        SHUTDOWN_TIMEOUT_MILLIS,
+                        shutdownTimeoutMillis,
                         MeshBounds.defaults(),
                         LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
         node = NodeProcess.start(settings);
@@ -94,6 +93,8 @@
     @Example
     void requestOfAnotherNodeThatArrivesWhileEventLoopIsOccupiedIsAnsweredAsNotRun()
             throws Exception {
+        start(SHUTDOWN_TIMEOUT_MILLIS);
+
         String answer = answerDuringOccupiedStop(settings.inboundAddress());
 
         assertThat(answer).contains(" 503 ");
@@ -103,9 +104,23 @@
 
     @Example
     void requestOfCallerThatArrivesWhileEventLoopIsOccupiedIsAnswered() throws Exception {
+        start(SHUTDOWN_TIMEOUT_MILLIS);
+
         assertThat(answerDuringOccupiedStop(settings.callerAddress())).startsWith("HTTP/1.1 ");
     }
 
+    @Example
+    void requestThatIsNeverCompletedKeepsNodeFromStoppingOnlyUntilTimeout() throws Exception {
+        start(SHORT_SHUTDOWN_TIMEOUT_MILLIS);
+        Socket partial = connect(settings.callerAddress());
+        send(partial, "POST /none HTTP/1.1\r\nHost: none\r\nContent-Length: 4\r\n\r\n");
+        Thread stop = Thread.ofVirtual().start(this::stop);
+        stop.join(TIMEOUT_MILLIS);
+
+        assertThat(stop.isAlive()).isFalse();
+        assertThat(partial.getInputStream().read()).isEqualTo(-1);
+    }
+
     /** Returns the head of the answer to a request that arrives unseen while the node stops. */
     private String answerDuringOccupiedStop(Address server) throws Exception {
         Socket kept = connect(server);
@@ -142,7 +157,11 @@
     }
 
     private static void send(Socket socket) throws IOException {
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        send(socket, REQUEST);
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
         socket.getOutputStream().flush();
     }
 
