--- a/control/src/main/java/org/cuminreach/control/ControlProcess.java
+++ b/control/src/main/java/org/cuminreach/control/ControlProcess.java
@@ -13,6 +13,7 @@
 import org.cuminreach.control.evacuation.EvacuationOrders;
 import org.cuminreach.control.evacuation.EvacuationReporter;
 import org.cuminreach.control.homes.HomeRegionReporter;
+import org.cuminreach.control.node.NodeSession;
 import org.cuminreach.control.node.NodeSessionManager;
 import org.cuminreach.control.operator.OperatorGateway;
 import org.cuminreach.control.operator.OperatorHandler;
@@ -42,6 +43,7 @@
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.MalformedFrameException;
 import org.cuminreach.wire.frame.FrameEndpoints;
+import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.frame.TrafficCounter;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.HoldingBatch;
@@ -197,16 +199,17 @@
         return created;
     }
 
+    private FrameListener listenerOfNode() {
+        NodeSession session = sessions.newSession();
+        return suspects.wrap(quotas.wrap(session), session::isWelcomed);
+    }
+
     private void listen() {
         FrameEndpoints nodeEndpoints =
                 FrameEndpoints.create(eventLoops, nodeTraffic, IDLE_TIMEOUT_MILLIS)
                         .withMaxWriteBufferBytes(MAX_NODE_PENDING_BYTES);
         peers.listen(settings.replicaAddress(), replica, new PeerMessageDispatcher()).join();
-        nodeEndpoints
-                .listen(
-                        settings.nodeAddress(),
-                        () -> suspects.wrap(quotas.wrap(sessions.newSession())))
-                .join();
+        nodeEndpoints.listen(settings.nodeAddress(), this::listenerOfNode).join();
         HttpServer.listen(
                         settings.operatorAddress(),
                         eventLoops,
--- a/control/src/main/java/org/cuminreach/control/node/NodeSession.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSession.java
@@ -19,7 +19,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The session of one node with this control. */
-final class NodeSession implements FrameListener {
+public final class NodeSession implements FrameListener {
     private static final Logger LOGGER = LoggerFactory.getLogger(NodeSession.class);
 
     private final NodeSessionManager sessions;
@@ -65,7 +65,12 @@
         return announcedSequence;
     }
 
-    synchronized boolean isWelcomed() {
+    /**
+     * Tells whether the node has been welcomed and not been redirected since.
+     *
+     * @return whether the node is to be sent changes
+     */
+    public synchronized boolean isWelcomed() {
         return syncState.isPresent();
     }
 
--- a/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
@@ -21,7 +21,6 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.AnnouncementCodec;
-import org.cuminreach.wire.frame.FrameListener;
 import org.cuminreach.wire.generated.Frame;
 import org.cuminreach.wire.generated.HoldingBatch;
 import org.cuminreach.wire.generated.NodeHolding;
@@ -101,7 +100,7 @@
      *
      * @return the listener
      */
-    public FrameListener newSession() {
+    public NodeSession newSession() {
         return new NodeSession(this);
     }
 
--- a/control/src/main/java/org/cuminreach/control/poison/SuspectService.java
+++ b/control/src/main/java/org/cuminreach/control/poison/SuspectService.java
@@ -4,9 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import org.cuminreach.control.replica.PeerNetwork;
+import org.cuminreach.decisions.poison.SuspectChanges;
 import org.cuminreach.decisions.poison.SuspectRegistry;
 import org.cuminreach.decisions.poison.SuspectReport;
 import org.cuminreach.runtime.ProcessClock;
@@ -27,13 +28,28 @@
 public final class SuspectService {
     private static final Logger LOGGER = LoggerFactory.getLogger(SuspectService.class);
 
-    /** Interval at which all is sent to the other controls, since frames may be dropped. */
+    /**
+     * Interval at which the other controls are sent again what changed, since frames may be
+     * dropped.
+     */
     private static final long PEER_REFRESH_INTERVAL_MILLIS = 5_000;
 
+    private static final class NodeState {
+        private final BooleanSupplier welcomed;
+        private long heldRevision;
+
+        private NodeState(BooleanSupplier welcomed) {
+            this.welcomed = welcomed;
+        }
+    }
+
     private final PeerNetwork peers;
     private final SuspectRegistry registry = SuspectRegistry.empty();
-    private final Map<FrameConnection, Long> heldRevisions = new ConcurrentHashMap<>();
-    private final Set<String> sharingControls = ConcurrentHashMap.newKeySet();
+    private final Map<FrameConnection, NodeState> nodes = new ConcurrentHashMap<>();
+
+    /** Revisions up to which the other controls have been sent everything. */
+    private final Map<String, Long> controls = new ConcurrentHashMap<>();
+
     private long refreshedMillis;
 
     private SuspectService(PeerNetwork peers) {
@@ -54,21 +70,20 @@
      * Wraps the listener of a node's connection.
      *
      * @param listener receives all frames but reports of suspected requests
+     * @param welcomed tells whether the node has been welcomed and not redirected
      * @return the wrapped listener
      */
-    public FrameListener wrap(FrameListener listener) {
-        return new NodeListener(listener);
+    public FrameListener wrap(FrameListener listener, BooleanSupplier welcomed) {
+        return new NodeListener(listener, welcomed);
     }
 
     /**
-     * Records that another control exchanges reports.
+     * Records that another control has connected and exchanges reports.
      *
      * @param control its identity
      */
     public void addSharingControl(String control) {
-        if (sharingControls.add(control)) {
-            sendAll(control, ProcessClock.monotonicMillis());
-        }
+        controls.put(control, 0L);
     }
 
     /**
@@ -89,27 +104,31 @@
      * @param nowMillis current time
      */
     public void onTimer(long nowMillis) {
-        long revision;
-        synchronized (this) {
-            revision = registry.revision();
-        }
-        Map<Long, List<byte[]>> framesByHeldRevision = new HashMap<>();
-        heldRevisions.forEach(
-                (node, held) -> {
-                    if (held != revision) {
-                        List<byte[]> frames =
-                                framesByHeldRevision.computeIfAbsent(
-                                        held, from -> framesForNodes(from, nowMillis));
-                        if (frames.stream().allMatch(node::sendEncoded)) {
-                            heldRevisions.replace(node, held, revision);
+        long revision = revision();
+        Map<Long, EncodedChanges> changesByHeldRevision = new HashMap<>();
+        nodes.forEach(
+                (connection, node) -> {
+                    if (node.heldRevision != revision && node.welcomed.getAsBoolean()) {
+                        EncodedChanges changes =
+                                changesByHeldRevision.computeIfAbsent(
+                                        node.heldRevision,
+                                        held -> changesForNodes(held, nowMillis));
+                        if (changes.frames().stream().allMatch(connection::sendEncoded)) {
+                            node.heldRevision = changes.revision();
                         }
                     }
                 });
         if (isRefreshDue(nowMillis)) {
-            sharingControls.forEach(control -> sendAll(control, nowMillis));
+            refreshControls(revision, nowMillis);
         }
     }
 
+    private record EncodedChanges(List<byte[]> frames, long revision) {}
+
+    private synchronized long revision() {
+        return registry.revision();
+    }
+
     private synchronized boolean isRefreshDue(long nowMillis) {
         if (nowMillis - refreshedMillis < PEER_REFRESH_INTERVAL_MILLIS) {
             return false;
@@ -118,25 +137,39 @@
         return true;
     }
 
-    private synchronized List<byte[]> framesForNodes(long heldRevision, long nowMillis) {
-        return SuspectCodec.toFrames(registry.changesForNodes(heldRevision, nowMillis)).stream()
-                .map(FrameCodec::encode)
-                .toList();
+    private synchronized EncodedChanges changesForNodes(long heldRevision, long nowMillis) {
+        SuspectChanges changes =
+                registry.changesForNodes(heldRevision, SuspectCodec.MAX_REPORTS, nowMillis);
+        return new EncodedChanges(
+                SuspectCodec.toFrames(changes.reports()).stream().map(FrameCodec::encode).toList(),
+                changes.revision());
     }
 
-    private void sendAll(String control, long nowMillis) {
-        List<SuspectReport> all;
-        synchronized (this) {
-            all = registry.all(nowMillis);
-        }
-        SuspectCodec.toFrames(all).forEach(frame -> peers.send(control, frame));
+    private void refreshControls(long revision, long nowMillis) {
+        controls.forEach(
+                (control, firstHeld) -> {
+                    long held = firstHeld;
+                    boolean accepted = true;
+                    while (accepted && held < revision) {
+                        SuspectChanges changes = changesForControls(held, nowMillis);
+                        accepted =
+                                SuspectCodec.toFrames(changes.reports()).stream()
+                                        .allMatch(frame -> peers.send(control, frame));
+                        held = accepted ? changes.revision() : held;
+                    }
+                    controls.replace(control, firstHeld, held);
+                });
+    }
+
+    private synchronized SuspectChanges changesForControls(long heldRevision, long nowMillis) {
+        return registry.changesForControls(heldRevision, SuspectCodec.MAX_REPORTS, nowMillis);
     }
 
     private void receiveFromNode(SuspectBatch batch, long nowMillis)
             throws MalformedFrameException {
         List<SuspectReport> changed = merge(SuspectCodec.toReports(batch), nowMillis);
         SuspectCodec.toFrames(changed)
-                .forEach(frame -> sharingControls.forEach(control -> peers.send(control, frame)));
+                .forEach(frame -> controls.keySet().forEach(control -> peers.send(control, frame)));
     }
 
     private synchronized List<SuspectReport> merge(List<SuspectReport> reports, long nowMillis) {
@@ -152,9 +185,11 @@
 
     private final class NodeListener implements FrameListener {
         private final FrameListener next;
+        private final BooleanSupplier welcomed;
 
-        NodeListener(FrameListener next) {
+        NodeListener(FrameListener next, BooleanSupplier welcomed) {
             this.next = next;
+            this.welcomed = welcomed;
         }
 
         @Override
@@ -173,13 +208,13 @@
             if (frame.getSetField() == Frame._Fields.NODE_HELLO
                     && frame.getNodeHello().isSharesSuspects()
                     && connection.isOpen()) {
-                heldRevisions.put(connection, 0L);
+                nodes.put(connection, new NodeState(welcomed));
             }
         }
 
         @Override
         public void closed(FrameConnection connection) {
-            heldRevisions.remove(connection);
+            nodes.remove(connection);
             next.closed(connection);
         }
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectRegistry.java
@@ -1,9 +1,12 @@
 package org.cuminreach.decisions.poison;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * What a control knows of suspected requests from all nodes. Requests that have lost two targets or
@@ -19,6 +22,9 @@
 
     private static final int MAX_FINGERPRINTS = 4_000;
 
+    /** Reports that tell all of one request: its losses and its answer. */
+    private static final int MAX_REPORTS_OF_REQUEST = 2;
+
     private static final class Suspect {
         private final LossHistory losses = new LossHistory();
         private long answeredMillis = Long.MIN_VALUE;
@@ -33,6 +39,10 @@
     }
 
     private final SuspectStore<Suspect> suspects = new SuspectStore<>(MAX_FINGERPRINTS);
+
+    /** Each record by its latest change. Entries of removed records stay until they are met. */
+    private final NavigableMap<Long, String> fingerprintsByRevision = new TreeMap<>();
+
     private long revision;
 
     private SuspectRegistry() {}
@@ -55,6 +65,11 @@
      */
     public boolean merge(SuspectReport report, long nowMillis) {
         suspects.removeExpired(suspect -> suspect.isExpired(nowMillis), nowMillis);
+        if (fingerprintsByRevision.size() > 2 * MAX_FINGERPRINTS + suspects.size()) {
+            fingerprintsByRevision
+                    .entrySet()
+                    .removeIf(entry -> changedAt(entry.getKey(), entry.getValue()).isEmpty());
+        }
         return switch (report) {
             case SuspectReport.Lost lost -> mergeLosses(lost, nowMillis);
             case SuspectReport.Answered answered -> mergeAnswer(answered, nowMillis);
@@ -66,7 +81,7 @@
         if (!suspect.losses.addAll(lost.losses(), suspect.answeredMillis, nowMillis)) {
             return false;
         }
-        suspect.revision = ++revision;
+        recordChange(lost.fingerprint(), suspect);
         suspect.shared |= suspect.losses.size() >= MIN_LOSSES_TO_SHARE;
         suspects.put(lost.fingerprint(), suspect, suspect.losses.size() > 1);
         return true;
@@ -80,11 +95,21 @@
         }
         Suspect suspect = known.get();
         suspect.answeredMillis = Math.max(suspect.answeredMillis, answeredMillis);
-        suspect.revision = ++revision;
+        recordChange(answered.fingerprint(), suspect);
         suspects.put(answered.fingerprint(), suspect, suspect.losses.size() > 1);
         return true;
     }
 
+    private void recordChange(String fingerprint, Suspect suspect) {
+        fingerprintsByRevision.remove(suspect.revision);
+        suspect.revision = ++revision;
+        fingerprintsByRevision.put(revision, fingerprint);
+    }
+
+    private Optional<Suspect> changedAt(long changeRevision, String fingerprint) {
+        return suspects.get(fingerprint).filter(suspect -> suspect.revision == changeRevision);
+    }
+
     /**
      * Returns the revision of the latest change.
      *
@@ -102,13 +127,55 @@
      * @return the later changes of requests that are shared with nodes
      */
     public List<SuspectReport> changesForNodes(long heldRevision, long nowMillis) {
-        List<SuspectReport> changes = new ArrayList<>();
-        for (Map.Entry<String, Suspect> entry : suspects.entries()) {
-            if (entry.getValue().shared && entry.getValue().revision > heldRevision) {
-                addReports(entry.getKey(), entry.getValue(), nowMillis, changes);
+        return changesForNodes(heldRevision, Integer.MAX_VALUE, nowMillis).reports();
+    }
+
+    /**
+     * Returns the first changes that a node lacks, in order.
+     *
+     * @param heldRevision revision up to which the node has everything
+     * @param maxReports maximum number of reports, two at least
+     * @param nowMillis current time
+     * @return changes of requests that are shared with nodes
+     */
+    public SuspectChanges changesForNodes(long heldRevision, int maxReports, long nowMillis) {
+        return changes(heldRevision, maxReports, true, nowMillis);
+    }
+
+    /**
+     * Returns the first changes that another control lacks, in order.
+     *
+     * @param heldRevision revision up to which the control has everything
+     * @param maxReports maximum number of reports, two at least
+     * @param nowMillis current time
+     * @return changes of all requests
+     */
+    public SuspectChanges changesForControls(long heldRevision, int maxReports, long nowMillis) {
+        return changes(heldRevision, maxReports, false, nowMillis);
+    }
+
+    private SuspectChanges changes(
+            long heldRevision, int maxReports, boolean sharedOnly, long nowMillis) {
+        List<SuspectReport> reports = new ArrayList<>();
+        long reached = heldRevision;
+        Iterator<Map.Entry<Long, String>> later =
+                fingerprintsByRevision.tailMap(heldRevision, false).entrySet().iterator();
+        while (later.hasNext()) {
+            Map.Entry<Long, String> entry = later.next();
+            Optional<Suspect> suspect = changedAt(entry.getKey(), entry.getValue());
+            if (suspect.isEmpty()) {
+                later.remove();
+                continue;
+            }
+            if (suspect.get().shared || !sharedOnly) {
+                if (reports.size() > maxReports - MAX_REPORTS_OF_REQUEST) {
+                    return new SuspectChanges(reports, reached);
+                }
+                addReports(entry.getValue(), suspect.get(), nowMillis, reports);
             }
+            reached = entry.getKey();
         }
-        return changes;
+        return new SuspectChanges(reports, revision);
     }
 
     /**
--- a/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectStore.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/poison/SuspectStore.java
@@ -56,6 +56,10 @@
         lostRepeatedly.values().removeIf(expired);
     }
 
+    int size() {
+        return lostOnce.size() + lostRepeatedly.size();
+    }
+
     boolean isEmpty() {
         return lostOnce.isEmpty() && lostRepeatedly.isEmpty();
     }
--- a/runtime/src/test/java/org/cuminreach/runtime/RepeatedTaskTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/RepeatedTaskTest.java
@@ -30,4 +30,16 @@
             timer.shutdownNow();
         }
     }
+
+    @Example
+    void lackOfMemoryInOneRunDoesNotEndTheRepetition() {
+        RepeatedTask task =
+                RepeatedTask.of(
+                        "test",
+                        () -> {
+                            throw new OutOfMemoryError("direct buffer memory");
+                        });
+
+        task.run();
+    }
 }
