--- a/runtime/src/main/java/org/cuminreach/runtime/RepeatedTask.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/RepeatedTask.java
@@ -33,7 +33,7 @@
     public void run() {
         try {
             task.run();
-        } catch (RuntimeException | Error failure) {
+        } catch (RuntimeException | OutOfMemoryError failure) {
             LOGGER.error("event=timer_task_failed task={} action=run_again", name, failure);
         }
     }
