--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -98,7 +98,7 @@
      *
      * @param address address of the target
      * @param call the call
-     * @param headers headers to send, instead of the call's own
+     * @param headers headers to send, instead of the call's own; the client may change them
      * @param expected tells which answer belongs to this call
      * @param timeoutMillis time after which the call is cancelled, in milliseconds
      * @return completes with the outcome; never completes exceptionally
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -6,11 +6,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -137,8 +137,7 @@
 
     private static FullHttpRequest request(TargetExchange exchange) {
         byte[] bytes = exchange.call().body();
-        DefaultHttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(exchange.headers());
+        HttpHeaders headers = exchange.headers();
         boolean hasLength = bytes.length > 0 || isSentWithBody(exchange.call().method());
         if (hasLength) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -262,8 +263,9 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(answer.status()),
-                        Unpooled.wrappedBuffer(head ? new byte[0] : answer.body()));
-        response.headers().set(answer.headers());
+                        Unpooled.wrappedBuffer(head ? new byte[0] : answer.body()),
+                        answer.headers().copy(),
+                        EmptyHttpHeaders.INSTANCE);
         if (!head || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         }
