--- a/node/src/main/java/org/cuminreach/node/caller/CallRules.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallRules.java
@@ -1,5 +1,6 @@
 package org.cuminreach.node.caller;
 
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -45,7 +46,10 @@
     /** Returns the size of the header block: each header adds a colon, a space and CRLF. */
     private static long headerBytes(HttpCall call) {
         long bytes = 0;
-        for (Map.Entry<String, String> header : call.headers()) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers =
+                call.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> header = headers.next();
             bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
         }
         return bytes;
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -176,7 +176,7 @@
     }
 
     private static HttpAnswer failure(int status, String outcome, String reason) {
-        String body = "{\"outcome\":\"%s\",\"reason\":\"%s\"}%n".formatted(outcome, reason);
+        String body = "{\"outcome\":\"" + outcome + "\",\"reason\":\"" + reason + "\"}\n";
         return HttpAnswer.of(status, JSON, body)
                 .setHeader(MeshHeaders.OUTCOME, outcome)
                 .setHeader(MeshHeaders.REASON, reason);
