--- a/decisions/src/test/java/org/cuminreach/decisions/poison/SuspectRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/poison/SuspectRegistryTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -19,6 +20,9 @@
     /** Time after the third crash from which at most three more runs are allowed. */
     private static final long CONTACT_MILLIS = 3_000;
 
+    /** Interval at which a control sends all that it knows to the others. */
+    private static final long REFRESH_INTERVAL_MILLIS = 5_000;
+
     /** Nodes, each with one control; all messages between them take a delay. */
     private static final class ModelMesh {
         private record Message(long dueMillis, Runnable delivery) {}
@@ -57,6 +61,51 @@
             }
         }
 
+        /** As {@link #advance}, with refreshes, and nodes that connect to their control again. */
+        void advanceWithResends(long millis) {
+            for (long passed = 0; passed < millis; passed += 100) {
+                advance(100);
+                if (nowMillis % REFRESH_INTERVAL_MILLIS == 0) {
+                    refreshControls();
+                }
+                if (random.nextInt(20) == 0) {
+                    welcome(random.nextInt(nodes.size()));
+                }
+            }
+        }
+
+        private void refreshControls() {
+            for (int from = 0; from < CONTROLS; from++) {
+                for (int to = 0; to < CONTROLS; to++) {
+                    if (from != to) {
+                        refresh(from, to);
+                    }
+                }
+            }
+        }
+
+        private void refresh(int from, int to) {
+            for (SuspectReport report : controls.get(from).all(nowMillis)) {
+                send(
+                        "control " + from + " to control " + to,
+                        () -> controls.get(to).merge(report, nowMillis));
+            }
+        }
+
+        private void welcome(int node) {
+            heldRevisions[node] = 0;
+            nodes.get(node).reports(nowMillis).forEach(each -> report(node, each));
+        }
+
+        int maxLossesKnown() {
+            return Stream.concat(
+                            nodes.stream().flatMap(each -> each.reports(nowMillis).stream()),
+                            controls.stream().flatMap(each -> each.all(nowMillis).stream()))
+                    .mapToInt(each -> each.targets().size())
+                    .max()
+                    .orElse(0);
+        }
+
         void restart(int node) {
             nodes.set(node, PoisonRequestTable.empty());
             heldRevisions[node] = 0;
@@ -65,16 +114,10 @@
         void restartControl(int control) {
             controls.set(control, SuspectRegistry.empty());
             for (int other = 0; other < CONTROLS; other++) {
-                for (SuspectReport report : controls.get(other).all(nowMillis)) {
-                    send(
-                            "control " + other + " to control " + control,
-                            () -> controls.get(control).merge(report, nowMillis));
-                }
+                refresh(other, control);
             }
             for (int node = control; node < nodes.size(); node += CONTROLS) {
-                heldRevisions[node] = 0;
-                int from = node;
-                nodes.get(node).reports(nowMillis).forEach(each -> report(from, each));
+                welcome(node);
             }
         }
 
@@ -217,6 +260,37 @@
         }
     }
 
+    @Property(seed = "4901", tries = 100)
+    void requestThatLostTwoTargetsOnceIsNeverRefusedWhateverTheDelay(
+            @ForAll long seed, @ForAll @IntRange(min = 3, max = 12) int nodes) {
+        Random random = new Random(seed);
+        ModelMesh mesh = new ModelMesh(nodes, random, 5_000);
+        int first = random.nextInt(nodes);
+        int second = (first + 1 + random.nextInt(nodes - 1)) % nodes;
+        mesh.lose(first, "node-a");
+        mesh.advanceWithResends(100L * random.nextInt(100));
+        mesh.lose(second, "node-b");
+        for (int step = 0; step < 300; step++) {
+            mesh.advanceWithResends(100);
+            for (int node = 0; node < nodes; node++) {
+                assertThat(mesh.isRefused(node)).isFalse();
+            }
+        }
+        assertThat(mesh.maxLossesKnown()).isEqualTo(2);
+    }
+
+    @Property(seed = "4902", tries = 100)
+    void oneEndOfOneTargetStaysOneLossWhateverTheDelay(
+            @ForAll long seed, @ForAll @IntRange(min = 2, max = 12) int nodes) {
+        Random random = new Random(seed);
+        ModelMesh mesh = new ModelMesh(nodes, random, 5_000);
+        mesh.endTarget(random.nextInt(nodes));
+        for (int step = 0; step < 300; step++) {
+            mesh.advanceWithResends(100);
+            assertThat(mesh.maxLossesKnown()).isEqualTo(1);
+        }
+    }
+
     @Example
     void lossFromBeforeAnAnswerIsIgnored() {
         SuspectRegistry registry = SuspectRegistry.empty();
