--- a/decisions/src/test/java/org/cuminreach/decisions/poison/SuspectRegistryTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/poison/SuspectRegistryTest.java
@@ -279,6 +279,28 @@
         assertThat(mesh.maxLossesKnown()).isEqualTo(2);
     }
 
+    @Property(seed = "4903", tries = 100)
+    void requestThatLostTwoTargetsOnceIsNeverRefusedWhenTwoNodesNoticeEachLoss(
+            @ForAll long seed, @ForAll @IntRange(min = 3, max = 12) int nodes) {
+        Random random = new Random(seed);
+        ModelMesh mesh = new ModelMesh(nodes, random, 5_000);
+        int sender = random.nextInt(nodes);
+        for (int loss = 1; loss <= 2; loss++) {
+            int target = (sender + loss) % nodes;
+            mesh.lose(sender, "node-" + target);
+            mesh.endTarget(target);
+            mesh.advanceWithResends(100L * random.nextInt(100));
+            // The sender itself refuses a request after two losses.
+            sender = (sender + 1) % nodes;
+        }
+        for (int step = 0; step < 300; step++) {
+            mesh.advanceWithResends(100);
+            for (int node = 0; node < nodes; node++) {
+                assertThat(mesh.isRefused(node)).isFalse();
+            }
+        }
+    }
+
     @Property(seed = "4902", tries = 100)
     void oneEndOfOneTargetStaysOneLossWhateverTheDelay(
             @ForAll long seed, @ForAll @IntRange(min = 2, max = 12) int nodes) {
