--- a/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
+++ b/control/src/main/java/org/cuminreach/control/node/NodeSessionManager.java
@@ -377,9 +377,7 @@
         long revision = registry.revision();
         long version = currentVersion();
         if (!current.matches(revision, version, maintenance.targetListComplete())) {
-            current =
-                    SyncFrames.of(
-                            registry, history, revision, version, maintenance.targetListComplete());
+            current = current.advance(revision, version, maintenance.targetListComplete());
             frames = current;
         }
         return current;
--- a/control/src/main/java/org/cuminreach/control/node/SyncFrames.java
+++ b/control/src/main/java/org/cuminreach/control/node/SyncFrames.java
@@ -23,19 +23,21 @@
     private final long version;
     private final boolean targetListComplete;
     private final Map<Long, byte[]> targets = new ConcurrentHashMap<>();
-    private final Map<Long, byte[]> configurations = new ConcurrentHashMap<>();
+    private final Map<Long, byte[]> configurations;
 
     private SyncFrames(
             TargetRegistry registry,
             ConfigurationHistory history,
             long revision,
             long version,
-            boolean targetListComplete) {
+            boolean targetListComplete,
+            Map<Long, byte[]> configurations) {
         this.registry = registry;
         this.history = history;
         this.revision = revision;
         this.version = version;
         this.targetListComplete = targetListComplete;
+        this.configurations = configurations;
     }
 
     static SyncFrames of(
@@ -44,7 +46,27 @@
             long revision,
             long version,
             boolean targetListComplete) {
-        return new SyncFrames(registry, history, revision, version, targetListComplete);
+        return new SyncFrames(
+                registry,
+                history,
+                revision,
+                version,
+                targetListComplete,
+                new ConcurrentHashMap<>());
+    }
+
+    /**
+     * Returns the frames of a later state. Those of the configuration are kept while its version
+     * stays: each node that connects announces its target, and a whole configuration is long.
+     */
+    SyncFrames advance(long laterRevision, long laterVersion, boolean laterComplete) {
+        return new SyncFrames(
+                registry,
+                history,
+                laterRevision,
+                laterVersion,
+                laterComplete,
+                laterVersion == version ? configurations : new ConcurrentHashMap<>());
     }
 
     long revision() {
