--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TargetCapacity.java
@@ -77,21 +77,29 @@
 
     /** Records the end of a call; its slowness is relative to the usual time of such a call. */
     void recordEnd(double runMillis, double slowness, long nowMillis) {
-        meanRunMillis += SMOOTHING * (runMillis - meanRunMillis);
-        minRunMillis = Math.min(runMillis, minRunMillis + MIN_RUN_DRIFT * runMillis);
+        recordRunTime(runMillis);
         concurrency.recordRunTime(slowness, nowMillis);
     }
 
     /**
      * Records the end of a call without a success. Its running time would have been at least the
-     * elapsed time, which says something only if that is longer than usual.
+     * elapsed time, which says something only if that is longer than usual, or than the mean where
+     * the usual time is not known and the slowness is 1.
      */
     void recordFailure(double elapsedMillis, double slowness, long nowMillis) {
+        if (slowness >= 1 && elapsedMillis > meanRunMillis) {
+            recordRunTime(elapsedMillis);
+        }
         if (slowness > 1) {
-            recordEnd(elapsedMillis, slowness, nowMillis);
+            concurrency.recordRunTime(slowness, nowMillis);
         }
     }
 
+    private void recordRunTime(double runMillis) {
+        meanRunMillis += SMOOTHING * (runMillis - meanRunMillis);
+        minRunMillis = Math.min(runMillis, minRunMillis + MIN_RUN_DRIFT * runMillis);
+    }
+
     /** Returns the calls that the target can sustain at once, at least 1. */
     int sustainableCalls() {
         double atLimit = Math.ceil(rate.callsPerSecond() * meanRunMillis / MILLIS_PER_SECOND);
--- a/decisions/src/test/java/org/cuminreach/decisions/admission/SheddingTargetTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/admission/SheddingTargetTest.java
@@ -11,8 +11,9 @@
 import net.jqwik.api.constraints.DoubleRange;
 
 /**
- * Simulates a target that for some time refuses a share of its calls as soon as they arrive. The
- * running time of the others does not depend on how many run at once.
+ * Simulates a target that for some time refuses a share of its calls as soon as they arrive, or
+ * resets their connections at random times. The running time of the others does not depend on how
+ * many run at once.
  */
 class SheddingTargetTest {
     private static final int SLOTS = 6;
@@ -25,7 +26,13 @@
     private static final long DURATION_MILLIS = 20_000;
     private static final long TIMER_INTERVAL_MILLIS = 50;
 
-    private record Call(AdmissionRequest request, boolean isShed, double workMillis) {}
+    private enum Failure {
+        REFUSAL,
+        RESET
+    }
+
+    /** A call that ends after some time, which is its work unless it fails. */
+    private record Call(AdmissionRequest request, boolean fails, double millis) {}
 
     private record Running(Call call, long endMillis) {}
 
@@ -34,13 +41,15 @@
         private final PriorityQueue<Running> running =
                 new PriorityQueue<>((one, other) -> Long.compare(one.endMillis, other.endMillis));
         private final SplittableRandom random;
-        private final double shedShare;
+        private final double failedShare;
+        private final Failure failure;
         private int lowestLimit = SLOTS;
-        private int shed;
+        private int failed;
 
-        private Simulation(long seed, double shedShare) {
+        private Simulation(long seed, double failedShare, Failure failure) {
             random = new SplittableRandom(seed);
-            this.shedShare = shedShare;
+            this.failedShare = failedShare;
+            this.failure = failure;
         }
 
         private void run(double utilisation) {
@@ -69,18 +78,24 @@
                             now + DEADLINE_MILLIS,
                             WORK_MILLIS);
             boolean sheds = now >= SHEDS_FROM_MILLIS && now < SHEDS_UNTIL_MILLIS;
-            boolean isShed = sheds && random.nextDouble() < shedShare;
+            boolean fails = sheds && random.nextDouble() < failedShare;
             double work = WORK_MILLIS * (0.5 + random.nextDouble());
-            Call call = new Call(request, isShed, work);
+            Call call = new Call(request, fails, fails ? failureMillis(work) : work);
             if (queue.offer(call, request, now) instanceof AdmissionOutcome.Run) {
                 start(List.of(call), now);
             }
         }
 
+        private double failureMillis(double workMillis) {
+            return switch (failure) {
+                case REFUSAL -> REFUSAL_MILLIS;
+                case RESET -> workMillis * random.nextDouble();
+            };
+        }
+
         private void start(List<Call> calls, long now) {
             for (Call call : calls) {
-                long millis = call.isShed() ? REFUSAL_MILLIS : Math.round(call.workMillis());
-                running.add(new Running(call, now + millis));
+                running.add(new Running(call, now + Math.round(call.millis())));
             }
         }
 
@@ -91,13 +106,12 @@
         }
 
         private List<Call> release(Call call, long now) {
-            if (call.isShed()) {
-                shed++;
-                double slowness = REFUSAL_MILLIS / WORK_MILLIS;
-                return queue.releaseFailed(call.request(), REFUSAL_MILLIS, slowness, now);
+            double slowness = call.millis() / WORK_MILLIS;
+            if (call.fails()) {
+                failed++;
+                return queue.releaseFailed(call.request(), call.millis(), slowness, now);
             }
-            double slowness = call.workMillis() / WORK_MILLIS;
-            return queue.release(call.request(), call.workMillis(), slowness, now);
+            return queue.release(call.request(), call.millis(), slowness, now);
         }
     }
 
@@ -106,10 +120,22 @@
             @ForAll long seed,
             @ForAll @DoubleRange(min = 0.7, max = 2) double utilisation,
             @ForAll @DoubleRange(min = 0.3, max = 0.9) double shedShare) {
-        Simulation simulation = new Simulation(seed, shedShare);
+        Simulation simulation = new Simulation(seed, shedShare, Failure.REFUSAL);
+        simulation.run(utilisation);
+
+        assertThat(simulation.failed).isGreaterThan(0);
+        assertThat(simulation.lowestLimit).isEqualTo(SLOTS);
+    }
+
+    @Property(seed = "491", tries = 20)
+    void targetThatResetsConnectionsAtRandomTimesKeepsItsSlots(
+            @ForAll long seed,
+            @ForAll @DoubleRange(min = 0.7, max = 2) double utilisation,
+            @ForAll @DoubleRange(min = 0.3, max = 0.9) double resetShare) {
+        Simulation simulation = new Simulation(seed, resetShare, Failure.RESET);
         simulation.run(utilisation);
 
-        assertThat(simulation.shed).isGreaterThan(0);
+        assertThat(simulation.failed).isGreaterThan(0);
         assertThat(simulation.lowestLimit).isEqualTo(SLOTS);
     }
 
