--- a/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
@@ -84,7 +84,7 @@
     }
 
     /** Returns the latest time at which the call can start and still end within its deadline. */
-    long latestStartMillis(double minRunMillis, long nowMillis) {
+    long latestStartForDeadlineMillis(double minRunMillis, long nowMillis) {
         double runMillis = Math.max(minRunMillis, typicalRunMillis);
         return Math.min(deadlineMillis - Math.round(runMillis), nowMillis + MAX_WAIT_MILLIS);
     }
--- a/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/FairQueue.java
@@ -141,7 +141,7 @@
         }
         long waitsUntil =
                 waitingCalls.hasLessUrgentCalls(request, nowMillis)
-                        ? request.latestStartMillis(capacity.minRunMillis(), nowMillis)
+                        ? request.latestStartForDeadlineMillis(capacity.minRunMillis(), nowMillis)
                         : latest;
         waitsUntil = Math.min(waitsUntil, request.latestRefusalMillis(nowMillis));
         band.add(request.caller(), new SourceQueue.QueuedCall<>(call, runMillis, waitsUntil));
@@ -160,7 +160,7 @@
     /** Returns the latest time at which starting a call is still worth a slot. */
     private long latestUsefulStart(AdmissionRequest request, long nowMillis) {
         return Math.min(
-                request.latestStartMillis(capacity.minRunMillis(), nowMillis),
+                request.latestStartForDeadlineMillis(capacity.minRunMillis(), nowMillis),
                 request.latestStartMillis());
     }
 
--- a/node/src/test/java/org/cuminreach/node/target/SheddingTargetTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/ReportedWaitsTest.java
@@ -27,7 +27,7 @@
 import org.cuminreach.settings.Address;
 
 /** A target with one slot that answers calls, refuses them, fails at once or keeps them. */
-class SheddingTargetTest {
+class ReportedWaitsTest {
     private static final int RUN_MILLIS = 100;
     private static final int ANSWERED_CALLS = 25;
     private static final int UNSUCCESSFUL_CALLS = 60;
