--- a/node/src/test/java/org/cuminreach/node/NodeTimersTest.java
+++ b/node/src/test/java/org/cuminreach/node/NodeTimersTest.java
@@ -50,7 +50,7 @@
                         }));
 
         assertThat(runs.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
-        assertThat(order.subList(0, 4))
+        assertThat(List.copyOf(order).subList(0, 4))
                 .containsExactly("failing", "sound", "failing", "sound")
                 .inOrder();
     }
