--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -290,7 +290,7 @@
             wrote = true;
         }
         if (closing) {
-            logDroppedRequests();
+            logDroppedRequests(context);
             abandonPendingCalls();
         }
         if (wrote) {
@@ -299,9 +299,10 @@
         }
     }
 
-    private void logDroppedRequests() {
+    private void logDroppedRequests(ChannelHandlerContext context) {
         int dropped = pendingCalls.size() + waitingRequests.size();
-        if (dropped > 0) {
+        boolean closedByClient = !context.channel().isActive();
+        if (dropped > 0 && !closedByClient) {
             LOGGER.info("event=requests_dropped reason=connection_closes requests={}", dropped);
         }
     }
