--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -319,6 +319,7 @@
             long micros) {
         long nowMillis = ProcessClock.monotonicMillis();
         AttemptOutcome outcome = CallAnswers.outcome(sent);
+        TransferLog.record(attempts, target.node(), sent, micros);
         Optional<LoadReport> report = TargetFeedback.removeLoadReport(sent);
         double slowness = routeStatistics.record(attempts, sent, report, micros);
         TargetFeedback.record(target, sent, report, slowness, nowMillis);
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -93,6 +93,12 @@
     /** Load of the target that answered or refused; between nodes only. */
     public static final String LOAD = "X-Cuminreach-Load";
 
+    /**
+     * Time from the arrival of a complete call at the node beside its target to its answer, in
+     * milliseconds; between nodes only. The sender takes the rest for the time between the nodes.
+     */
+    public static final String HELD_MILLIS = "X-Cuminreach-Held-Millis";
+
     /** Value of {@link #REASON}: the address that a call was sent to belongs to another node. */
     public static final String OTHER_NODE = "other_node_at_this_address";
 
--- a/node/src/main/java/org/cuminreach/node/target/PendingCall.java
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.Caller;
 import org.cuminreach.decisions.routing.RouteMetadata;
@@ -58,6 +59,12 @@
                 new CompletableFuture<>());
     }
 
+    /** Completes the call with its answer, which tells how long this node held it. */
+    void complete(HttpAnswer result, long nowNanos) {
+        long heldMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
+        answer.complete(result.setHeader(MeshHeaders.HELD_MILLIS, heldMillis));
+    }
+
     String caller() {
         return admissionRequest.caller().text();
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -368,7 +368,7 @@
         HttpAnswer answer =
                 CallAnswers.fromTarget(outcome)
                         .setHeader(MeshHeaders.LOAD, loadReport((int) runMillis).text());
-        pending.answer().complete(notices.addTo(answer, pending.targetStart()));
+        pending.complete(notices.addTo(answer, pending.targetStart()), System.nanoTime());
     }
 
     private LoadReport loadReport(int runMillis) {
@@ -395,6 +395,6 @@
         HttpAnswer answer =
                 CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis))
                         .setHeader(MeshHeaders.LOAD, load.text());
-        pending.answer().complete(notices.addTo(answer, pending.targetStart()));
+        pending.complete(notices.addTo(answer, pending.targetStart()), System.nanoTime());
     }
 }
--- a/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
@@ -44,7 +44,7 @@
         statistics.record(attempts(), new SendOutcome.Completed(answer), Optional.empty(), micros);
     }
 
-    private static CallAttempts attempts() {
+    static CallAttempts attempts() {
         Route route =
                 new Route(
                         "status",
