--- a/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/AdmissionRequest.java
@@ -59,6 +59,23 @@
                 caller, "", 0, nowMillis, NO_OBJECTIVE, deadlineMillis, typicalRunMillis);
     }
 
+    /**
+     * Returns the request of the same call when it has arrived completely.
+     *
+     * @param millis time until then, in milliseconds
+     * @return the request, with the same objective and deadline
+     */
+    public AdmissionRequest arrivedLater(long millis) {
+        return new AdmissionRequest(
+                caller,
+                route,
+                priority,
+                arrivedMillis + millis,
+                objectiveMillis,
+                deadlineMillis,
+                typicalRunMillis);
+    }
+
     /**
      * Tells whether the call arrived too late to meet its objective with a typical running time.
      * Its answer is still useful, but not at the expense of calls that can be on time.
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetCallResult.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetCallResult.java
@@ -8,6 +8,8 @@
     FAILED,
     /** The target's node refused the call before it ran (load shedding). */
     SHED,
+    /** The target's node refused a long body because its link is busy, not its target. */
+    BODY_REFUSED,
     /** The target's node could not be reached. */
     UNREACHABLE,
     /** The call was sent and no complete response arrived. */
--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetStatistics.java
@@ -134,6 +134,7 @@
                 pushedBackUntilMillis = nowMillis + pushbackMillis;
                 pushbackMillis = Math.min(MAX_PUSHBACK_MILLIS, 2 * pushbackMillis);
             }
+            case BODY_REFUSED -> markHealthy(nowMillis);
             case UNREACHABLE -> markUnhealthy(TargetHealth.UNREACHABLE, nowMillis);
             case LOST -> {
                 consecutiveLosses++;
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -26,6 +26,7 @@
 import org.cuminreach.node.quota.TenantServices;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.node.target.ColdSettings;
+import org.cuminreach.node.target.InboundBodies;
 import org.cuminreach.node.target.LocalTarget;
 import org.cuminreach.node.target.TargetAdmissionHandler;
 import org.cuminreach.node.target.TargetAnnouncer;
@@ -75,9 +76,8 @@
     private final MeshView meshView;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceRecorder evidence = EvidenceRecorder.empty();
-    private final HttpSender httpSender = HttpSender.create(eventLoops);
-    private final TargetClient targetClient =
-            TargetClient.create(eventLoops, httpSender.answerMemory());
+    private final HttpSender httpSender;
+    private final TargetClient targetClient;
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
     private final NodeProtocolAdapter protocolAdapter;
     private final LocalTarget localTarget;
@@ -98,6 +98,8 @@
     private NodeProcess(NodeSettings settings, NodeProtocolAdapter protocolAdapter) {
         this.settings = settings;
         this.protocolAdapter = protocolAdapter;
+        httpSender = HttpSender.create(eventLoops, settings.link());
+        targetClient = TargetClient.create(eventLoops, httpSender.answerMemory());
         meshView = MeshView.empty(settings.loadBalancingPolicy());
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
         admissionHandler =
@@ -261,7 +263,12 @@
         callerServer =
                 HttpServer.listen(settings.callerAddress(), eventLoops, handlerWithMetrics).join();
         inboundServer =
-                HttpServer.listen(settings.inboundAddress(), eventLoops, inboundHandler).join();
+                HttpServer.listen(
+                                settings.inboundAddress(),
+                                eventLoops,
+                                inboundHandler,
+                                InboundBodies.create(admissionHandler, settings.link()))
+                        .join();
         administrationServer =
                 HttpServer.listen(
                                 settings.administrationAddress(),
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -20,6 +21,8 @@
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
+import org.cuminreach.decisions.admission.LinkRate;
+import org.cuminreach.decisions.admission.TransferPace;
 import org.cuminreach.decisions.retry.StaleConnectionDetector;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.BodyMemory;
@@ -44,23 +47,42 @@
             new ConcurrentHashMap<>();
     private final AsyncHttpClient client;
     private final BodyMemory answerMemory;
+    private final LinkRate link;
+    private final TransferPace pace;
+    private final EventLoopGroup timers;
 
-    private HttpSender(AsyncHttpClient client, BodyMemory answerMemory) {
+    private HttpSender(
+            AsyncHttpClient client, BodyMemory answerMemory, LinkRate link, EventLoopGroup timers) {
         this.client = client;
         this.answerMemory = answerMemory;
+        this.link = link;
+        this.pace = TransferPace.ofLink(link);
+        this.timers = timers;
     }
 
     /**
-     * Returns a sender.
+     * Returns a sender that sends all bodies with their headers.
      *
      * @param eventLoops event loops that serve the connections
      * @return the sender
      */
     public static HttpSender create(EventLoopGroup eventLoops) {
-        return create(eventLoops, BodyMemory.forHeap());
+        return create(eventLoops, LinkRate.unknown());
     }
 
-    static HttpSender create(EventLoopGroup eventLoops, BodyMemory answerMemory) {
+    /**
+     * Returns a sender that sends long bodies only after {@code 100 Continue}, in pieces that leave
+     * room for other calls on its link.
+     *
+     * @param eventLoops event loops that serve the connections
+     * @param link rate of the VM's link
+     * @return the sender
+     */
+    public static HttpSender create(EventLoopGroup eventLoops, LinkRate link) {
+        return create(eventLoops, BodyMemory.forHeap(), link);
+    }
+
+    static HttpSender create(EventLoopGroup eventLoops, BodyMemory answerMemory, LinkRate link) {
         return new HttpSender(
                 Dsl.asyncHttpClient(
                         Dsl.config()
@@ -76,7 +98,9 @@
                                 .setSslEngineFactory(HttpSender::refuseTls)
                                 .setEnableAutomaticDecompression(false)
                                 .setCompressionEnforced(false)),
-                answerMemory);
+                answerMemory,
+                link,
+                eventLoops);
     }
 
     /**
@@ -109,7 +133,10 @@
                         .setUrl("http://" + to + call.uri())
                         .setHeaders(headers)
                         .setRequestTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)));
-        if (call.body().length > 0) {
+        if (link.isLong(call.body().length)) {
+            request.setHeader(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE)
+                    .setBody(new PacedBody(call.body(), pace, timers.next()));
+        } else if (call.body().length > 0) {
             request.setBody(call.body());
         }
         Request built;
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminreach.decisions.admission.TransferQueue;
 import org.cuminreach.decisions.routing.CallRateLimit;
 import org.cuminreach.decisions.routing.ColdNotice;
 import org.cuminreach.decisions.routing.LoadReport;
@@ -92,9 +93,13 @@
     private static TargetCallResult result(HttpAnswer answer) {
         String outcome = answer.headers().get(MeshHeaders.OUTCOME);
         if (MeshHeaders.NOT_RUN.equals(outcome)) {
-            boolean gone =
-                    TARGET_GONE_REASONS.contains(answer.headers().get(MeshHeaders.REASON, ""));
-            return gone ? TargetCallResult.UNREACHABLE : TargetCallResult.SHED;
+            String reason = answer.headers().get(MeshHeaders.REASON, "");
+            if (reason.equals(TransferQueue.LINK_BUSY)) {
+                return TargetCallResult.BODY_REFUSED;
+            }
+            return TARGET_GONE_REASONS.contains(reason)
+                    ? TargetCallResult.UNREACHABLE
+                    : TargetCallResult.SHED;
         }
         return CallAnswers.isFailure(answer.status())
                 ? TargetCallResult.FAILED
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.decisions.routing.LoadBalancingPolicy;
 import org.cuminreach.runtime.log.LogSettings;
@@ -21,6 +22,7 @@
  * @param controls addresses of the control processes
  * @param target the target next to it; when absent, the target registers by heartbeats
  * @param costlyLinks whether traffic between data centres is costly
+ * @param link rate of the VM's link
  * @param shutdownDelayMillis time for which a stopping node still accepts new calls, in
  *     milliseconds
  * @param shutdownTimeoutMillis maximum time that a graceful stop waits for calls in progress, in
@@ -37,11 +39,13 @@
         List<Address> controls,
         Optional<Target> target,
         boolean costlyLinks,
+        LinkRate link,
         long shutdownDelayMillis,
         long shutdownTimeoutMillis,
         MeshBounds bounds,
         LogSettings log) {
     private static final int MAX_SLOTS = 10_000;
+    private static final long MAX_LINK_KILOBITS_PER_SECOND = 1_000_000_000;
     private static final long DEFAULT_SHUTDOWN_DELAY_MILLIS = 500;
     private static final long DEFAULT_SHUTDOWN_TIMEOUT_MILLIS = 30_000;
     private static final long MAX_SHUTDOWN_MILLIS = 600_000;
@@ -109,6 +113,12 @@
                         object.addresses("controls"),
                         object.object("target", NodeSettings::readTarget),
                         object.flag("dearCrossing", false),
+                        LinkRate.ofKilobitsPerSecond(
+                                object.number(
+                                        "linkKilobitsPerSecond",
+                                        0,
+                                        0,
+                                        MAX_LINK_KILOBITS_PER_SECOND)),
                         object.number(
                                 "leaveMillis",
                                 DEFAULT_SHUTDOWN_DELAY_MILLIS,
--- /dev/null
+++ b/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
@@ -0,0 +1,88 @@
+package org.cuminreach.node.target;
+
+import java.util.Optional;
+import org.cuminreach.decisions.admission.AdmissionOutcome;
+import org.cuminreach.decisions.admission.AdmissionRequest;
+import org.cuminreach.decisions.admission.LinkRate;
+import org.cuminreach.decisions.admission.TransferQueue;
+import org.cuminreach.node.http.MeshHeaders;
+import org.cuminreach.runtime.ProcessClock;
+import org.cuminreach.runtime.http.BodyGate;
+import org.cuminreach.runtime.http.BodyTransfer;
+import org.cuminreach.runtime.http.HttpAnswer;
+import org.cuminreach.runtime.http.HttpCall;
+
+/**
+ * Receives the long bodies of calls to the target one after the other, so that short calls to the
+ * node do not wait behind them on its link. A call is refused before its body is sent when the
+ * target takes no calls, or when the body would come too late. Thread-safe.
+ */
+public final class InboundBodies implements BodyGate {
+    private final TargetAdmissionHandler admission;
+    private final TransferQueue<BodyTransfer> queue;
+
+    private InboundBodies(TargetAdmissionHandler admission, LinkRate link) {
+        this.admission = admission;
+        queue = TransferQueue.ofLink(link);
+    }
+
+    /**
+     * Returns the gate for the bodies of calls to a target.
+     *
+     * @param admission admission control of the target
+     * @param link rate of the VM's link
+     * @return the gate; an open one when the rate is not known
+     */
+    public static BodyGate create(TargetAdmissionHandler admission, LinkRate link) {
+        return link.isKnown() ? new InboundBodies(admission, link) : BodyGate.open();
+    }
+
+    @Override
+    public Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        PendingCall pending = admission.pendingCall(head, nowMillis);
+        boolean isForTarget = !head.headers().contains(MeshHeaders.KEY_HOME);
+        Optional<String> refusal =
+                isForTarget ? admission.refusalReason(pending, nowMillis) : Optional.empty();
+        if (refusal.isPresent()) {
+            return Optional.of(
+                    admission.refusal(
+                            pending, refusal.get(), TargetAdmissionHandler.DRAINING_RETRY_MILLIS));
+        }
+        double maxWait =
+                isForTarget
+                        ? maxWaitMillis(pending.admissionRequest(), transfer.bytes())
+                        : Double.MAX_VALUE;
+        AdmissionOutcome outcome;
+        synchronized (queue) {
+            outcome = queue.offer(transfer, transfer.bytes(), maxWait, nowMillis);
+        }
+        return switch (outcome) {
+            case AdmissionOutcome.Run run -> {
+                transfer.start();
+                yield Optional.empty();
+            }
+            case AdmissionOutcome.Queued queued -> Optional.empty();
+            case AdmissionOutcome.Refused refused ->
+                    Optional.of(
+                            admission.refusal(
+                                    pending, refused.reason(), refused.retryAfterMillis()));
+        };
+    }
+
+    /** Returns how long a body may wait so that its call can still start in time. */
+    private double maxWaitMillis(AdmissionRequest request, long bytes) {
+        long duration = queue.durationMillis(bytes);
+        AdmissionRequest received = request.arrivedLater(duration);
+        return received.latestStartMillis() - received.arrivedMillis();
+    }
+
+    @Override
+    public void end(BodyTransfer transfer) {
+        Optional<BodyTransfer> next;
+        synchronized (queue) {
+            next = queue.end(transfer, ProcessClock.monotonicMillis());
+        }
+        next.ifPresent(BodyTransfer::start);
+    }
+}
--- a/node/src/main/java/org/cuminreach/node/target/PendingCall.java
+++ b/node/src/main/java/org/cuminreach/node/target/PendingCall.java
@@ -12,6 +12,8 @@
 import org.cuminreach.node.settings.TargetDescription;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A call to the target next to the node that has not been answered yet.
@@ -30,6 +32,7 @@
         long arrivalNanos,
         KeyValidity keyValidity,
         CompletableFuture<HttpAnswer> answer) {
+    private static final Logger LOGGER = LoggerFactory.getLogger(PendingCall.class);
     private static final int DEFAULT_REMAINING_MILLIS = 5_000;
 
     /** Converts the remaining times of a call to times of this node's clock. */
@@ -59,10 +62,24 @@
                 new CompletableFuture<>());
     }
 
-    /** Completes the call with its answer, which tells how long this node held it. */
-    void complete(HttpAnswer result, long nowNanos) {
+    void logQueued() {
+        LOGGER.info("event=call_queued request={} caller={}", requestId, caller());
+    }
+
+    /** Adds to an answer how long this node has held the call. */
+    HttpAnswer withHeldTime(HttpAnswer result, long nowNanos) {
         long heldMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivalNanos);
-        answer.complete(result.setHeader(MeshHeaders.HELD_MILLIS, heldMillis));
+        return result.setHeader(MeshHeaders.HELD_MILLIS, heldMillis);
+    }
+
+    /** Returns what the target is told of the call. */
+    TargetCallMetadata metadata(String instance, long remainingMillis) {
+        return new TargetCallMetadata(
+                requestId,
+                admissionRequest.caller(),
+                remainingMillis,
+                call.header(MeshHeaders.TARGET_START, instance),
+                Optional.ofNullable(call.headers().get(MeshHeaders.TENANT)));
     }
 
     String caller() {
--- a/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetAdmissionHandler.java
@@ -32,7 +32,7 @@
  */
 public final class TargetAdmissionHandler implements HttpHandler {
     private static final Logger LOGGER = LoggerFactory.getLogger(TargetAdmissionHandler.class);
-    private static final long DRAINING_RETRY_MILLIS = 1_000;
+    static final long DRAINING_RETRY_MILLIS = 1_000;
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final String node;
@@ -91,12 +91,7 @@
     @Override
     public CompletableFuture<HttpAnswer> handle(HttpCall call) {
         long nowMillis = ProcessClock.monotonicMillis();
-        RouteMetadata route = RouteMetadata.parse(call.header(MeshHeaders.ROUTE, ""));
-        double typicalRunMillis;
-        synchronized (queue) {
-            typicalRunMillis = runTimes.typicalRunMillis(route.route());
-        }
-        PendingCall pending = PendingCall.of(call, route, typicalRunMillis, nowMillis);
+        PendingCall pending = pendingCall(call, nowMillis);
         Optional<String> refusal = refusalReason(pending, nowMillis);
         if (refusal.isPresent()) {
             refuse(pending, refusal.get(), DRAINING_RETRY_MILLIS);
@@ -111,19 +106,24 @@
         displaced.forEach(this::refuse);
         switch (outcome) {
             case AdmissionOutcome.Run run -> run(pending);
-            case AdmissionOutcome.Queued queued ->
-                    LOGGER.info(
-                            "event=call_queued request={} caller={}",
-                            pending.requestId(),
-                            pending.caller());
+            case AdmissionOutcome.Queued queued -> pending.logQueued();
             case AdmissionOutcome.Refused refused ->
                     refuse(pending, refused.reason(), refused.retryAfterMillis());
         }
         return pending.answer();
     }
 
+    /** Returns a call that has arrived, with the running time that is typical for its route. */
+    PendingCall pendingCall(HttpCall call, long nowMillis) {
+        RouteMetadata route = RouteMetadata.parse(call.header(MeshHeaders.ROUTE, ""));
+        synchronized (queue) {
+            double typicalRunMillis = runTimes.typicalRunMillis(route.route());
+            return PendingCall.of(call, route, typicalRunMillis, nowMillis);
+        }
+    }
+
     /** Returns why the current target cannot take a call, or empty when it can. */
-    private Optional<String> refusalReason(PendingCall pending, long nowMillis) {
+    Optional<String> refusalReason(PendingCall pending, long nowMillis) {
         Optional<TargetDescription> current = target.get();
         Optional<String> reason =
                 pending.misdirection(node, current).or(() -> reasonToRefuseAll(nowMillis));
@@ -289,13 +289,7 @@
             return CompletableFuture.completedFuture(new SendOutcome.NotSent(reason));
         }
         String instance = current.get().instance();
-        TargetCallMetadata metadata =
-                new TargetCallMetadata(
-                        pending.requestId(),
-                        pending.admissionRequest().caller(),
-                        remainingMillis,
-                        pending.call().header(MeshHeaders.TARGET_START, instance),
-                        Optional.ofNullable(pending.call().headers().get(MeshHeaders.TENANT)));
+        TargetCallMetadata metadata = pending.metadata(instance, remainingMillis);
         notices.recordSent(instance, ProcessClock.monotonicMillis());
         return client.send(
                         current.get().address(),
@@ -358,17 +352,17 @@
     private void answer(
             PendingCall pending, double runMillis, SendOutcome sent, Throwable failure) {
         SendOutcome outcome = failure == null ? sent : new SendOutcome.Lost("sender_failed");
-        if (outcome instanceof SendOutcome.Completed) {
-            metrics.count(TargetMetrics.Outcome.ANSWERED);
-        } else {
-            metrics.count(TargetMetrics.Outcome.LOST);
+        boolean answered = outcome instanceof SendOutcome.Completed;
+        metrics.count(answered ? TargetMetrics.Outcome.ANSWERED : TargetMetrics.Outcome.LOST);
+        if (!answered) {
             LOGGER.info(
                     "event=call_unanswered request={} outcome={}", pending.requestId(), outcome);
         }
         HttpAnswer answer =
                 CallAnswers.fromTarget(outcome)
                         .setHeader(MeshHeaders.LOAD, loadReport((int) runMillis).text());
-        pending.complete(notices.addTo(answer, pending.targetStart()), System.nanoTime());
+        HttpAnswer noticed = notices.addTo(answer, pending.targetStart());
+        pending.answer().complete(pending.withHeldTime(noticed, System.nanoTime()));
     }
 
     private LoadReport loadReport(int runMillis) {
@@ -383,6 +377,11 @@
     }
 
     private void refuse(PendingCall pending, String reason, long retryAfterMillis) {
+        pending.answer().complete(refusal(pending, reason, retryAfterMillis));
+    }
+
+    /** Counts and logs a refusal, and returns the answer to the call. */
+    HttpAnswer refusal(PendingCall pending, String reason, long retryAfterMillis) {
         metrics.count(TargetMetrics.Outcome.REFUSED);
         LoadReport load = loadReport(0);
         LOGGER.info(
@@ -395,6 +394,7 @@
         HttpAnswer answer =
                 CallAnswers.notRun(503, reason, Optional.of(retryAfterMillis))
                         .setHeader(MeshHeaders.LOAD, load.text());
-        pending.complete(notices.addTo(answer, pending.targetStart()), System.nanoTime());
+        return pending.withHeldTime(
+                notices.addTo(answer, pending.targetStart()), System.nanoTime());
     }
 }
--- a/node/src/test/java/org/cuminreach/node/PlannedNodeStopTest.java
+++ b/node/src/test/java/org/cuminreach/node/PlannedNodeStopTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.settings.NodeSettings;
 import org.cuminreach.runtime.http.HttpAnswer;
@@ -57,6 +58,7 @@
                         List.of(freeAddress()),
                         Optional.empty(),
                         false,
+                        LinkRate.unknown(),
                         0,
                         shutdownTimeoutMillis,
                         MeshBounds.defaults(),
--- /dev/null
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/BodyGate.java
@@ -0,0 +1,42 @@
+package org.cuminreach.runtime.http;
+
+import java.util.Optional;
+
+/** Decides when clients that expect {@code 100 Continue} may send the bodies of their requests. */
+public interface BodyGate {
+    /**
+     * Offers the body of a request of which only the headers have arrived.
+     *
+     * @param head the request, without body
+     * @param transfer the transfer of its body, which the gate starts now or later
+     * @return the answer when the request is refused, so that its body is never sent; else empty
+     */
+    Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer);
+
+    /**
+     * Tells that a transfer has ended, whether it was started or not.
+     *
+     * @param transfer the transfer
+     */
+    void end(BodyTransfer transfer);
+
+    /**
+     * Returns the gate of a server that receives all bodies at once.
+     *
+     * @return the gate
+     */
+    static BodyGate open() {
+        return new BodyGate() {
+            @Override
+            public Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer) {
+                transfer.start();
+                return Optional.empty();
+            }
+
+            @Override
+            public void end(BodyTransfer transfer) {
+                // An open gate keeps no transfers.
+            }
+        };
+    }
+}
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -139,6 +139,10 @@
             LOGGER.info("event=requests_dropped reason=connection_closes requests=1");
             return;
         }
+        if (request.decoderResult().cause() instanceof BodyRefusedException refused) {
+            answerAndClose(context, request, refused.answer());
+            return;
+        }
         if (request.decoderResult().cause() instanceof BodyMemoryExhaustedException exhausted) {
             LOGGER.info("event=request_refused reason=\"{}\"", exhausted.getMessage());
             answerWithoutRunning(context, request, exhausted.getMessage());
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -49,6 +49,7 @@
 
     private final HttpHandler handler;
     private final BodyMemory requestMemory;
+    private final BodyGate gate;
     private final ChannelGroup connections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final AtomicLong receivedRequests = new AtomicLong();
@@ -58,9 +59,10 @@
     private volatile boolean draining;
     private volatile Optional<Supplier<HttpAnswer>> refusal = Optional.empty();
 
-    private HttpServer(HttpHandler handler, BodyMemory requestMemory) {
+    private HttpServer(HttpHandler handler, BodyMemory requestMemory, BodyGate gate) {
         this.handler = handler;
         this.requestMemory = requestMemory;
+        this.gate = gate;
     }
 
     /**
@@ -73,15 +75,30 @@
      */
     public static CompletableFuture<HttpServer> listen(
             Address address, EventLoopGroup eventLoops, HttpHandler handler) {
-        return listen(address, eventLoops, handler, REQUEST_MEMORY);
+        return listen(address, eventLoops, handler, REQUEST_MEMORY, BodyGate.open());
+    }
+
+    /**
+     * Starts a server that receives the bodies of requests when its gate lets them in.
+     *
+     * @param address the address to bind
+     * @param eventLoops threads that serve the connections
+     * @param handler answers the requests
+     * @param gate decides when clients that expect {@code 100 Continue} may send their bodies
+     * @return completes with the server, or fails when the address cannot be bound
+     */
+    public static CompletableFuture<HttpServer> listen(
+            Address address, EventLoopGroup eventLoops, HttpHandler handler, BodyGate gate) {
+        return listen(address, eventLoops, handler, REQUEST_MEMORY, gate);
     }
 
     static CompletableFuture<HttpServer> listen(
             Address address,
             EventLoopGroup eventLoops,
             HttpHandler handler,
-            BodyMemory requestMemory) {
-        HttpServer server = new HttpServer(handler, requestMemory);
+            BodyMemory requestMemory,
+            BodyGate gate) {
+        HttpServer server = new HttpServer(handler, requestMemory, gate);
         CompletableFuture<HttpServer> result = new CompletableFuture<>();
         new ServerBootstrap()
                 .group(eventLoops)
@@ -230,6 +247,7 @@
                                 new HttpServerCodec(
                                         MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(partialRequest.afterDecoder())
+                        .addLast(new ExpectedBodyHandler(HttpServer.this, gate))
                         .addLast(new RequestMemoryGuard(requestMemory))
                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                         .addLast(new HttpConnectionHandler(HttpServer.this, partialRequest));
--- a/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
@@ -64,7 +64,13 @@
             bounded = new Address("127.0.0.1", free.getLocalPort());
         }
         HttpServer server =
-                HttpServer.listen(bounded, eventLoops, HttpServerTest::echoPath, memory).join();
+                HttpServer.listen(
+                                bounded,
+                                eventLoops,
+                                HttpServerTest::echoPath,
+                                memory,
+                                BodyGate.open())
+                        .join();
         List<Socket> clients = new ArrayList<>();
         String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
         for (int client = 0; client < 10; client++) {
--- a/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
+++ b/trial/src/main/java/org/cuminreach/trial/balancing/QueueModel.java
@@ -193,7 +193,7 @@
                         yield new AttemptOutcome.Answered(200);
                     }
                     case FAILED -> new AttemptOutcome.Answered(500);
-                    case SHED -> new AttemptOutcome.NotRun("shed", 1);
+                    case SHED, BODY_REFUSED -> new AttemptOutcome.NotRun("shed", 1);
                     case UNREACHABLE -> new AttemptOutcome.NotRun("cannot_connect", 0);
                     case LOST -> new AttemptOutcome.MayHaveRun("lost");
                 };
--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -18,6 +18,7 @@
 import org.cuminreach.control.ControlProcess;
 import org.cuminreach.control.ControlSettings;
 import org.cuminreach.control.storage.DataFolder;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.decisions.agreement.DurableState;
 import org.cuminreach.decisions.agreement.Member;
 import org.cuminreach.decisions.agreement.Membership;
@@ -163,6 +164,7 @@
                         List.of(controlSettings.nodeAddress()),
                         Optional.of(new NodeSettings.Target(SERVICE, VERSION, target, SLOTS)),
                         false,
+                        LinkRate.unknown(),
                         SHUTDOWN_DELAY_MILLIS,
                         SHUTDOWN_TIMEOUT_MILLIS,
                         layout.bounds(),
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
@@ -84,7 +85,7 @@
     @Example
     void endlessAnswerIsRejectedWhenItsMemoryIsUsedUp() throws Exception {
         sender.close();
-        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024));
+        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024), LinkRate.unknown());
         String chunk = "1000\r\n" + "x".repeat(0x1000) + "\r\n";
         try (ScriptedTarget peer =
                 ScriptedTarget.start(
--- a/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
+++ b/trial/src/test/java/org/cuminreach/trial/distribution/NodeFixture.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.caller.EvidenceRecorder;
@@ -51,6 +52,7 @@
                         controls,
                         Optional.of(new NodeSettings.Target("service-0", "1", unused, 9)),
                         false,
+                        LinkRate.unknown(),
                         500,
                         1_000,
                         MeshBounds.defaults(),
