--- a/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/TargetChooser.java
@@ -1,6 +1,7 @@
 package org.cuminreach.decisions.routing;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -125,6 +126,7 @@
         private final SamplePair suspect = new SamplePair();
         private final SamplePair unreachable = new SamplePair();
         private TargetView dueForProbe;
+        private TargetView preferred;
 
         private Candidates(
                 String dataCentre,
@@ -142,6 +144,9 @@
         private void add(TargetView target) {
             switch (target.statistics().status(nowMillis)) {
                 case USABLE -> {
+                    if (requirements.preferredHost().equals(Optional.of(target.inbound().host()))) {
+                        preferred = target;
+                    }
                     boolean isLocal = target.dataCentre().equals(dataCentre);
                     (isLocal ? local : remote).add(target, random);
                 }
@@ -168,6 +173,10 @@
             if (drawsSuspect(healthy)) {
                 return chooseFrom(suspect, "too_few_trusted");
             }
+            if (preferred != null
+                    && waitMillis(preferred) <= Math.max(0, requirements.slackMillis())) {
+                return new TargetChoice.Chosen(preferred, "own_vm");
+            }
             if (local.count + remote.count > 0) {
                 return switch (policy.spillover()) {
                     case LoadBalancingPolicy.Spillover.AboveLoad above -> localOrRemote(above);
--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -98,7 +98,8 @@
     private NodeProcess(NodeSettings settings, NodeProtocolAdapter protocolAdapter) {
         this.settings = settings;
         this.protocolAdapter = protocolAdapter;
-        httpSender = HttpSender.create(eventLoops, settings.link());
+        httpSender =
+                HttpSender.create(eventLoops, settings.link(), settings.inboundAddress().host());
         targetClient = TargetClient.create(eventLoops, httpSender.answerMemory());
         meshView = MeshView.empty(settings.loadBalancingPolicy());
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -16,6 +16,7 @@
 import org.cuminreach.decisions.retry.RetryDecision;
 import org.cuminreach.decisions.retry.RetryPolicy;
 import org.cuminreach.decisions.retry.ServiceRetryBudgets;
+import org.cuminreach.decisions.routing.CallRequirements;
 import org.cuminreach.decisions.routing.LoadReport;
 import org.cuminreach.decisions.routing.TargetChoice;
 import org.cuminreach.decisions.routing.TargetChooser;
@@ -45,6 +46,7 @@
     private static final int RETRY_MILLIS = 1_000;
 
     private final TargetPermissions permissions;
+    private final String ownHost;
     private final TenantAuthenticator authenticator;
     private final CallEntrance entrance;
     private final QuotaGate quotas;
@@ -71,6 +73,7 @@
             CallChecks checks,
             ScheduledExecutorService timer) {
         this.permissions = permissions;
+        this.ownHost = ownHost;
         this.authenticator = checks.tenants().authenticator();
         this.entrance = new CallEntrance(ownHost, authenticator);
         this.quotas = new QuotaGate(checks.tenants().quotas());
@@ -250,7 +253,7 @@
                 TargetChooser.choose(
                         permitted.targets(service.name(), version),
                         attempts.triedNodes(),
-                        routeStatistics.requirements(attempts, nowMillis),
+                        requirements(attempts, nowMillis),
                         permissions.dataCentre(),
                         view.loadBalancingPolicy(),
                         nowMillis,
@@ -266,6 +269,11 @@
         };
     }
 
+    private CallRequirements requirements(CallAttempts attempts, long nowMillis) {
+        CallRequirements requirements = routeStatistics.requirements(attempts, nowMillis);
+        return sender.isLong(attempts.call()) ? requirements.preferringHost(ownHost) : requirements;
+    }
+
     private CompletableFuture<HttpAnswer> send(
             CallAttempts attempts,
             MeshConfiguration configuration,
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -48,14 +48,20 @@
     private final AsyncHttpClient client;
     private final BodyMemory answerMemory;
     private final LinkRate link;
+    private final String ownHost;
     private final TransferPace pace;
     private final EventLoopGroup timers;
 
     private HttpSender(
-            AsyncHttpClient client, BodyMemory answerMemory, LinkRate link, EventLoopGroup timers) {
+            AsyncHttpClient client,
+            BodyMemory answerMemory,
+            LinkRate link,
+            String ownHost,
+            EventLoopGroup timers) {
         this.client = client;
         this.answerMemory = answerMemory;
         this.link = link;
+        this.ownHost = ownHost;
         this.pace = TransferPace.ofLink(link);
         this.timers = timers;
     }
@@ -67,7 +73,7 @@
      * @return the sender
      */
     public static HttpSender create(EventLoopGroup eventLoops) {
-        return create(eventLoops, LinkRate.unknown());
+        return create(eventLoops, LinkRate.unknown(), "");
     }
 
     /**
@@ -76,13 +82,15 @@
      *
      * @param eventLoops event loops that serve the connections
      * @param link rate of the VM's link
+     * @param ownHost IP address of the VM; calls to it cross no link
      * @return the sender
      */
-    public static HttpSender create(EventLoopGroup eventLoops, LinkRate link) {
-        return create(eventLoops, BodyMemory.forHeap(), link);
+    public static HttpSender create(EventLoopGroup eventLoops, LinkRate link, String ownHost) {
+        return create(eventLoops, BodyMemory.forHeap(), link, ownHost);
     }
 
-    static HttpSender create(EventLoopGroup eventLoops, BodyMemory answerMemory, LinkRate link) {
+    static HttpSender create(
+            EventLoopGroup eventLoops, BodyMemory answerMemory, LinkRate link, String ownHost) {
         return new HttpSender(
                 Dsl.asyncHttpClient(
                         Dsl.config()
@@ -100,6 +108,7 @@
                                 .setCompressionEnforced(false)),
                 answerMemory,
                 link,
+                ownHost,
                 eventLoops);
     }
 
@@ -117,6 +126,16 @@
         throw new IllegalStateException("TLS between nodes is unsupported: " + host);
     }
 
+    /**
+     * Tells whether the body of a call takes long on the link of this VM.
+     *
+     * @param call the call
+     * @return true when it does; false when the rate of the link is not known
+     */
+    public boolean isLong(HttpCall call) {
+        return link.isLong(call.body().length);
+    }
+
     /**
      * Sends a call. Closes the connection if the call is abandoned before its answer.
      *
@@ -133,7 +152,7 @@
                         .setUrl("http://" + to + call.uri())
                         .setHeaders(headers)
                         .setRequestTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)));
-        if (link.isLong(call.body().length)) {
+        if (isLong(call) && !to.host().equals(ownHost)) {
             request.setHeader(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE)
                     .setBody(new PacedBody(call.body(), pace, timers.next()));
         } else if (call.body().length > 0) {
--- a/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
+++ b/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
@@ -151,7 +151,7 @@
 
     @Example
     void senderSendsLongBodiesWholeAndInTurn() throws Exception {
-        HttpSender sender = HttpSender.create(eventLoops, LINK);
+        HttpSender sender = HttpSender.create(eventLoops, LINK, "10.0.0.1");
         List<CompletableFuture<SendOutcome>> answers = new ArrayList<>();
         for (int call = 0; call < 4; call++) {
             HttpCall upload =
@@ -180,7 +180,7 @@
     void callsAfterRefusedBodyAreAnswered() throws Exception {
         Upload first = new Upload(TIMEOUT_MILLIS);
         assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
-        HttpSender sender = HttpSender.create(eventLoops, LINK);
+        HttpSender sender = HttpSender.create(eventLoops, LINK, "10.0.0.1");
         HttpCall refused = call(new byte[BODY_BYTES], 400);
         assertThat(status(sender, refused)).isEqualTo(503);
 
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -85,7 +85,7 @@
     @Example
     void endlessAnswerIsRejectedWhenItsMemoryIsUsedUp() throws Exception {
         sender.close();
-        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024), LinkRate.unknown());
+        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024), LinkRate.unknown(), "");
         String chunk = "1000\r\n" + "x".repeat(0x1000) + "\r\n";
         try (ScriptedTarget peer =
                 ScriptedTarget.start(
