--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -42,8 +42,10 @@
 import org.cuminreach.runtime.administration.AdministrationHandler;
 import org.cuminreach.runtime.administration.ProcessLoad;
 import org.cuminreach.runtime.administration.Readiness;
+import org.cuminreach.runtime.http.BodyGate;
 import org.cuminreach.runtime.http.HttpHandler;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.runtime.http.LinkUse;
 import org.cuminreach.runtime.log.LogSetup;
 import org.cuminreach.settings.Address;
 import org.cuminreach.wire.frame.FrameEndpoints;
@@ -76,6 +78,7 @@
     private final MeshView meshView;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final EvidenceRecorder evidence = EvidenceRecorder.empty();
+    private final LinkUse link;
     private final HttpSender httpSender;
     private final TargetClient targetClient;
     private final List<HttpServer> extraServers = new CopyOnWriteArrayList<>();
@@ -98,8 +101,8 @@
     private NodeProcess(NodeSettings settings, NodeProtocolAdapter protocolAdapter) {
         this.settings = settings;
         this.protocolAdapter = protocolAdapter;
-        httpSender =
-                HttpSender.create(eventLoops, settings.link(), settings.inboundAddress().host());
+        link = LinkUse.of(settings.link());
+        httpSender = HttpSender.create(eventLoops, link, settings.inboundAddress().host());
         targetClient = TargetClient.create(eventLoops, httpSender.answerMemory());
         meshView = MeshView.empty(settings.loadBalancingPolicy());
         announcer = TargetAnnouncer.create(settings, ProcessClock.wallMillis());
@@ -261,15 +264,12 @@
                 keyFreshness,
                 poisonFilter,
                 controlTraffic);
-        callerServer =
-                HttpServer.listen(settings.callerAddress(), eventLoops, handlerWithMetrics).join();
+        callerServer = listen(settings.callerAddress(), handlerWithMetrics, BodyGate.open());
         inboundServer =
-                HttpServer.listen(
-                                settings.inboundAddress(),
-                                eventLoops,
-                                inboundHandler,
-                                InboundBodies.create(admissionHandler, settings.link()))
-                        .join();
+                listen(
+                        settings.inboundAddress(),
+                        inboundHandler,
+                        InboundBodies.create(admissionHandler, settings.link()));
         administrationServer =
                 HttpServer.listen(
                                 settings.administrationAddress(),
@@ -279,6 +279,10 @@
                         .join();
     }
 
+    private HttpServer listen(Address address, HttpHandler handler, BodyGate gate) {
+        return HttpServer.listen(address, eventLoops, handler, gate, link).join();
+    }
+
     private CompletableFuture<Boolean> hasTargetEnded() {
         return announcer
                 .target()
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -22,13 +22,13 @@
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 import org.cuminreach.decisions.admission.LinkRate;
-import org.cuminreach.decisions.admission.TransferPace;
 import org.cuminreach.decisions.retry.StaleConnectionDetector;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.BodyMemoryExhaustedException;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.LinkUse;
 import org.cuminreach.settings.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,22 +47,20 @@
             new ConcurrentHashMap<>();
     private final AsyncHttpClient client;
     private final BodyMemory answerMemory;
-    private final LinkRate link;
+    private final LinkUse link;
     private final String ownHost;
-    private final TransferPace pace;
     private final EventLoopGroup timers;
 
     private HttpSender(
             AsyncHttpClient client,
             BodyMemory answerMemory,
-            LinkRate link,
+            LinkUse link,
             String ownHost,
             EventLoopGroup timers) {
         this.client = client;
         this.answerMemory = answerMemory;
         this.link = link;
         this.ownHost = ownHost;
-        this.pace = TransferPace.ofLink(link);
         this.timers = timers;
     }
 
@@ -73,7 +71,7 @@
      * @return the sender
      */
     public static HttpSender create(EventLoopGroup eventLoops) {
-        return create(eventLoops, LinkRate.unknown(), "");
+        return create(eventLoops, LinkUse.of(LinkRate.unknown()), "");
     }
 
     /**
@@ -81,16 +79,16 @@
      * room for other calls on its link.
      *
      * @param eventLoops event loops that serve the connections
-     * @param link rate of the VM's link
+     * @param link how this process uses the link of its VM
      * @param ownHost IP address of the VM; calls to it cross no link
      * @return the sender
      */
-    public static HttpSender create(EventLoopGroup eventLoops, LinkRate link, String ownHost) {
+    public static HttpSender create(EventLoopGroup eventLoops, LinkUse link, String ownHost) {
         return create(eventLoops, BodyMemory.forHeap(), link, ownHost);
     }
 
     static HttpSender create(
-            EventLoopGroup eventLoops, BodyMemory answerMemory, LinkRate link, String ownHost) {
+            EventLoopGroup eventLoops, BodyMemory answerMemory, LinkUse link, String ownHost) {
         return new HttpSender(
                 Dsl.asyncHttpClient(
                         Dsl.config()
@@ -133,7 +131,7 @@
      * @return true when it does; false when the rate of the link is not known
      */
     public boolean isLong(HttpCall call) {
-        return link.isLong(call.body().length);
+        return link.rate().isLong(call.body().length);
     }
 
     /**
@@ -154,7 +152,7 @@
                         .setRequestTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)));
         if (isLong(call) && !to.host().equals(ownHost)) {
             request.setHeader(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE)
-                    .setBody(new PacedBody(call.body(), pace, timers.next()));
+                    .setBody(new PacedBody(call.body(), link.pace(), timers.next()));
         } else if (call.body().length > 0) {
             request.setBody(call.body());
         }
--- a/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
+++ b/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
@@ -29,6 +29,7 @@
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.runtime.http.LinkUse;
 import org.cuminreach.runtime.log.LogFormat;
 import org.cuminreach.runtime.log.LogLevel;
 import org.cuminreach.runtime.log.LogSettings;
@@ -41,6 +42,7 @@
     private static final int BODY_BYTES = 60_000;
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final int SILENCE_MILLIS = 150;
+    private static final String LONG_ANSWER = "/long";
     private static final String CONTINUE = "HTTP/1.1 100 Continue";
 
     private final EventLoopGroup eventLoops = EventLoops.start(1);
@@ -82,8 +84,31 @@
     }
 
     private static CompletableFuture<HttpAnswer> countBytes(HttpCall call) {
-        return CompletableFuture.completedFuture(
-                HttpAnswer.of(200, "text/plain", Integer.toString(call.body().length)));
+        String answer =
+                call.path().equals(LONG_ANSWER)
+                        ? "y".repeat(BODY_BYTES)
+                        : Integer.toString(call.body().length);
+        return CompletableFuture.completedFuture(HttpAnswer.of(200, "text/plain", answer));
+    }
+
+    /** Guards against short answers that wait on the link behind long ones (issue 53). */
+    @Example
+    void longAnswerLeavesRoomOnLink() throws Exception {
+        HttpSender sender = HttpSender.create(eventLoops);
+        HttpCall call =
+                new HttpCall(
+                        "GET", LONG_ANSWER, new DefaultHttpHeaders(), new byte[0], "127.0.0.1");
+        for (int attempt = 0; attempt < 2; attempt++) {
+            long startNanos = System.nanoTime();
+            SendOutcome outcome =
+                    sender.send(settings.inboundAddress(), call, call.headers(), TIMEOUT_MILLIS)
+                            .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+
+            assertThat(((SendOutcome.Completed) outcome).answer().body()).hasLength(BODY_BYTES);
+            assertThat((double) elapsedMillis).isAtLeast(BODY_BYTES / LINK.bytesPerMilli());
+        }
+        sender.close();
     }
 
     /** Guards against short calls that wait on the link behind several bodies (issue 53). */
@@ -151,7 +176,7 @@
 
     @Example
     void senderSendsLongBodiesWholeAndInTurn() throws Exception {
-        HttpSender sender = HttpSender.create(eventLoops, LINK, "10.0.0.1");
+        HttpSender sender = HttpSender.create(eventLoops, LinkUse.of(LINK), "10.0.0.1");
         List<CompletableFuture<SendOutcome>> answers = new ArrayList<>();
         for (int call = 0; call < 4; call++) {
             HttpCall upload =
@@ -180,7 +205,7 @@
     void callsAfterRefusedBodyAreAnswered() throws Exception {
         Upload first = new Upload(TIMEOUT_MILLIS);
         assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
-        HttpSender sender = HttpSender.create(eventLoops, LINK, "10.0.0.1");
+        HttpSender sender = HttpSender.create(eventLoops, LinkUse.of(LINK), "10.0.0.1");
         HttpCall refused = call(new byte[BODY_BYTES], 400);
         assertThat(status(sender, refused)).isEqualTo(503);
 
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpConnectionHandler.java
@@ -8,12 +8,14 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,6 +25,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.cuminreach.decisions.admission.TransferPace;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -320,23 +323,32 @@
         }
     }
 
-    private static ChannelFuture write(
+    private ChannelFuture write(
             ChannelHandlerContext context, HttpAnswer answer, boolean head, boolean close) {
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(answer.status()),
-                        Unpooled.wrappedBuffer(head ? new byte[0] : answer.body()),
-                        answer.headers().copy(),
-                        EmptyHttpHeaders.INSTANCE);
+        HttpHeaders headers = answer.headers().copy();
+        byte[] body = head ? new byte[0] : answer.body();
+        HttpResponseStatus status = HttpResponseStatus.valueOf(answer.status());
+        Optional<TransferPace> pace = server.link().paceFor(body.length);
+        HttpResponse response =
+                pace.isPresent()
+                        ? new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)
+                        : new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                status,
+                                Unpooled.wrappedBuffer(body),
+                                headers,
+                                EmptyHttpHeaders.INSTANCE);
         if (!head || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
         }
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            return context.write(response).addListener(written -> lingerAndClose(context));
         }
-        return context.write(response);
+        ChannelFuture written = context.write(response);
+        if (pace.isPresent()) {
+            written = context.write(new PacedAnswer(context, body, pace.get()));
+        }
+        return close ? written.addListener(done -> lingerAndClose(context)) : written;
     }
 
     /**
--- a/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/HttpServer.java
@@ -14,12 +14,14 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.stream.ChunkedWriteHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.settings.Address;
 
 /** HTTP/1.1 server that listens on one address and accepts requests of bounded size. */
@@ -50,6 +52,7 @@
     private final HttpHandler handler;
     private final BodyMemory requestMemory;
     private final BodyGate gate;
+    private final LinkUse link;
     private final ChannelGroup connections =
             new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final AtomicLong receivedRequests = new AtomicLong();
@@ -59,10 +62,11 @@
     private volatile boolean draining;
     private volatile Optional<Supplier<HttpAnswer>> refusal = Optional.empty();
 
-    private HttpServer(HttpHandler handler, BodyMemory requestMemory, BodyGate gate) {
+    private HttpServer(HttpHandler handler, BodyMemory requestMemory, BodyGate gate, LinkUse link) {
         this.handler = handler;
         this.requestMemory = requestMemory;
         this.gate = gate;
+        this.link = link;
     }
 
     /**
@@ -75,21 +79,28 @@
      */
     public static CompletableFuture<HttpServer> listen(
             Address address, EventLoopGroup eventLoops, HttpHandler handler) {
-        return listen(address, eventLoops, handler, REQUEST_MEMORY, BodyGate.open());
+        return listen(
+                address, eventLoops, handler, BodyGate.open(), LinkUse.of(LinkRate.unknown()));
     }
 
     /**
-     * Starts a server that receives the bodies of requests when its gate lets them in.
+     * Starts a server that receives the bodies of requests when its gate lets them in, and sends
+     * long answers in pieces.
      *
      * @param address the address to bind
      * @param eventLoops threads that serve the connections
      * @param handler answers the requests
      * @param gate decides when clients that expect {@code 100 Continue} may send their bodies
+     * @param link how this process uses the link of its VM
      * @return completes with the server, or fails when the address cannot be bound
      */
     public static CompletableFuture<HttpServer> listen(
-            Address address, EventLoopGroup eventLoops, HttpHandler handler, BodyGate gate) {
-        return listen(address, eventLoops, handler, REQUEST_MEMORY, gate);
+            Address address,
+            EventLoopGroup eventLoops,
+            HttpHandler handler,
+            BodyGate gate,
+            LinkUse link) {
+        return listen(address, eventLoops, handler, REQUEST_MEMORY, gate, link);
     }
 
     static CompletableFuture<HttpServer> listen(
@@ -97,8 +108,9 @@
             EventLoopGroup eventLoops,
             HttpHandler handler,
             BodyMemory requestMemory,
-            BodyGate gate) {
-        HttpServer server = new HttpServer(handler, requestMemory, gate);
+            BodyGate gate,
+            LinkUse link) {
+        HttpServer server = new HttpServer(handler, requestMemory, gate, link);
         CompletableFuture<HttpServer> result = new CompletableFuture<>();
         new ServerBootstrap()
                 .group(eventLoops)
@@ -207,6 +219,10 @@
         return connections.size();
     }
 
+    LinkUse link() {
+        return link;
+    }
+
     HttpHandler handler() {
         return handler;
     }
@@ -245,7 +261,12 @@
                         .addLast(partialRequest.beforeDecoder())
                         .addLast(
                                 new HttpServerCodec(
-                                        MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                        MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                if (link.rate().isKnown()) {
+                    // In front of the aggregator: its interim answers must not interrupt an answer.
+                    channel.pipeline().addLast(new ChunkedWriteHandler());
+                }
+                channel.pipeline()
                         .addLast(partialRequest.afterDecoder())
                         .addLast(new ExpectedBodyHandler(HttpServer.this, gate))
                         .addLast(new RequestMemoryGuard(requestMemory))
--- a/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/HttpServerTest.java
@@ -16,6 +16,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterContainer;
 import net.jqwik.api.lifecycle.BeforeContainer;
+import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.settings.Address;
 
@@ -69,7 +70,8 @@
                                 eventLoops,
                                 HttpServerTest::echoPath,
                                 memory,
-                                BodyGate.open())
+                                BodyGate.open(),
+                                LinkUse.of(LinkRate.unknown()))
                         .join();
         List<Socket> clients = new ArrayList<>();
         String chunk = "4000\r\n" + "x".repeat(0x4000) + "\r\n";
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -19,6 +19,7 @@
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.LinkUse;
 import org.cuminreach.settings.Address;
 import org.cuminreach.trial.once.ScriptedTarget;
 
@@ -85,7 +86,9 @@
     @Example
     void endlessAnswerIsRejectedWhenItsMemoryIsUsedUp() throws Exception {
         sender.close();
-        sender = HttpSender.create(eventLoops, BodyMemory.of(1024 * 1024), LinkRate.unknown(), "");
+        sender =
+                HttpSender.create(
+                        eventLoops, BodyMemory.of(1024 * 1024), LinkUse.of(LinkRate.unknown()), "");
         String chunk = "1000\r\n" + "x".repeat(0x1000) + "\r\n";
         try (ScriptedTarget peer =
                 ScriptedTarget.start(
