--- a/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/InProcessMesh.java
@@ -249,17 +249,18 @@
     }
 
     /**
-     * Sends a call without a body through a node that this mesh did not start.
+     * Sends a call through a node that this mesh did not start.
      *
      * @param callerAddress address on which the node takes calls
      * @param method HTTP method
+     * @param body its body
      * @param headers headers besides Host
      * @return completes with the outcome that the caller sees
      */
     public CompletableFuture<SendOutcome> sendTo(
-            Address callerAddress, String method, HttpHeaders headers) {
+            Address callerAddress, String method, byte[] body, HttpHeaders headers) {
         HttpHeaders sent = headers.copy().set("Host", HOST);
-        HttpCall call = new HttpCall(method, "/", sent, new byte[0], "127.0.0.1");
+        HttpCall call = new HttpCall(method, "/", sent, body, "127.0.0.1");
         return sender.send(callerAddress, call, sent, MAX_WAIT_MILLIS);
     }
 
--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakCall.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakCall.java
@@ -15,6 +15,9 @@
  * @param sentMillis time at which its caller sent it
  */
 record SoakCall(String id, String node, boolean repeatable, long sentMillis) {
+    /** Length of the body of a call that may run once. */
+    private static final int BODY_BYTES = 8_000;
+
     private static final String ID = "x-soak-call";
     private static final String NODE = "x-soak-node";
     private static final String SENT = "x-soak-sent";
@@ -23,6 +26,10 @@
         return repeatable ? "GET" : "POST";
     }
 
+    byte[] body() {
+        return new byte[repeatable ? 0 : BODY_BYTES];
+    }
+
     HttpHeaders headers() {
         return new DefaultHttpHeaders().set(ID, id).set(NODE, node).set(SENT, sentMillis);
     }
--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakNode.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakNode.java
@@ -13,6 +13,9 @@
 final class SoakNode implements AutoCloseable {
     private static final int STOP_TIMEOUT_SECONDS = 15;
 
+    /** Rate of a link on which the bodies of a soak are long. */
+    private static final long LINK_KILOBITS_PER_SECOND = 2_310;
+
     private final String name;
     private final Address callerAddress;
     private final Path settings;
@@ -27,22 +30,23 @@
     }
 
     /** Writes the settings of a node beside a target and starts its process. */
-    static SoakNode start(Path folder, String name, NodeSettings known, Address target)
+    static SoakNode start(Path folder, String name, String host, NodeSettings known, Address target)
             throws IOException {
-        Address caller = FreeAddresses.next();
+        Address caller = new Address(host, FreeAddresses.next().port());
         String text =
                 """
                 {"name": "%s", "dataCentre": "here", "callerAddress": "%s",
                  "inboundAddress": "%s", "administrationAddress": "%s", "controls": ["%s"],
-                 "leaveMillis": 500, "stopMillis": 5000,
+                 "leaveMillis": 500, "stopMillis": 5000, "linkKilobitsPerSecond": %d,
                  "target": {"service": "%s", "version": "%s", "address": "%s", "slots": 9}}
                 """
                         .formatted(
                                 name,
                                 caller,
-                                FreeAddresses.next(),
+                                new Address(host, FreeAddresses.next().port()),
                                 FreeAddresses.next(),
                                 known.controls().getFirst(),
+                                LINK_KILOBITS_PER_SECOND,
                                 known.target().orElseThrow().service(),
                                 known.target().orElseThrow().version(),
                                 target);
--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
@@ -71,7 +71,12 @@
                 targets.add(target);
                 nodes.add(
                         SoakNode.start(
-                                folder, "soak-" + index, mesh.settings(0), target.address()));
+                                folder,
+                                "soak-" + index,
+                                // Bodies take turns between different hosts only.
+                                "127.0.0." + (index + 1),
+                                mesh.settings(0),
+                                target.address()));
             }
             List<Thread> threads = new ArrayList<>();
             for (SoakNode node : nodes) {
@@ -141,7 +146,8 @@
                             number % 3 != 0,
                             ProcessClock.monotonicMillis());
             SendOutcome outcome =
-                    mesh.sendTo(node.callerAddress(), call.method(), call.headers()).join();
+                    mesh.sendTo(node.callerAddress(), call.method(), call.body(), call.headers())
+                            .join();
             Thread.sleep(
                     record(call, outcome)
                             ? PAUSE_BETWEEN_CALLS_MILLIS
