--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TransferQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TransferQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -18,6 +19,13 @@
     /** Reason of a refusal. */
     public static final String LINK_BUSY = "link_busy";
 
+    /**
+     * Share of the longest useful wait that a body accepts at its first, second and every later
+     * node. Only the link of the node that was asked is known, so that a body looks for a free link
+     * first.
+     */
+    private static final List<Double> ACCEPTED_WAIT_SHARES = List.of(0.0, 0.3, 1.0);
+
     private record Waiting<T>(T transfer, long bytes) {}
 
     private final double bytesPerMilli;
@@ -52,6 +60,18 @@
         return Math.round(bytes / bytesPerMilli);
     }
 
+    /**
+     * Returns how long a body should wait at a node rather than be offered to another one.
+     *
+     * @param maxWaitMillis longest wait after which it is still of use, in milliseconds
+     * @param refusals number of nodes that have refused it
+     * @return the wait in milliseconds
+     */
+    public static double acceptedWaitMillis(double maxWaitMillis, int refusals) {
+        int node = Math.clamp(refusals, 0, ACCEPTED_WAIT_SHARES.size() - 1);
+        return ACCEPTED_WAIT_SHARES.get(node) * Math.max(0, maxWaitMillis);
+    }
+
     /**
      * Offers a body.
      *
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -190,6 +190,7 @@
                         .remove(MeshHeaders.KEY_HOME)
                         .remove(MeshHeaders.TARGET_LIMIT)
                         .remove(MeshHeaders.TARGET_COLD)
+                        .remove(MeshHeaders.REFUSALS)
                         .set(MeshHeaders.REQUEST_ID, requestId)
                         .set(MeshHeaders.CALLER, caller())
                         .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
@@ -199,6 +200,9 @@
                         .set(MeshHeaders.TARGET_START, target.instance());
         headers.remove(MeshHeaders.TENANT).remove(MeshHeaders.KEY_VALID_MILLIS);
         tenant().ifPresent(known -> headers.set(MeshHeaders.TENANT, known.name()));
+        if (refusals > 0) {
+            headers.set(MeshHeaders.REFUSALS, refusals);
+        }
         if (target.statistics().rateLimit() instanceof CallRateLimit.PerSecond limit) {
             headers.set(MeshHeaders.TARGET_LIMIT, limit.text());
         }
--- a/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
+++ b/node/src/main/java/org/cuminreach/node/http/MeshHeaders.java
@@ -32,6 +32,12 @@
     /** Number of attempts made so far for this call, on all nodes it has passed. */
     public static final String ATTEMPTS = "X-Cuminreach-Attempts";
 
+    /**
+     * Number of nodes that have refused the call before it reached their targets; between nodes
+     * only, absent when there was none.
+     */
+    public static final String REFUSALS = "X-Cuminreach-Refusals";
+
     /** Outcome known to the mesh: {@code answered}, {@code not-run} or {@code may-have-run}. */
     public static final String OUTCOME = "X-Cuminreach-Outcome";
 
@@ -148,7 +154,7 @@
 
     /** Request headers that the node beside a target reads and does not pass on. */
     private static final List<AsciiString> FOR_TARGET_NODE =
-            names(TARGET_NODE, TARGET_START, TARGET_LIMIT, TARGET_COLD, KEY_VALID_MILLIS);
+            names(TARGET_NODE, TARGET_START, TARGET_LIMIT, TARGET_COLD, KEY_VALID_MILLIS, REFUSALS);
 
     private MeshHeaders() {}
 
--- a/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
+++ b/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
@@ -5,6 +5,7 @@
 import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.decisions.admission.TransferQueue;
+import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.BodyGate;
@@ -15,7 +16,8 @@
 /**
  * Receives the long bodies of calls to the target one after the other, so that short calls to the
  * node do not wait behind them on its link. A call is refused before its body is sent when the
- * target takes no calls, or when the body would come too late. Thread-safe.
+ * target takes no calls, when the body would come too late, or when another link may be free.
+ * Thread-safe.
  */
 public final class InboundBodies implements BodyGate {
     private final TargetAdmissionHandler admission;
@@ -51,7 +53,9 @@
         }
         double maxWait =
                 isForTarget
-                        ? maxWaitMillis(pending.admissionRequest(), transfer.bytes())
+                        ? TransferQueue.acceptedWaitMillis(
+                                maxWaitMillis(pending.admissionRequest(), transfer.bytes()),
+                                CallAnswers.intHeader(head, MeshHeaders.REFUSALS, 0))
                         : Double.MAX_VALUE;
         AdmissionOutcome outcome;
         synchronized (queue) {
--- a/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
+++ b/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
@@ -42,6 +42,10 @@
     private static final int BODY_BYTES = 60_000;
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final int SILENCE_MILLIS = 150;
+
+    /** Refusals after which a call waits at the node that it is sent to. */
+    private static final int LAST_NODE = 2;
+
     private static final String LONG_ANSWER = "/long";
     private static final String CONTINUE = "HTTP/1.1 100 Continue";
 
@@ -137,6 +141,17 @@
         assertThat(second.headers()).contains(MeshHeaders.OUTCOME + ": " + MeshHeaders.NOT_RUN);
     }
 
+    /** Guards against bodies that wait for one link while others are free (issue 53). */
+    @Example
+    void bodyIsRefusedAtItsFirstNodeWhileTheLinkIsTaken() throws Exception {
+        Upload first = new Upload(TIMEOUT_MILLIS, 0);
+        assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
+
+        Upload second = new Upload(TIMEOUT_MILLIS, 0);
+
+        assertThat(second.reader.readLine()).contains(" 503 ");
+    }
+
     /** Guards against a sender that keeps the turn of others without sending. */
     @Example
     void stalledBodyPassesItsTurnOn() throws Exception {
@@ -186,6 +201,7 @@
                             new DefaultHttpHeaders(),
                             new byte[BODY_BYTES + call],
                             "127.0.0.1");
+            upload.headers().set(MeshHeaders.REFUSALS, LAST_NODE);
             answers.add(
                     sender.send(
                             settings.inboundAddress(), upload, upload.headers(), TIMEOUT_MILLIS));
@@ -217,7 +233,9 @@
 
     private static HttpCall call(byte[] body, long remainingMillis) {
         HttpCall call = new HttpCall("POST", "/photo", new DefaultHttpHeaders(), body, "127.0.0.1");
-        call.headers().set(MeshHeaders.REMAINING_MILLIS, remainingMillis);
+        call.headers()
+                .set(MeshHeaders.REMAINING_MILLIS, remainingMillis)
+                .set(MeshHeaders.REFUSALS, LAST_NODE);
         return call;
     }
 
@@ -240,6 +258,10 @@
         private final BufferedReader reader;
 
         private Upload(long remainingMillis) throws IOException {
+            this(remainingMillis, LAST_NODE);
+        }
+
+        private Upload(long remainingMillis, int refusals) throws IOException {
             Address address = settings.inboundAddress();
             socket = new Socket(address.host(), address.port());
             socket.setSoTimeout(TIMEOUT_MILLIS);
@@ -255,6 +277,10 @@
                             + MeshHeaders.REMAINING_MILLIS
                             + ": "
                             + remainingMillis
+                            + "\r\n"
+                            + MeshHeaders.REFUSALS
+                            + ": "
+                            + refusals
                             + "\r\n\r\n");
         }
 
