--- a/decisions/src/main/java/org/cuminreach/decisions/admission/TransferQueue.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/admission/TransferQueue.java
@@ -26,6 +26,9 @@
      */
     private static final List<Double> ACCEPTED_WAIT_SHARES = List.of(0.0, 0.3, 1.0);
 
+    /** Rest of a transfer that takes longer than expected, in milliseconds. */
+    private static final double MIN_REST_MILLIS = 1;
+
     private record Waiting<T>(T transfer, long bytes) {}
 
     private final double bytesPerMilli;
@@ -136,7 +139,8 @@
         if (running.isEmpty()) {
             return 0;
         }
-        return Math.max(0, runningUntilMillis - nowMillis) + totalWaitingBytes / bytesPerMilli;
+        double rest = Math.max(MIN_REST_MILLIS, runningUntilMillis - nowMillis);
+        return rest + totalWaitingBytes / bytesPerMilli;
     }
 
     private void start(T transfer, long bytes, long nowMillis) {
--- a/decisions/src/test/java/org/cuminreach/decisions/admission/TransferQueueTest.java
+++ b/decisions/src/test/java/org/cuminreach/decisions/admission/TransferQueueTest.java
@@ -48,6 +48,14 @@
                 .isEqualTo(new AdmissionOutcome.Queued());
     }
 
+    @Example
+    void bodyThatTakesLongerThanExpectedKeepsTheLink() {
+        queue.offer("first", BODY_BYTES, ANY_WAIT, 0);
+
+        assertThat(queue.offer("second", BODY_BYTES, 0, 10_000))
+                .isInstanceOf(AdmissionOutcome.Refused.class);
+    }
+
     @Example
     void waitingTransferThatEndsLeavesQueue() {
         queue.offer("first", BODY_BYTES, ANY_WAIT, 0);
--- a/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
+++ b/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
@@ -22,9 +22,11 @@
 public final class InboundBodies implements BodyGate {
     private final TargetAdmissionHandler admission;
     private final TransferQueue<BodyTransfer> queue;
+    private final long stallMillis;
 
-    private InboundBodies(TargetAdmissionHandler admission, LinkRate link) {
+    private InboundBodies(TargetAdmissionHandler admission, LinkRate link, long stallMillis) {
         this.admission = admission;
+        this.stallMillis = stallMillis;
         queue = TransferQueue.ofLink(link);
     }
 
@@ -36,7 +38,11 @@
      * @return the gate; an open one when the rate is not known
      */
     public static BodyGate create(TargetAdmissionHandler admission, LinkRate link) {
-        return link.isKnown() ? new InboundBodies(admission, link) : BodyGate.open();
+        return create(admission, link, DEFAULT_STALL_MILLIS);
+    }
+
+    static BodyGate create(TargetAdmissionHandler admission, LinkRate link, long stallMillis) {
+        return link.isKnown() ? new InboundBodies(admission, link, stallMillis) : BodyGate.open();
     }
 
     @Override
@@ -81,6 +87,11 @@
         return received.latestStartMillis() - received.arrivedMillis();
     }
 
+    @Override
+    public long stallMillis() {
+        return stallMillis;
+    }
+
     @Override
     public void end(BodyTransfer transfer) {
         Optional<BodyTransfer> next;
--- a/node/src/test/java/org/cuminreach/node/NarrowLinkTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/NarrowLinkTest.java
@@ -1,9 +1,10 @@
-package org.cuminreach.node;
+package org.cuminreach.node.target;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -21,26 +22,25 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.cuminreach.decisions.admission.LinkRate;
+import org.cuminreach.decisions.membership.TargetPhase;
 import org.cuminreach.node.http.HttpSender;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.node.http.SendOutcome;
-import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.node.settings.TargetDescription;
 import org.cuminreach.runtime.EventLoops;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.runtime.http.HttpServer;
 import org.cuminreach.runtime.http.LinkUse;
-import org.cuminreach.runtime.log.LogFormat;
-import org.cuminreach.runtime.log.LogLevel;
-import org.cuminreach.runtime.log.LogSettings;
 import org.cuminreach.settings.Address;
-import org.cuminreach.settings.MeshBounds;
 
 /** Long bodies of calls to a node whose VM has a narrow link. */
 class NarrowLinkTest {
     private static final LinkRate LINK = LinkRate.ofKilobitsPerSecond(2_310);
     private static final int BODY_BYTES = 60_000;
     private static final int TIMEOUT_MILLIS = 20_000;
+    private static final long SHORT_STALL_MILLIS = 50;
+    private static final long NEVER_STALLED_MILLIS = 600_000;
     private static final int SILENCE_MILLIS = 150;
 
     /** Refusals after which a call waits at the node that it is sent to. */
@@ -51,30 +51,37 @@
 
     private final EventLoopGroup eventLoops = EventLoops.start(1);
     private final List<Socket> sockets = new ArrayList<>();
-    private NodeSettings settings;
-    private NodeProcess node;
+    private Address inbound;
+    private HttpServer node;
     private HttpServer target;
 
     @BeforeTry
     void start() throws IOException {
+        start(NEVER_STALLED_MILLIS);
+    }
+
+    private void start(long stallMillis) throws IOException {
         Address targetAddress = freeAddress();
         target = HttpServer.listen(targetAddress, eventLoops, NarrowLinkTest::countBytes).join();
-        settings =
-                new NodeSettings(
+        TargetDescription description =
+                new TargetDescription("node", "photos", "1", targetAddress, 4, TargetPhase.READY);
+        TargetAdmissionHandler admission =
+                TargetAdmissionHandler.create(
                         "node",
-                        "here",
-                        freeAddress(),
-                        freeAddress(),
-                        freeAddress(),
-                        List.of(freeAddress()),
-                        Optional.of(new NodeSettings.Target("photos", "1", targetAddress, 4)),
-                        true,
-                        LINK,
-                        0,
-                        1_000,
-                        MeshBounds.defaults(),
-                        LogSettings.of(LogLevel.WARN, LogFormat.TEXT));
-        node = NodeProcess.start(settings);
+                        () -> Optional.of(description),
+                        TargetClient.create(eventLoops),
+                        TargetProtocol.passThrough(),
+                        TargetMetrics.register(new PrometheusRegistry()),
+                        ColdSettings.none());
+        inbound = freeAddress();
+        node =
+                HttpServer.listen(
+                                inbound,
+                                eventLoops,
+                                admission,
+                                InboundBodies.create(admission, LINK, stallMillis),
+                                LinkUse.of(LINK))
+                        .join();
     }
 
     @AfterTry
@@ -82,7 +89,7 @@
         for (Socket socket : sockets) {
             socket.close();
         }
-        node.stop();
+        node.close();
         target.close();
         EventLoops.stop(eventLoops);
     }
@@ -105,7 +112,7 @@
         for (int attempt = 0; attempt < 2; attempt++) {
             long startNanos = System.nanoTime();
             SendOutcome outcome =
-                    sender.send(settings.inboundAddress(), call, call.headers(), TIMEOUT_MILLIS)
+                    sender.send(inbound, call, call.headers(), TIMEOUT_MILLIS)
                             .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
 
@@ -135,10 +142,13 @@
         Upload first = new Upload(TIMEOUT_MILLIS);
         assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
 
-        Upload second = new Upload(400);
+        new Upload(TIMEOUT_MILLIS).assertSilent();
+        new Upload(TIMEOUT_MILLIS).assertSilent();
 
-        assertThat(second.reader.readLine()).contains(" 503 ");
-        assertThat(second.headers()).contains(MeshHeaders.OUTCOME + ": " + MeshHeaders.NOT_RUN);
+        Upload last = new Upload(400);
+
+        assertThat(last.reader.readLine()).contains(" 503 ");
+        assertThat(last.headers()).contains(MeshHeaders.OUTCOME + ": " + MeshHeaders.NOT_RUN);
     }
 
     /** Guards against bodies that wait for one link while others are free (issue 53). */
@@ -155,6 +165,9 @@
     /** Guards against a sender that keeps the turn of others without sending. */
     @Example
     void stalledBodyPassesItsTurnOn() throws Exception {
+        node.close();
+        target.close();
+        start(SHORT_STALL_MILLIS);
         Upload first = new Upload(TIMEOUT_MILLIS);
         assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
         Upload second = new Upload(TIMEOUT_MILLIS);
@@ -202,9 +215,7 @@
                             new byte[BODY_BYTES + call],
                             "127.0.0.1");
             upload.headers().set(MeshHeaders.REFUSALS, LAST_NODE);
-            answers.add(
-                    sender.send(
-                            settings.inboundAddress(), upload, upload.headers(), TIMEOUT_MILLIS));
+            answers.add(sender.send(inbound, upload, upload.headers(), TIMEOUT_MILLIS));
         }
         for (int call = 0; call < 4; call++) {
             SendOutcome outcome = answers.get(call).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
@@ -219,10 +230,9 @@
     /** A connection whose call was refused before its body must not carry another call. */
     @Example
     void callsAfterRefusedBodyAreAnswered() throws Exception {
-        Upload first = new Upload(TIMEOUT_MILLIS);
-        assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
         HttpSender sender = HttpSender.create(eventLoops, LinkUse.of(LINK), "10.0.0.1");
-        HttpCall refused = call(new byte[BODY_BYTES], 400);
+        HttpCall refused = call(new byte[BODY_BYTES], TIMEOUT_MILLIS);
+        refused.headers().set(MeshHeaders.TARGET_NODE, "another");
         assertThat(status(sender, refused)).isEqualTo(503);
 
         for (int call = 0; call < 20; call++) {
@@ -241,7 +251,7 @@
 
     private int status(HttpSender sender, HttpCall call) throws Exception {
         SendOutcome outcome =
-                sender.send(settings.inboundAddress(), call, call.headers(), TIMEOUT_MILLIS)
+                sender.send(inbound, call, call.headers(), TIMEOUT_MILLIS)
                         .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         return ((SendOutcome.Completed) outcome).answer().status();
     }
@@ -262,7 +272,7 @@
         }
 
         private Upload(long remainingMillis, int refusals) throws IOException {
-            Address address = settings.inboundAddress();
+            Address address = inbound;
             socket = new Socket(address.host(), address.port());
             socket.setSoTimeout(TIMEOUT_MILLIS);
             sockets.add(socket);
--- a/runtime/src/main/java/org/cuminreach/runtime/http/BodyGate.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/BodyGate.java
@@ -4,6 +4,9 @@
 
 /** Decides when clients that expect {@code 100 Continue} may send the bodies of their requests. */
 public interface BodyGate {
+    /** Time after which a transfer usually counts as stalled, in milliseconds. */
+    long DEFAULT_STALL_MILLIS = 250;
+
     /**
      * Offers the body of a request of which only the headers have arrived.
      *
@@ -20,6 +23,15 @@
      */
     void end(BodyTransfer transfer);
 
+    /**
+     * Returns the time without a byte after which a started transfer loses its turn.
+     *
+     * @return the time in milliseconds
+     */
+    default long stallMillis() {
+        return DEFAULT_STALL_MILLIS;
+    }
+
     /**
      * Returns the gate of a server that receives all bodies at once.
      *
--- a/runtime/src/main/java/org/cuminreach/runtime/http/ExpectedBodyHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/ExpectedBodyHandler.java
@@ -24,9 +24,6 @@
 final class ExpectedBodyHandler extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = LoggerFactory.getLogger(ExpectedBodyHandler.class);
 
-    /** Time without a byte after which the turn of a started transfer passes to the next one. */
-    private static final long STALL_MILLIS = 250;
-
     private final HttpServer server;
     private final BodyGate gate;
     private Optional<BodyTransfer> transfer = Optional.empty();
@@ -131,7 +128,7 @@
         context.executor()
                 .schedule(
                         () -> checkProgress(context, started, bytesBefore),
-                        STALL_MILLIS,
+                        gate.stallMillis(),
                         TimeUnit.MILLISECONDS);
     }
 
