--- a/decisions/src/main/java/org/cuminreach/decisions/routing/RouteMetadata.java
+++ b/decisions/src/main/java/org/cuminreach/decisions/routing/RouteMetadata.java
@@ -33,6 +33,19 @@
         return new RouteMetadata(route.name(), priority, objective);
     }
 
+    /**
+     * Returns the metadata of the same call some time later.
+     *
+     * @param elapsedMillis time since, in milliseconds
+     * @return the metadata with what is left until the objective
+     */
+    public RouteMetadata after(long elapsedMillis) {
+        return objectiveMillis == NO_OBJECTIVE
+                ? this
+                : new RouteMetadata(
+                        route, priority, (int) Math.max(0, objectiveMillis - elapsedMillis));
+    }
+
     /**
      * Returns the header value.
      *
--- a/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
+++ b/node/src/main/java/org/cuminreach/node/target/InboundBodies.java
@@ -5,6 +5,7 @@
 import org.cuminreach.decisions.admission.AdmissionRequest;
 import org.cuminreach.decisions.admission.LinkRate;
 import org.cuminreach.decisions.admission.TransferQueue;
+import org.cuminreach.decisions.routing.RouteMetadata;
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.ProcessClock;
@@ -46,8 +47,9 @@
     }
 
     @Override
-    public Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer) {
-        long nowMillis = ProcessClock.monotonicMillis();
+    public Optional<HttpAnswer> offer(BodyTransfer transfer) {
+        HttpCall head = transfer.head();
+        long nowMillis = transfer.offeredMillis();
         PendingCall pending = admission.pendingCall(head, nowMillis);
         boolean isForTarget = !head.headers().contains(MeshHeaders.KEY_HOME);
         Optional<String> refusal =
@@ -94,10 +96,28 @@
 
     @Override
     public void end(BodyTransfer transfer) {
+        long nowMillis = ProcessClock.monotonicMillis();
+        deductElapsed(transfer.head(), nowMillis - transfer.offeredMillis());
         Optional<BodyTransfer> next;
         synchronized (queue) {
-            next = queue.end(transfer, ProcessClock.monotonicMillis());
+            next = queue.end(transfer, nowMillis);
         }
         next.ifPresent(BodyTransfer::start);
     }
+
+    /** Deducts the time since the headers arrived from the times that they state. */
+    private static void deductElapsed(HttpCall head, long elapsedMillis) {
+        int remainingMillis = CallAnswers.intHeader(head, MeshHeaders.REMAINING_MILLIS, -1);
+        if (remainingMillis >= 0) {
+            head.headers()
+                    .set(
+                            MeshHeaders.REMAINING_MILLIS,
+                            Math.max(0, remainingMillis - elapsedMillis));
+        }
+        String route = head.headers().get(MeshHeaders.ROUTE);
+        if (route != null) {
+            head.headers()
+                    .set(MeshHeaders.ROUTE, RouteMetadata.parse(route).after(elapsedMillis).text());
+        }
+    }
 }
--- a/node/src/test/java/org/cuminreach/node/target/NarrowLinkTest.java
+++ b/node/src/test/java/org/cuminreach/node/target/NarrowLinkTest.java
@@ -46,6 +46,7 @@
     /** Refusals after which a call waits at the node that it is sent to. */
     private static final int LAST_NODE = 2;
 
+    private static final String TELL_REMAINING = "/remaining";
     private static final String LONG_ANSWER = "/long";
     private static final String CONTINUE = "HTTP/1.1 100 Continue";
 
@@ -98,7 +99,9 @@
         String answer =
                 call.path().equals(LONG_ANSWER)
                         ? "y".repeat(BODY_BYTES)
-                        : Integer.toString(call.body().length);
+                        : call.path().equals(TELL_REMAINING)
+                                ? call.header(MeshHeaders.REMAINING_MILLIS, "none")
+                                : Integer.toString(call.body().length);
         return CompletableFuture.completedFuture(HttpAnswer.of(200, "text/plain", answer));
     }
 
@@ -151,13 +154,30 @@
         assertThat(last.headers()).contains(MeshHeaders.OUTCOME + ": " + MeshHeaders.NOT_RUN);
     }
 
+    /** Guards against targets that are given more time than the caller has left (issue 53). */
+    @Example
+    void timeThatBodyWaitedIsDeductedFromItsCall() throws Exception {
+        Upload first = new Upload(TIMEOUT_MILLIS);
+        assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
+        Upload second = new Upload(TELL_REMAINING, TIMEOUT_MILLIS, LAST_NODE);
+        second.assertSilent();
+        first.sendBody();
+        assertThat(second.reader.readLine()).isEqualTo(CONTINUE);
+        second.sendBody();
+
+        assertThat(second.finalLine()).contains(" 200 ");
+        second.headers();
+        long remainingMillis = Long.parseLong(second.rest());
+        assertThat(remainingMillis).isAtMost((long) TIMEOUT_MILLIS - SILENCE_MILLIS);
+    }
+
     /** Guards against bodies that wait for one link while others are free (issue 53). */
     @Example
     void bodyIsRefusedAtItsFirstNodeWhileTheLinkIsTaken() throws Exception {
-        Upload first = new Upload(TIMEOUT_MILLIS, 0);
+        Upload first = new Upload("/photo", TIMEOUT_MILLIS, 0);
         assertThat(first.reader.readLine()).isEqualTo(CONTINUE);
 
-        Upload second = new Upload(TIMEOUT_MILLIS, 0);
+        Upload second = new Upload("/photo", TIMEOUT_MILLIS, 0);
 
         assertThat(second.reader.readLine()).contains(" 503 ");
     }
@@ -268,10 +288,10 @@
         private final BufferedReader reader;
 
         private Upload(long remainingMillis) throws IOException {
-            this(remainingMillis, LAST_NODE);
+            this("/photo", remainingMillis, LAST_NODE);
         }
 
-        private Upload(long remainingMillis, int refusals) throws IOException {
+        private Upload(String path, long remainingMillis, int refusals) throws IOException {
             Address address = inbound;
             socket = new Socket(address.host(), address.port());
             socket.setSoTimeout(TIMEOUT_MILLIS);
@@ -281,7 +301,9 @@
                             new InputStreamReader(
                                     socket.getInputStream(), StandardCharsets.US_ASCII));
             write(
-                    "POST /photo HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
+                    "POST "
+                            + path
+                            + " HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
                             + BODY_BYTES
                             + "\r\n"
                             + MeshHeaders.REMAINING_MILLIS
@@ -324,6 +346,16 @@
             return line;
         }
 
+        /** Returns the body of an answer, the five digits of a time. */
+        private String rest() throws IOException {
+            char[] body = new char[5];
+            int length = 0;
+            while (length < body.length) {
+                length += reader.read(body, length, body.length - length);
+            }
+            return new String(body);
+        }
+
         private List<String> headers() throws IOException {
             List<String> headers = new ArrayList<>();
             for (String line = reader.readLine(); !line.isEmpty(); line = reader.readLine()) {
--- a/runtime/src/main/java/org/cuminreach/runtime/http/BodyGate.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/BodyGate.java
@@ -10,14 +10,14 @@
     /**
      * Offers the body of a request of which only the headers have arrived.
      *
-     * @param head the request, without body
-     * @param transfer the transfer of its body, which the gate starts now or later
+     * @param transfer the transfer of the body, which the gate starts now or later
      * @return the answer when the request is refused, so that its body is never sent; else empty
      */
-    Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer);
+    Optional<HttpAnswer> offer(BodyTransfer transfer);
 
     /**
-     * Tells that a transfer has ended, whether it was started or not.
+     * Tells that a transfer has ended, whether it was started or not. If its body has arrived, the
+     * request is handled after this.
      *
      * @param transfer the transfer
      */
@@ -40,7 +40,7 @@
     static BodyGate open() {
         return new BodyGate() {
             @Override
-            public Optional<HttpAnswer> offer(HttpCall head, BodyTransfer transfer) {
+            public Optional<HttpAnswer> offer(BodyTransfer transfer) {
                 transfer.start();
                 return Optional.empty();
             }
--- a/runtime/src/main/java/org/cuminreach/runtime/http/ExpectedBodyHandler.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/ExpectedBodyHandler.java
@@ -14,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.cuminreach.runtime.ProcessClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -54,10 +55,10 @@
             // A client that does not wait has sent its body already.
             startTransfer(context);
         }
-        context.fireChannelRead(message);
         if (message instanceof LastHttpContent) {
             endTransfer();
         }
+        context.fireChannelRead(message);
     }
 
     private static boolean waitsForContinue(HttpRequest head) {
@@ -79,10 +80,13 @@
                         remote.getAddress().getHostAddress());
         BodyTransfer offered =
                 new BodyTransfer(
-                        HttpUtil.getContentLength(head, 0L), () -> startInEventLoop(context, head));
+                        call,
+                        HttpUtil.getContentLength(head, 0L),
+                        ProcessClock.monotonicMillis(),
+                        () -> startInEventLoop(context, head));
         waitingHead = Optional.of(head);
         transfer = Optional.of(offered);
-        Optional<HttpAnswer> refusal = server.refusal().or(() -> gate.offer(call, offered));
+        Optional<HttpAnswer> refusal = server.refusal().or(() -> gate.offer(offered));
         if (refusal.isPresent()) {
             waitingHead = Optional.empty();
             transfer = Optional.empty();
