--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -19,6 +19,7 @@
  * may run beside the first.
  */
 final class CallAttempts {
+    private final HttpCall callerCall;
     private final HttpCall call;
     private final RequestFingerprint fingerprint;
     private final Route route;
@@ -37,6 +38,7 @@
     private boolean hedged;
 
     CallAttempts(
+            HttpCall callerCall,
             HttpCall call,
             Route route,
             String service,
@@ -47,6 +49,7 @@
             long deadlineMillis,
             long configurationVersion,
             int previousAttempts) {
+        this.callerCall = callerCall;
         this.call = call;
         this.fingerprint = RequestFingerprint.of(call);
         this.route = route;
@@ -64,6 +67,11 @@
         return call;
     }
 
+    /** Tells whether nobody waits for the answer any more, rather than for this attempt only. */
+    boolean hasCallerLeft() {
+        return callerCall.abandoned().isDone();
+    }
+
     RequestFingerprint fingerprint() {
         return fingerprint;
     }
@@ -149,6 +157,10 @@
         return idempotent && !hedged && attempts < route.maxAttempts();
     }
 
+    synchronized boolean isHedged() {
+        return hedged;
+    }
+
     /** Creates the hedged attempt, at most once; uses up the attempts of the first one. */
     synchronized Optional<CallAttempts> createHedge() {
         if (!mayHedge()) {
@@ -157,6 +169,7 @@
         hedged = true;
         CallAttempts second =
                 new CallAttempts(
+                        callerCall,
                         call.abandonableCopy(),
                         route,
                         service,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -212,6 +212,7 @@
         long nowMillis = ProcessClock.monotonicMillis();
         CallAttempts attempts =
                 new CallAttempts(
+                        call,
                         call.abandonableCopy(),
                         route,
                         service,
--- a/node/src/main/java/org/cuminreach/node/caller/FinalAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/caller/FinalAnswers.java
@@ -16,12 +16,14 @@
     /** Returns the answer of a call that no target answered, and logs why. */
     static HttpAnswer giveUp(CallAttempts attempts, AttemptOutcome outcome) {
         LOGGER.info(
-                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}",
+                "event=call_given_up request={} configuration={} route={} attempts={} outcome={}"
+                        + " caller_left={}",
                 attempts.requestId(),
                 attempts.configurationVersion(),
                 attempts.route().name(),
                 attempts.attempts(),
-                outcome);
+                outcome,
+                attempts.hasCallerLeft());
         return CallAnswers.finalFailure(outcome, attempts.requestId());
     }
 
--- a/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
@@ -45,6 +45,11 @@
     }
 
     static CallAttempts attempts() {
+        return attempts(
+                new HttpCall("GET", "/status", new DefaultHttpHeaders(), new byte[0], "127.0.0.1"));
+    }
+
+    static CallAttempts attempts(HttpCall call) {
         Route route =
                 new Route(
                         "status",
@@ -59,7 +64,8 @@
                         "",
                         new RouteAccess(false, List.of()));
         return new CallAttempts(
-                new HttpCall("GET", "/status", new DefaultHttpHeaders(), new byte[0], "127.0.0.1"),
+                call,
+                call.abandonableCopy(),
                 route,
                 "one",
                 "request",
