--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -39,7 +39,6 @@
 
     CallAttempts(
             HttpCall callerCall,
-            HttpCall call,
             Route route,
             String service,
             String requestId,
@@ -50,7 +49,7 @@
             long configurationVersion,
             int previousAttempts) {
         this.callerCall = callerCall;
-        this.call = call;
+        this.call = callerCall.abandonableCopy();
         this.fingerprint = RequestFingerprint.of(call);
         this.route = route;
         this.service = service;
@@ -76,7 +75,7 @@
         return fingerprint;
     }
 
-    /** Ends the attempt in progress, and the hedged one, since the call has its answer. */
+    /** Ends the attempt in progress, but not a hedged one beside it. */
     void abandon() {
         call.abandoned().complete(null);
     }
@@ -170,7 +169,6 @@
         CallAttempts second =
                 new CallAttempts(
                         callerCall,
-                        call.abandonableCopy(),
                         route,
                         service,
                         requestId,
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -213,7 +213,6 @@
         CallAttempts attempts =
                 new CallAttempts(
                         call,
-                        call.abandonableCopy(),
                         route,
                         service,
                         requestId,
--- a/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/RouteStatisticsTest.java
@@ -65,7 +65,6 @@
                         new RouteAccess(false, List.of()));
         return new CallAttempts(
                 call,
-                call.abandonableCopy(),
                 route,
                 "one",
                 "request",
