--- a/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
@@ -9,12 +9,16 @@
 import org.cuminreach.node.http.CallAnswers;
 import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpAnswer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A call with a second attempt that runs beside a slow first one. The first successful answer is
  * the call's, and the other attempt is cancelled. The call fails once both attempts have failed.
  */
 final class HedgedCall {
+    private static final Logger LOGGER = LoggerFactory.getLogger(HedgedCall.class);
+
     /**
      * An attempt.
      *
@@ -27,6 +31,7 @@
     private final Attempt first;
     private Optional<Attempt> second = Optional.empty();
     private Optional<HttpAnswer> failedAnswer = Optional.empty();
+    private Optional<Throwable> brokenAttempt = Optional.empty();
     private int running = 1;
 
     private HedgedCall(Attempt first) {
@@ -77,20 +82,22 @@
     }
 
     private void onAttemptCompleted(HttpAnswer answer, Throwable failure) {
-        Optional<HttpAnswer> last;
+        boolean last;
         synchronized (this) {
             running--;
-            if (failure == null && !isSuccess(answer)) {
+            last = running == 0;
+            if (failure != null) {
+                brokenAttempt = Optional.of(failure);
+            } else if (!isSuccess(answer)) {
                 failedAnswer = Optional.of(moreUncertain(answer));
             }
-            last = running == 0 ? failedAnswer : Optional.empty();
         }
-        if (failure != null) {
-            result.completeExceptionally(failure);
-        } else if (isSuccess(answer)) {
+        if (failure == null && isSuccess(answer)) {
             result.complete(answer);
-        } else {
-            last.ifPresent(result::complete);
+        } else if (last) {
+            completeWithFailure();
+        } else if (failure != null) {
+            LOGGER.error("event=hedged_attempt_failed other_attempt=running", failure);
         }
         if (result.isDone()) {
             first.cancel().run();
@@ -98,6 +105,15 @@
         }
     }
 
+    /** Completes the call, which may have run if any of its attempts ended with an error. */
+    private synchronized void completeWithFailure() {
+        if (brokenAttempt.isPresent()) {
+            result.completeExceptionally(brokenAttempt.get());
+        } else {
+            failedAnswer.ifPresent(result::complete);
+        }
+    }
+
     /** Of two failures, returns the one after which the call may have run, if any. */
     private HttpAnswer moreUncertain(HttpAnswer answer) {
         return failedAnswer.filter(previous -> !isNotRun(previous)).orElse(answer);
--- a/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
@@ -103,6 +103,28 @@
         assertThat(await(result).status()).isEqualTo(200);
     }
 
+    @Example
+    void attemptThatEndsWithErrorDoesNotCancelOtherAttempt() throws Exception {
+        CompletableFuture<HttpAnswer> result = startHedgedCall(true);
+        await(secondStarted);
+        first.completeExceptionally(new IllegalStateException("an attempt failed"));
+
+        assertThat(result.isDone()).isFalse();
+        assertThat(secondCancelled.isDone()).isFalse();
+        second.complete(answered(200));
+        assertThat(await(result).status()).isEqualTo(200);
+    }
+
+    @Example
+    void refusalBesideAttemptThatEndedWithErrorIsNotReportedAsNotRun() throws Exception {
+        CompletableFuture<HttpAnswer> result = startHedgedCall(true);
+        await(secondStarted);
+        first.completeExceptionally(new IllegalStateException("an attempt failed"));
+        second.complete(refused());
+
+        assertThat(result.isCompletedExceptionally()).isTrue();
+    }
+
     @Example
     void callThatMayHaveRunIsNotReportedAsNotRun() throws Exception {
         CompletableFuture<HttpAnswer> result = startHedgedCall(true);
