--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakLedger.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakLedger.java
@@ -30,6 +30,9 @@
     /** Time from an answer of a leaving target until its node may send it no more calls. */
     private static final long LEAVING_GRACE_MILLIS = 2_000;
 
+    /** Reason of a call that ends since nobody waits for it. */
+    private static final String ABANDONED = "abandoned";
+
     /** A node that has passed on a statement of a target; lost when the node is disrupted. */
     private record Told(String node, String target, String statement) {}
 
@@ -139,6 +142,13 @@
         }
     }
 
+    /** Records that a caller, which waited for it, was told that its call failed. */
+    void recordFailure(SoakCall call, String reason) {
+        if (reason.equals(ABANDONED)) {
+            violations.add("cancelled by its node while its caller waited: " + call.id());
+        }
+    }
+
     /** Records that a caller was told that its call has not run. */
     synchronized void recordRefusal(SoakCall call) {
         refusedCalls.add(call.id());
--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakRun.java
@@ -173,7 +173,10 @@
                 refused.incrementAndGet();
                 ledger.recordRefusal(call);
             }
-            default -> unanswered.incrementAndGet();
+            default -> {
+                unanswered.incrementAndGet();
+                ledger.recordFailure(call, answer.headers().get(MeshHeaders.REASON, ""));
+            }
         }
         return false;
     }
--- a/trial/src/main/java/org/cuminreach/trial/soak/SoakTarget.java
+++ b/trial/src/main/java/org/cuminreach/trial/soak/SoakTarget.java
@@ -14,6 +14,11 @@
     private static final int MIN_WORK_MILLIS = 10;
     private static final int MAX_WORK_MILLIS = 60;
 
+    /** Of so many repeatable calls one is overdue, and one fails after as long. */
+    private static final int CALLS_PER_OVERDUE_CALL = 20;
+
+    private static final int OVERDUE_WORK_MILLIS = 400;
+
     private final String name;
     private final SoakLedger ledger;
     private final ScriptedTarget server;
@@ -61,11 +66,18 @@
             throws IOException, InterruptedException {
         SoakCall call = SoakCall.parse(head);
         ledger.recordRun(name, call, ProcessClock.monotonicMillis());
-        Thread.sleep(ThreadLocalRandom.current().nextInt(MIN_WORK_MILLIS, MAX_WORK_MILLIS));
+        int draw = ThreadLocalRandom.current().nextInt(CALLS_PER_OVERDUE_CALL);
+        boolean fails = call.repeatable() && draw == 0;
+        boolean overdue = fails || call.repeatable() && draw == 1;
+        Thread.sleep(
+                overdue
+                        ? OVERDUE_WORK_MILLIS
+                        : ThreadLocalRandom.current().nextInt(MIN_WORK_MILLIS, MAX_WORK_MILLIS));
         Optional<Double> stated = limit;
         boolean leavingNow = leaving;
         String text = new SoakAnswer(call.id(), name, stated.isPresent(), leavingNow).text();
-        StringBuilder answer = new StringBuilder("HTTP/1.1 200 OK\r\n");
+        StringBuilder answer =
+                new StringBuilder("HTTP/1.1 " + (fails ? "500 Failed" : "200 OK") + "\r\n");
         stated.ifPresent(rate -> answer.append(MeshHeaders.TARGET_LIMIT + ": " + rate + "\r\n"));
         if (leavingNow) {
             answer.append(MeshHeaders.TARGET_LEAVING + ": true\r\n");
