--- a/node/src/main/java/org/cuminreach/node/caller/CallDeduplicator.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallDeduplicator.java
@@ -214,6 +214,7 @@
                                     completed.answer().body())
                             : CallAnswers.mayHaveRun("key_home_failed");
             case SendOutcome.NotSent notSent -> CallAnswers.mayHaveRun("key_home_unreachable");
+            case SendOutcome.BodyNotSent notSent -> CallAnswers.mayHaveRun("key_home_unreachable");
             case SendOutcome.Refused refused -> CallAnswers.mayHaveRun(refused.reason());
             case SendOutcome.Lost lost -> CallAnswers.mayHaveRun(lost.reason());
         };
--- a/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
+++ b/node/src/main/java/org/cuminreach/node/http/CallAnswers.java
@@ -13,6 +13,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final String JSON = "application/json";
     private static final int MILLIS_PER_SECOND = 1_000;
+    private static final long BUSY_LINK_RETRY_MILLIS = 1_000;
     private static final long MAX_RETRY_AFTER_MILLIS = 3_600_000;
 
     private CallAnswers() {}
@@ -38,6 +39,8 @@
         return switch (sent) {
             case SendOutcome.NotSent notSent ->
                     new AttemptOutcome.NotRun(notSent.reason(), 0, false);
+            case SendOutcome.BodyNotSent notSent ->
+                    new AttemptOutcome.NotRun(notSent.reason(), BUSY_LINK_RETRY_MILLIS, false);
             case SendOutcome.Refused refused ->
                     new AttemptOutcome.NotRun(refused.reason(), refused.retryAfterMillis());
             case SendOutcome.Lost lost -> new AttemptOutcome.MayHaveRun(lost.reason());
@@ -77,6 +80,8 @@
                                     completed.answer().body())
                             .setHeader(MeshHeaders.OUTCOME, MeshHeaders.ANSWERED);
             case SendOutcome.NotSent notSent -> notRun(503, notSent.reason(), Optional.of(1L));
+            case SendOutcome.BodyNotSent notSent ->
+                    notRun(503, notSent.reason(), Optional.of(BUSY_LINK_RETRY_MILLIS));
             case SendOutcome.Refused refused ->
                     notRun(503, refused.reason(), Optional.of(refused.retryAfterMillis()))
                             .setHeader(MeshHeaders.REACHED_TARGET, "true");
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -41,6 +41,8 @@
     private static final int NOT_MODIFIED = 304;
 
     private static final SendOutcome.Lost TIMED_OUT = new SendOutcome.Lost("timeout");
+    private static final SendOutcome.BodyNotSent TIMED_OUT_BEFORE_BODY =
+            new SendOutcome.BodyNotSent("timeout_before_body");
     private static final Logger LOGGER = LoggerFactory.getLogger(HttpSender.class);
 
     private final Map<Address, StaleConnectionDetector> staleConnectionDetectors =
@@ -150,11 +152,21 @@
                         .setUrl("http://" + to + call.uri())
                         .setHeaders(headers)
                         .setRequestTimeout(Duration.ofMillis(Math.max(1, timeoutMillis)));
+        SendProgress progress;
         if (isLong(call) && !to.host().equals(ownHost)) {
+            progress = SendProgress.ofCallWithExpectedBody(answerMemory.newShare());
             request.setHeader(HttpHeaderNames.EXPECT, HttpHeaderValues.CONTINUE)
-                    .setBody(new PacedBody(call.body(), link.pace(), timers.next()));
-        } else if (call.body().length > 0) {
-            request.setBody(call.body());
+                    .setBody(
+                            new PacedBody(
+                                    call.body(),
+                                    link.pace(),
+                                    timers.next(),
+                                    progress::onBodyBegin));
+        } else {
+            progress = SendProgress.ofWholeCall(answerMemory.newShare());
+            if (call.body().length > 0) {
+                request.setBody(call.body());
+            }
         }
         Request built;
         try {
@@ -165,12 +177,12 @@
         if (call.abandoned().isDone()) {
             return CompletableFuture.completedFuture(new SendOutcome.NotSent("abandoned"));
         }
-        return execute(to, call, built);
+        return execute(to, call, built, progress);
     }
 
-    private CompletableFuture<SendOutcome> execute(Address to, HttpCall call, Request request) {
+    private CompletableFuture<SendOutcome> execute(
+            Address to, HttpCall call, Request request, SendProgress progress) {
         long startMillis = ProcessClock.monotonicMillis();
-        SendProgress progress = new SendProgress(answerMemory.newShare());
         ListenableFuture<Response> sending = client.executeRequest(request, progress);
         call.abandoned().thenRun(() -> cancel(sending));
         return sending.toCompletableFuture()
@@ -193,12 +205,16 @@
                         to, peer -> StaleConnectionDetector.create());
         if (outcome instanceof SendOutcome.Completed) {
             detector.recordAnswer(ProcessClock.monotonicMillis());
-        } else if (TIMED_OUT.equals(outcome) && detector.recordTimeout(startMillis)) {
+        } else if (isTimeout(outcome) && detector.recordTimeout(startMillis)) {
             LOGGER.info("event=connections_replaced peer={} reason=no_answer_in_time", to);
             client.flushChannelPoolPartitions(("http://" + to)::equals);
         }
     }
 
+    private static boolean isTimeout(SendOutcome outcome) {
+        return TIMED_OUT.equals(outcome) || TIMED_OUT_BEFORE_BODY.equals(outcome);
+    }
+
     @Override
     public void close() throws IOException {
         client.close();
--- a/node/src/main/java/org/cuminreach/node/http/PacedBody.java
+++ b/node/src/main/java/org/cuminreach/node/http/PacedBody.java
@@ -14,12 +14,26 @@
     private final byte[] bytes;
     private final TransferPace pace;
     private final ScheduledExecutorService timer;
+    private final Runnable beginListener;
     private volatile FeedListener listener;
 
-    PacedBody(byte[] bytes, TransferPace pace, ScheduledExecutorService timer) {
+    /**
+     * Creates a body.
+     *
+     * @param bytes the body
+     * @param pace pace of all long bodies of the node
+     * @param timer schedules the next piece
+     * @param beginListener called before the first piece; the body is not sent if it throws
+     */
+    PacedBody(
+            byte[] bytes,
+            TransferPace pace,
+            ScheduledExecutorService timer,
+            Runnable beginListener) {
         this.bytes = bytes;
         this.pace = pace;
         this.timer = timer;
+        this.beginListener = beginListener;
     }
 
     @Override
@@ -40,6 +54,7 @@
 
     private final class Pieces implements Body {
         private int sent;
+        private boolean begun;
         private volatile boolean closed;
 
         @Override
@@ -49,6 +64,10 @@
 
         @Override
         public BodyState transferTo(ByteBuf target) {
+            if (!begun) {
+                beginListener.run();
+                begun = true;
+            }
             int wanted = Math.min(target.writableBytes(), bytes.length - sent);
             long nowMillis = ProcessClock.monotonicMillis();
             int piece;
--- a/node/src/main/java/org/cuminreach/node/http/SendOutcome.java
+++ b/node/src/main/java/org/cuminreach/node/http/SendOutcome.java
@@ -18,6 +18,14 @@
      */
     record NotSent(String reason) implements SendOutcome {}
 
+    /**
+     * The headers of the call were sent, but the peer did not ask for its body, so that nobody runs
+     * it.
+     *
+     * @param reason reason code
+     */
+    record BodyNotSent(String reason) implements SendOutcome {}
+
     /**
      * The target received the call and reported that it did not run it.
      *
--- a/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
+++ b/node/src/main/java/org/cuminreach/node/peer/TargetFeedback.java
@@ -85,6 +85,7 @@
         return switch (sent) {
             case SendOutcome.NotSent notSent -> TargetCallResult.UNREACHABLE;
             case SendOutcome.Refused refused -> TargetCallResult.SHED;
+            case SendOutcome.BodyNotSent notSent -> TargetCallResult.LOST;
             case SendOutcome.Lost lost -> TargetCallResult.LOST;
             case SendOutcome.Completed completed -> result(completed.answer());
         };
--- a/node/src/test/java/org/cuminreach/node/http/SendProgressTest.java
+++ b/node/src/test/java/org/cuminreach/node/http/SendProgressTest.java
@@ -6,7 +6,7 @@
 import org.cuminreach.runtime.http.BodyMemory;
 
 class SendProgressTest {
-    private final SendProgress progress = new SendProgress(BodyMemory.of(0).newShare());
+    private final SendProgress progress = SendProgress.ofWholeCall(BodyMemory.of(0).newShare());
 
     @Example
     void callReportedAsNotSentIsNeverWritten() {
@@ -24,10 +24,34 @@
                 .isEqualTo(new SendOutcome.Lost("timeout"));
     }
 
+    @Example
+    void callWhoseBodyWasNotAskedForHasNotRunAndSendsNoBodyLater() {
+        SendProgress expecting = SendProgress.ofCallWithExpectedBody(BodyMemory.of(0).newShare());
+        expecting.onRequestSend(null);
+
+        assertThat(expecting.end(new SendOutcome.Lost("timeout")))
+                .isEqualTo(new SendOutcome.BodyNotSent("timeout_before_body"));
+        assertThat(isAllowed(expecting::onBodyBegin)).isFalse();
+    }
+
+    @Example
+    void callWhoseBodyWasBegunMayHaveRun() {
+        SendProgress expecting = SendProgress.ofCallWithExpectedBody(BodyMemory.of(0).newShare());
+        expecting.onRequestSend(null);
+        expecting.onBodyBegin();
+
+        assertThat(expecting.end(new SendOutcome.Lost("timeout")))
+                .isEqualTo(new SendOutcome.Lost("timeout"));
+    }
+
     /** The client writes a call unless its handler throws. */
     private boolean isWritten() {
+        return isAllowed(() -> progress.onRequestSend(null));
+    }
+
+    private static boolean isAllowed(Runnable step) {
         try {
-            progress.onRequestSend(null);
+            step.run();
             return true;
         } catch (IllegalStateException ended) {
             return false;
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -69,6 +70,52 @@
         }
     }
 
+    /** Guards against orders answered as possibly run whose bodies never left their node. */
+    @Example
+    void callWhoseTimeEndsBeforeItsBodyIsAskedForHasNotRun() throws Exception {
+        loadClient();
+        startOnNarrowLink();
+        try (ScriptedTarget peer = ScriptedTarget.start((head, body, socket) -> {})) {
+            assertThat(send(peer.address(), longCall(), 300))
+                    .isEqualTo(new SendOutcome.BodyNotSent("timeout_before_body"));
+            assertThat(peer.requestHeads()).hasSize(1);
+        }
+    }
+
+    @Example
+    void callWhoseBodyWasAskedForIsLostWithItsConnection() throws Exception {
+        startOnNarrowLink();
+        try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> askForBodyAndClose(peer));
+
+            assertThat(
+                            send(
+                                    new Address("127.0.0.1", peer.getLocalPort()),
+                                    longCall(),
+                                    TEST_TIMEOUT_MILLIS))
+                    .isInstanceOf(SendOutcome.Lost.class);
+        }
+    }
+
+    private void startOnNarrowLink() throws IOException {
+        sender.close();
+        LinkUse link = LinkUse.of(LinkRate.ofKilobitsPerSecond(2_310));
+        sender = HttpSender.create(eventLoops, link, "10.0.0.1");
+    }
+
+    private static HttpCall longCall() {
+        return new HttpCall("POST", "/photo", headers(), new byte[60_000], "127.0.0.1");
+    }
+
+    private static void askForBodyAndClose(ServerSocket peer) {
+        try (Socket socket = peer.accept()) {
+            ScriptedTarget.write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+            socket.getInputStream().readNBytes(20_000);
+        } catch (IOException closed) {
+            throw new UncheckedIOException(closed);
+        }
+    }
+
     @Example
     void connectionClosedAfterTheRequestIsLost() throws Exception {
         assertLost((head, body, socket) -> socket.close());
--- a/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/AtMostOnceOnNodesTest.java
@@ -262,6 +262,7 @@
             SendOutcome outcome = mesh.send(number % NODES, "POST", "/order", none, "x").join();
             switch (outcome) {
                 case SendOutcome.NotSent notSent -> {}
+                case SendOutcome.BodyNotSent notSent -> unanswered.add(notSent.toString());
                 case SendOutcome.Lost lost -> unanswered.add(lost.toString());
                 case SendOutcome.Refused refused -> unanswered.add(refused.toString());
                 case SendOutcome.Completed completed -> {
