--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -223,7 +223,8 @@
                         configuration.version(),
                         RetryPolicy.earlierAttempts(
                                 CallAnswers.intHeader(call, MeshHeaders.ATTEMPTS, 0)));
-        return quotas.pass(attempts, () -> attempt(attempts, configuration));
+        return FinalAnswers.logIfHedged(
+                attempts, quotas.pass(attempts, () -> attempt(attempts, configuration)));
     }
 
     private CompletableFuture<HttpAnswer> attempt(
--- a/node/src/main/java/org/cuminreach/node/caller/HedgeScheduler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/HedgeScheduler.java
@@ -9,7 +9,6 @@
 import org.cuminreach.decisions.retry.ServiceRetryBudgets;
 import org.cuminreach.decisions.routing.CallRequirements;
 import org.cuminreach.decisions.routing.TargetStatistics;
-import org.cuminreach.node.http.MeshHeaders;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -62,22 +61,7 @@
         return delay.isEmpty()
                 ? first.answer()
                 : HedgedCall.start(
-                                first,
-                                delay.getAsLong(),
-                                timer,
-                                () -> startHedge(attempts, sendAttempt))
-                        .whenComplete((answer, failure) -> logEnd(attempts, answer));
-    }
-
-    private static void logEnd(CallAttempts attempts, HttpAnswer answer) {
-        if (attempts.isHedged() && answer != null) {
-            LOGGER.info(
-                    "event=hedged_call_ended request={} status={} reason={} caller_left={}",
-                    attempts.requestId(),
-                    answer.status(),
-                    answer.headers().get(MeshHeaders.REASON, "answered"),
-                    attempts.hasCallerLeft());
-        }
+                        first, delay.getAsLong(), timer, () -> startHedge(attempts, sendAttempt));
     }
 
     private Optional<HedgedCall.Attempt> startHedge(
