--- a/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
+++ b/node/src/main/java/org/cuminreach/node/caller/HedgedCall.java
@@ -64,28 +64,48 @@
     }
 
     private void startSecond(Supplier<Optional<Attempt>> starter) {
-        if (result.isDone()) {
-            return;
+        synchronized (this) {
+            if (result.isDone()) {
+                return;
+            }
+            // Counted before it starts, so that the first attempt cannot end the call meanwhile.
+            running++;
+        }
+        Optional<Attempt> started = Optional.empty();
+        try {
+            started = starter.get();
+        } catch (RuntimeException failure) {
+            LOGGER.error("event=hedged_attempt_failed other_attempt=running", failure);
         }
-        Optional<Attempt> started = starter.get();
         synchronized (this) {
             second = started;
-            running += started.isPresent() ? 1 : 0;
         }
-        started.ifPresent(
-                attempt -> {
-                    attempt.answer().whenComplete(this::onAttemptCompleted);
-                    if (result.isDone()) {
-                        attempt.cancel().run();
-                    }
-                });
+        started.ifPresentOrElse(this::awaitSecond, this::skipSecond);
+    }
+
+    private void awaitSecond(Attempt attempt) {
+        attempt.answer().whenComplete(this::onAttemptCompleted);
+        if (result.isDone()) {
+            attempt.cancel().run();
+        }
+    }
+
+    private void skipSecond() {
+        if (endAttempt()) {
+            completeWithFailure();
+        }
+    }
+
+    /** Counts an attempt as ended and tells whether it was the last. */
+    private synchronized boolean endAttempt() {
+        running--;
+        return running == 0;
     }
 
     private void onAttemptCompleted(HttpAnswer answer, Throwable failure) {
         boolean last;
         synchronized (this) {
-            running--;
-            last = running == 0;
+            last = endAttempt();
             if (failure != null) {
                 brokenAttempt = Optional.of(failure);
             } else if (!isSuccess(answer)) {
--- a/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
+++ b/node/src/test/java/org/cuminreach/node/caller/HedgedCallTest.java
@@ -103,6 +103,58 @@
         assertThat(await(result).status()).isEqualTo(200);
     }
 
+    @Example
+    void failureOfFirstAttemptWhileSecondStartsWaitsForSecond() throws Exception {
+        CompletableFuture<HttpAnswer> result =
+                HedgedCall.start(
+                        new HedgedCall.Attempt(first, () -> firstCancelled.complete(null)),
+                        1,
+                        timer,
+                        () -> {
+                            first.complete(refused());
+                            secondStarted.complete(null);
+                            return Optional.of(
+                                    new HedgedCall.Attempt(
+                                            second, () -> secondCancelled.complete(null)));
+                        });
+        await(secondStarted);
+        second.complete(answered(200));
+
+        assertThat(await(result).status()).isEqualTo(200);
+    }
+
+    @Example
+    void failureOfFirstAttemptWhileSecondIsSkippedEndsCall() throws Exception {
+        CompletableFuture<HttpAnswer> result =
+                HedgedCall.start(
+                        new HedgedCall.Attempt(first, () -> firstCancelled.complete(null)),
+                        1,
+                        timer,
+                        () -> {
+                            first.complete(refused());
+                            return Optional.empty();
+                        });
+
+        assertThat(await(result).status()).isEqualTo(503);
+    }
+
+    @Example
+    void secondAttemptThatCannotStartLeavesFirst() throws Exception {
+        CompletableFuture<HttpAnswer> result =
+                HedgedCall.start(
+                        new HedgedCall.Attempt(first, () -> firstCancelled.complete(null)),
+                        1,
+                        timer,
+                        () -> {
+                            secondStarted.complete(null);
+                            throw new IllegalStateException("cannot start");
+                        });
+        await(secondStarted);
+        first.complete(refused());
+
+        assertThat(await(result).status()).isEqualTo(503);
+    }
+
     @Example
     void attemptThatEndsWithErrorDoesNotCancelOtherAttempt() throws Exception {
         CompletableFuture<HttpAnswer> result = startHedgedCall(true);
