--- a/review/standins-2/review2/AppServer.java
+++ b/review/standins-2/review2/AppServer.java
@@ -17,11 +17,17 @@
     private static final long HEARTBEAT_MILLIS = 1_000;
     private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
-    /** Answers a request that has been read completely. */
+    /** What the server does with its requests. */
     interface Behaviour {
-        void answer(Http.Message request, OutputStream out, Socket socket)
+        /** Answers a request that has been read completely. */
+        void answer(Http.Message request, OutputStream out)
                 throws IOException, InterruptedException;
 
+        /** Tells whether the server runs a request, rather than refuses it. */
+        default boolean runs(Http.Message request) {
+            return true;
+        }
+
         /** Tells whether it has answered a request of which only the head was read. */
         default boolean answeredEarly(String head, Socket socket)
                 throws IOException, InterruptedException {
@@ -104,15 +110,18 @@
             while (request.isPresent() && !closed) {
                 Http.Message next = request.get();
                 String attempt = next.header("Cuminreach-Attempt-Id");
-                runs.add(new Run(attempt, next.method(), next.target(), next.body().length));
+                if (behaviour.runs(next)) {
+                    runs.add(new Run(attempt, next.method(), next.target(), next.body().length));
+                }
                 deployment.record.line(
-                        "server %s runs %s: %s, %d bytes of body, deadline %s ms",
+                        "server %s %s %s: %s, %d bytes of body, deadline %s ms",
                         machine.name,
+                        behaviour.runs(next) ? "runs" : "gets",
                         attempt,
                         next.startLine(),
                         next.body().length,
                         next.header("Cuminreach-Deadline-Ms"));
-                behaviour.answer(next, socket.getOutputStream(), socket);
+                behaviour.answer(next, socket.getOutputStream());
                 deployment.record.line("server %s has answered %s", machine.name, attempt);
                 request = next(in, socket);
             }
--- a/review/standins-2/review2/PipelinedUpload.java
+++ b/review/standins-2/review2/PipelinedUpload.java
@@ -36,9 +36,9 @@
                                 List.of("order-app", "ledger")),
                         20);
         deployment.awaitReady(20);
-        try (AppServer own = new AppServer(deployment, callers, 6, (request, out, socket) ->
+        try (AppServer own = new AppServer(deployment, callers, 6, (request, out) ->
                         AppServer.answerWell(request, out));
-                AppServer ledger = new AppServer(deployment, targets, 6, (request, out, socket) -> {
+                AppServer ledger = new AppServer(deployment, targets, 6, (request, out) -> {
                         Thread.sleep(request.target().contains("warm") ? 1 : WORK_MILLIS);
                         AppServer.answerWell(request, out);
                     })) {
--- a/review/standins-2/review2/ResetAnswer.java
+++ b/review/standins-2/review2/ResetAnswer.java
@@ -36,7 +36,7 @@
         }
 
         @Override
-        public void answer(Http.Message request, OutputStream out, Socket socket)
+        public void answer(Http.Message request, OutputStream out)
                 throws IOException {
             AppServer.answerWell(request, out);
         }
@@ -107,7 +107,7 @@
                                 deployment,
                                 callers,
                                 6,
-                                (request, out, socket) -> AppServer.answerWell(request, out));
+                                (request, out) -> AppServer.answerWell(request, out));
                 AppServer yard =
                         new AppServer(deployment, targets, 6, new EarlyServer(record))) {
             Client.awaitService(callers, "/read/warm");
--- a/review/standins-2/review2/StoppingNode.java
+++ b/review/standins-2/review2/StoppingNode.java
@@ -48,9 +48,9 @@
                                 List.of("order-app", "ledger")),
                         20);
         deployment.awaitReady(20);
-        try (AppServer own = new AppServer(deployment, callers, 6, (request, out, socket) ->
+        try (AppServer own = new AppServer(deployment, callers, 6, (request, out) ->
                         AppServer.answerWell(request, out));
-                AppServer ledger = new AppServer(deployment, targets, 12, (request, out, socket) -> {
+                AppServer ledger = new AppServer(deployment, targets, 12, (request, out) -> {
                         if (request.target().contains("long")) {
                             Thread.sleep(WORK_MILLIS);
                         }
--- a/review/standins-2/review2/UploadBurst.java
+++ b/review/standins-2/review2/UploadBurst.java
@@ -60,7 +60,7 @@
         List<AppServer> servers = new ArrayList<>();
         for (Deployment.Machine target : targets) {
             servers.add(
-                    new AppServer(deployment, target, SLOTS, (request, out, socket) -> {
+                    new AppServer(deployment, target, SLOTS, (request, out) -> {
                         Thread.sleep(WORK_MILLIS);
                         AppServer.answerWell(request, out);
                     }));
