--- a/review/standins-2/review2/Deployment.java
+++ b/review/standins-2/review2/Deployment.java
@@ -101,6 +101,23 @@
             return process;
         }
 
+        /** Ends the process at once, as a loss of power does. */
+        void kill() {
+            record.line("SIGKILL to %s", name);
+            try {
+                process.destroyForcibly().waitFor();
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new CannotRunException("interrupted");
+            }
+        }
+
+        /** Empties the disk, whose process must have ended. */
+        void wipe() {
+            delete(folder.resolve("data-" + name));
+            record.line("%s has lost its disk", name);
+        }
+
         /** Sends a signal, by its name without SIG. */
         void signal(String signal) {
             try {
@@ -350,7 +367,11 @@
             System.out.println("kept " + folder);
             return;
         }
-        try (Stream<Path> files = Files.walk(folder)) {
+        delete(folder);
+    }
+
+    private static void delete(Path tree) {
+        try (Stream<Path> files = Files.walk(tree)) {
             files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
--- /dev/null
+++ b/review/standins-2/review2/RemovedVoters.java
@@ -0,0 +1,110 @@
+package review2;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * LOST: two controls are down for a while, and the disks of two others are lost before they are
+ * back. What was acknowledged in between is gone, and no configuration can be read or changed again.
+ */
+final class RemovedVoters extends Case {
+    private static final int CONTROLS = 5;
+
+    /** Time for which the first two controls are down, in milliseconds. */
+    private static final int DOWN_MILLIS =
+            Integer.parseInt(System.getenv().getOrDefault("DOWN_MILLIS", "15000"));
+
+    /** From the bounds of the deployment, with a reserve for reading back for contact-s. */
+    private static final int RECOVERY_MILLIS = 15_000;
+
+    private static final int READ_MILLIS = 20_000;
+
+    public static void main(String[] arguments) {
+        run(new RemovedVoters(), arguments);
+    }
+
+    @Override
+    boolean isBroken(Deployment deployment) throws Exception {
+        Record record = deployment.record;
+        for (int control = 0; control < CONTROLS; control++) {
+            deployment.addControl("zone-" + "abcde".charAt(control));
+        }
+        deployment.addNode("zone-a", "order-app");
+        deployment.startAll();
+        Operator operator = new Operator(deployment);
+        operator.put("0", configuration(1), 20);
+        deployment.awaitReady(20);
+        // As long as from the start of the machines to the first traffic in the site.
+        Deployment.sleep(13_000);
+        List<Deployment.Machine> controls = deployment.controls();
+        List<Deployment.Machine> down = controls.subList(3, 5);
+        List<Deployment.Machine> wiped = controls.subList(0, 2);
+        if (TROUBLE) {
+            down.forEach(Deployment.Machine::kill);
+        }
+        Deployment.sleep(DOWN_MILLIS);
+        operator.put("r1", configuration(2), 20);
+        if (TROUBLE) {
+            wiped.forEach(Deployment.Machine::kill);
+            wiped.forEach(Deployment.Machine::wipe);
+            down.forEach(Deployment.Machine::start);
+            wiped.forEach(Deployment.Machine::start);
+        }
+        record.line("all controls are back; %d of them with an empty disk", TROUBLE ? 2 : 0);
+        boolean broken = !isReadBack(record, operator, controls);
+        List<Integer> statuses = new ArrayList<>();
+        for (Deployment.Machine control : controls) {
+            statuses.add(change(operator, control));
+        }
+        record.line("answers of the controls to a further change on top of r2: %s", statuses);
+        return broken;
+    }
+
+    /** Reads the configuration back until it comes; tells whether it is the acknowledged one. */
+    private static boolean isReadBack(
+            Record record, Operator operator, List<Deployment.Machine> controls) {
+        long start = System.nanoTime();
+        String last = "";
+        while ((System.nanoTime() - start) / 1_000_000 < RECOVERY_MILLIS + READ_MILLIS) {
+            for (Deployment.Machine control : controls) {
+                String answer;
+                try {
+                    Http.Message message = operator.get(control, "/Config.Get", 1_000);
+                    answer =
+                            message.status() == 200
+                                    ? message.text().replaceAll("(?s).*\"version\":\"(r\\d+)\".*", "$1")
+                                    : message.status() + " " + message.text().strip();
+                } catch (IOException failure) {
+                    answer = failure.toString();
+                }
+                double seconds = (System.nanoTime() - start) / 1e9;
+                if (!answer.equals(last)) {
+                    record.line("%s, %.1f s after all are back: %s", control.name, seconds, answer);
+                    last = answer;
+                }
+                if (answer.matches("r\\d+")) {
+                    return answer.equals("r2");
+                }
+            }
+            Deployment.sleep(200);
+        }
+        record.line("no control has returned a configuration");
+        return false;
+    }
+
+    private static int change(Operator operator, Deployment.Machine control) {
+        try {
+            return operator.putOnce(control, "r2", configuration(3), 1_000).status();
+        } catch (IOException failure) {
+            return 0;
+        }
+    }
+
+    private static String configuration(int version) {
+        return Operator.configuration(
+                version,
+                List.of(Operator.route("read", "/read/", "safe", version, "order-app")),
+                List.of("order-app"));
+    }
+}
