--- a/review/standins-2/review2/RemovedVoters.java
+++ b/review/standins-2/review2/RemovedVoters.java
@@ -18,7 +18,7 @@
     /** From the bounds of the deployment, with a reserve for reading back for contact-s. */
     private static final int RECOVERY_MILLIS = 15_000;
 
-    private static final int READ_MILLIS = 20_000;
+    private static final int READ_MILLIS = 10_000;
 
     public static void main(String[] arguments) {
         run(new RemovedVoters(), arguments);
