--- a/review/standins-2/review2/Deployment.java
+++ b/review/standins-2/review2/Deployment.java
@@ -174,6 +174,7 @@
     private final String network;
     private final int firstPort;
     private final String bounds;
+    private boolean started;
 
     Deployment(Path root, Record record, String extraBounds) {
         this.root = root;
@@ -306,7 +307,7 @@
                         firstPort,
                         firstPort + INTERNAL_PORTS - 1,
                         seeds,
-                        machine.starts == 0,
+                        machine.starts == 0 && !started,
                         isControl,
                         isControl ? 256 : 0,
                         isControl ? "\"" + data + "\"" : "null",
@@ -320,6 +321,7 @@
     void startAll() {
         controls.forEach(Machine::start);
         nodes.forEach(Machine::start);
+        started = true;
     }
 
     /** Waits until all nodes are ready. */
--- a/review/standins-2/review2/RemovedVoters.java
+++ b/review/standins-2/review2/RemovedVoters.java
@@ -5,15 +5,27 @@
 import java.util.List;
 
 /**
- * LOST: one control is down for a while, and the disks of two others are lost before it is back. What
- * was acknowledged can't be read any more, and no configuration can ever be changed again.
+ * LOST: a control loses power during a planned replacement of another one, and the disks of two others
+ * are lost before it is back. What was acknowledged can't be read any more, and no configuration can
+ * ever be changed again. With DOWN_MILLIS there is no replacement, and the first control is down for
+ * that time.
  */
 final class RemovedVoters extends Case {
     private static final int CONTROLS = 5;
 
-    /** Time for which the first control is down before the disks are lost, in milliseconds. */
-    private static final int DOWN_MILLIS =
-            Integer.parseInt(System.getenv().getOrDefault("DOWN_MILLIS", "15000"));
+    /** Time for which a control has no power; the site's node_kill takes 3.5 s at most. */
+    private static final int POWER_LOSS_MILLIS = 3_400;
+
+    /** Time from the power loss to the SIGTERM that ends the planned replacement. */
+    private static final int REPLACED_MILLIS = 2_200;
+
+    /** Time from the power loss to the loss of the two disks. */
+    private static final int WIPED_MILLIS = 3_000;
+
+    /** Time from the start of the successor to the power loss, over catch-up-s. */
+    private static final int SUCCESSOR_MILLIS = 6_000;
+
+    private static final String DOWN_MILLIS = System.getenv("DOWN_MILLIS");
 
     /** From the bounds of the deployment, with a reserve for reading back for contact-s. */
     private static final int RECOVERY_MILLIS = 15_000;
@@ -37,28 +49,71 @@
         deployment.awaitReady(20);
         // As long as from the start of the machines to the first traffic in the site.
         Deployment.sleep(13_000);
-        List<Deployment.Machine> controls = deployment.controls();
-        Deployment.Machine down = controls.getLast();
-        List<Deployment.Machine> wiped = controls.subList(0, 2);
+        List<Deployment.Machine> controls = new ArrayList<>(deployment.controls());
+        Deployment.Machine down = controls.get(3);
+        List<Deployment.Machine> wiped = controls.subList(1, 3);
+        if (DOWN_MILLIS == null) {
+            Deployment.Machine replaced = controls.removeLast();
+            Deployment.Machine successor = deployment.addControl(replaced.zone);
+            successor.start();
+            Deployment.sleep(SUCCESSOR_MILLIS);
+            loseTwoDisks(operator, down, controls.subList(1, 3), replaced);
+            controls.add(successor);
+        } else {
+            loseTwoDisks(operator, down, wiped, Integer.parseInt(DOWN_MILLIS));
+        }
+        record.line("all controls are back; %d of them with an empty disk", TROUBLE ? 2 : 0);
+        boolean broken = !isReadBack(record, operator, controls);
+        List<Integer> statuses = new ArrayList<>();
+        for (Deployment.Machine control : controls) {
+            statuses.add(change(operator, control));
+        }
+        record.line("answers of the controls to a further change on top of r2: %s", statuses);
+        return broken;
+    }
+
+    private static void loseTwoDisks(
+            Operator operator,
+            Deployment.Machine down,
+            List<Deployment.Machine> wiped,
+            Deployment.Machine replaced) {
         if (TROUBLE) {
             down.kill();
         }
-        Deployment.sleep(DOWN_MILLIS);
+        long start = System.nanoTime();
+        sleepUntil(start, REPLACED_MILLIS);
+        replaced.signal("TERM");
         operator.put("r1", configuration(2), 20);
         if (TROUBLE) {
+            sleepUntil(start, WIPED_MILLIS);
             wiped.forEach(Deployment.Machine::kill);
             wiped.forEach(Deployment.Machine::wipe);
+            sleepUntil(start, POWER_LOSS_MILLIS);
             down.start();
             wiped.forEach(Deployment.Machine::start);
         }
-        record.line("all controls are back; %d of them with an empty disk", TROUBLE ? 2 : 0);
-        boolean broken = !isReadBack(record, operator, controls);
-        List<Integer> statuses = new ArrayList<>();
-        for (Deployment.Machine control : controls) {
-            statuses.add(change(operator, control));
+    }
+
+    private static void loseTwoDisks(
+            Operator operator,
+            Deployment.Machine down,
+            List<Deployment.Machine> wiped,
+            int downMillis) {
+        if (TROUBLE) {
+            down.kill();
         }
-        record.line("answers of the controls to a further change on top of r2: %s", statuses);
-        return broken;
+        Deployment.sleep(downMillis);
+        operator.put("r1", configuration(2), 20);
+        if (TROUBLE) {
+            wiped.forEach(Deployment.Machine::kill);
+            wiped.forEach(Deployment.Machine::wipe);
+            down.start();
+            wiped.forEach(Deployment.Machine::start);
+        }
+    }
+
+    private static void sleepUntil(long start, int millis) {
+        Deployment.sleep(millis - (System.nanoTime() - start) / 1_000_000);
     }
 
     /** Reads the configuration back until it comes; tells whether it is the acknowledged one. */
