--- a/review/standins-2/review2/ResetAnswer.java
+++ b/review/standins-2/review2/ResetAnswer.java
@@ -13,6 +13,7 @@
  */
 final class ResetAnswer extends Case {
     private static final int REQUESTS = 5;
+    private static final int USUAL_READS = 30;
     private static final int BODY_BYTES = 7_000_000;
     private static final int TIMEOUT_SECONDS = 8;
     private static final int DEADLINE_MILLIS = 7_000;
@@ -114,6 +115,8 @@
             int broken = 0;
             byte[] body = new byte[BODY_BYTES];
             for (int number = 0; number < REQUESTS; number++) {
+                Client.readUsually(
+                        callers, "/read/one", "read-" + number, USUAL_READS, DEADLINE_MILLIS);
                 broken += isHalfSuccess(record, callers, "up-" + number, body) ? 1 : 0;
             }
             record.line("%d of %d answers are a success with half a body", broken, REQUESTS);
