--- a/review/standins-2/review2/Case.java
+++ b/review/standins-2/review2/Case.java
@@ -19,7 +19,7 @@
                 boolean broken = tested.isBroken(deployment);
                 record.line(broken ? "BROKEN" : "HELD");
                 status = broken ? 1 : 0;
-            } catch (Exception failure) {
+            } catch (Exception | Error failure) {
                 record.line("CANNOT RUN: %s", failure);
                 failure.printStackTrace(System.out);
             }
