Reject answers whose status is outside 100 to 599

Cause: HttpResponseDecoder of Netty takes any number for a status, such as 000, 1000, 0200 or +20, and no reader of answers checked it. 000 is in no class, so it was neither a failure nor informational: TargetClient and HttpSender returned it as a complete answer, ControlClient took it as conclusive, and the status command of a node printed it.

Ruled out: a check in TargetConnection alone. Informational and mismatched answers are dropped there before their status is looked at, and the other three readers would stay as they were.

Change: StrictHttpClientCodec, whose decoder rejects such a head like one that Netty itself rejects. All four readers use it, three of them by the hook of AsyncHttpClient for the handlers of a connection. A status from 100 to 599 without a name is passed on unchanged; 600 and above are invalid by RFC 9110, section 15, and count as a failure of the server.

--- a/control/src/main/java/org/cuminreach/control/command/ControlClient.java
+++ b/control/src/main/java/org/cuminreach/control/command/ControlClient.java
@@ -11,6 +11,7 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.Response;
+import org.cuminreach.runtime.http.StrictHttpClientCodec;
 import org.cuminreach.settings.Address;
 
 /** HTTP client that tries the controls one after the other until one answers. */
@@ -30,6 +31,8 @@
                                 .setConnectTimeout(TIMEOUT)
                                 .setRequestTimeout(TIMEOUT)
                                 .setShutdownQuietPeriod(Duration.ZERO)
+                                .setHttpAdditionalChannelInitializer(
+                                        StrictHttpClientCodec::replaceCodecOf)
                                 .setIoThreadsCount(1));
     }
 
--- a/node/src/main/java/org/cuminreach/node/command/StatusCommand.java
+++ b/node/src/main/java/org/cuminreach/node/command/StatusCommand.java
@@ -9,6 +9,7 @@
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
 import org.cuminreach.node.settings.NodeSettings;
+import org.cuminreach.runtime.http.StrictHttpClientCodec;
 import org.cuminreach.runtime.launch.Command;
 import org.cuminreach.runtime.launch.ExitCode;
 import org.cuminreach.runtime.launch.SettingsOption;
@@ -40,7 +41,11 @@
             return ExitCode.REFUSED;
         }
         String url = "http://" + settings.get().administrationAddress() + "/status";
-        try (AsyncHttpClient client = Dsl.asyncHttpClient()) {
+        try (AsyncHttpClient client =
+                Dsl.asyncHttpClient(
+                        Dsl.config()
+                                .setHttpAdditionalChannelInitializer(
+                                        StrictHttpClientCodec::replaceCodecOf))) {
             out.print(client.prepareGet(url).execute().get().getResponseBody());
             return ExitCode.DONE;
         } catch (IOException | ExecutionException failure) {
--- a/node/src/main/java/org/cuminreach/node/http/HttpSender.java
+++ b/node/src/main/java/org/cuminreach/node/http/HttpSender.java
@@ -29,6 +29,7 @@
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpCall;
 import org.cuminreach.runtime.http.LinkUse;
+import org.cuminreach.runtime.http.StrictHttpClientCodec;
 import org.cuminreach.settings.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -104,6 +105,8 @@
                                 .setReadTimeout(Duration.ofMillis(-1))
                                 .setCookieStore(null)
                                 .setSslEngineFactory(HttpSender::refuseTls)
+                                .setHttpAdditionalChannelInitializer(
+                                        StrictHttpClientCodec::replaceCodecOf)
                                 .setEnableAutomaticDecompression(false)
                                 .setCompressionEnforced(false)),
                 answerMemory,
--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -11,7 +11,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
@@ -26,6 +26,7 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.BodyMemory;
 import org.cuminreach.runtime.http.HttpCall;
+import org.cuminreach.runtime.http.StrictHttpClientCodec;
 import org.cuminreach.settings.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -218,8 +219,11 @@
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
                         .addLast(
-                                new HttpClientCodec(
-                                        MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                StrictHttpClientCodec.create(
+                                        new HttpDecoderConfig()
+                                                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                                .setMaxChunkSize(MAX_CHUNK_BYTES)))
                         .addLast(new TargetConnection(TargetClient.this, address, channel));
             }
         };
--- /dev/null
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
@@ -0,0 +1,83 @@
+package org.cuminreach.runtime.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+class StrictHttpClientCodecTest {
+    private EmbeddedChannel channel;
+
+    @BeforeTry
+    void start() {
+        channel = new EmbeddedChannel(StrictHttpClientCodec.create(new HttpDecoderConfig()));
+    }
+
+    @Property
+    void onlyStatusesFrom100To599AreAccepted(@ForAll @IntRange(min = 0, max = 9_999) int status) {
+        String code = "%03d".formatted(status);
+        request(HttpMethod.GET);
+
+        assertWithMessage(code)
+                .that(isAccepted("HTTP/1.1 " + code + " X\r\nContent-Length: 0\r\n\r\n"))
+                .isEqualTo(status >= 100 && status <= 599);
+    }
+
+    @Example
+    void answersToHeadHaveNoBody() {
+        String lengthOnly = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+        for (String informational : List.of("", "HTTP/1.1 103 Early Hints\r\n\r\n")) {
+            request(HttpMethod.HEAD);
+            assertThat(endsWithAnswer(informational + lengthOnly)).isTrue();
+            request(HttpMethod.GET);
+            assertThat(endsWithAnswer(informational + lengthOnly)).isFalse();
+            assertThat(endsWithAnswer("whole")).isTrue();
+        }
+    }
+
+    private void request(HttpMethod method) {
+        channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
+        channel.releaseOutbound();
+    }
+
+    private boolean isAccepted(String bytes) {
+        List<HttpObject> parts = receive(bytes);
+        return parts.getLast() instanceof LastHttpContent
+                && parts.stream().allMatch(part -> part.decoderResult().isSuccess());
+    }
+
+    /** Returns whether the bytes end an answer other than an informational one. */
+    private boolean endsWithAnswer(String bytes) {
+        List<HttpObject> parts = receive(bytes);
+        boolean endsInformational =
+                parts.size() > 1
+                        && parts.get(parts.size() - 2) instanceof HttpResponse response
+                        && response.status().code() < 200;
+        return parts.getLast() instanceof LastHttpContent && !endsInformational;
+    }
+
+    private List<HttpObject> receive(String bytes) {
+        channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        List<HttpObject> parts = new ArrayList<>();
+        for (HttpObject part = channel.readInbound(); part != null; part = channel.readInbound()) {
+            parts.add(part);
+        }
+        return parts;
+    }
+}
--- /dev/null
+++ b/trial/src/test/java/org/cuminreach/control/command/ControlClientTest.java
@@ -0,0 +1,37 @@
+package org.cuminreach.control.command;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.cuminreach.trial.once.ScriptedTarget;
+
+class ControlClientTest {
+    private static final String PATH = "/documents";
+    private static final String INVALID_STATUS =
+            "HTTP/1.1 000 X\r\nContent-Length: 7\r\n\r\ntrouble";
+
+    /** A status below 500 ends the search for a control that has executed an order. */
+    @Example
+    void orderAnsweredWithInvalidStatusIsSentToNextControl() throws IOException {
+        assertIsSentToNextControl(
+                (head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
+    }
+
+    private static void assertIsSentToNextControl(ScriptedTarget.Script faulty) throws IOException {
+        try (ScriptedTarget first = ScriptedTarget.start(faulty);
+                ScriptedTarget second =
+                        ScriptedTarget.start(
+                                (head, body, socket) ->
+                                        ScriptedTarget.writeAnswer(socket, 200, "accepted"));
+                ControlClient client =
+                        ControlClient.of(first.address() + "," + second.address()).orElseThrow()) {
+            assertThat(client.get(PATH).orElseThrow().getResponseBody()).isEqualTo("accepted");
+            assertThat(client.post(PATH, Map.of(), "{}").orElseThrow().getResponseBody())
+                    .isEqualTo("accepted");
+            assertThat(first.requestHeads()).hasSize(2);
+            assertThat(second.requestHeads()).hasSize(2);
+        }
+    }
+}
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -26,6 +26,8 @@
 
 class HttpSenderTest {
     private static final long TEST_TIMEOUT_MILLIS = 20_000;
+    private static final String INVALID_STATUS =
+            "HTTP/1.1 000 X\r\nContent-Length: 7\r\n\r\ntrouble";
 
     private EventLoopGroup eventLoops;
     private HttpSender sender;
@@ -152,6 +154,11 @@
         assertThat(sender.answerMemory().usedBytes()).isEqualTo(0);
     }
 
+    @Example
+    void answerWithInvalidStatusIsLost() throws Exception {
+        assertLost((head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
+    }
+
     @Example
     void answerShorterThanItsLengthIsLost() throws Exception {
         assertLost(
