Take an answer without a length as complete only at an orderly end

Cause: a reset that a write finds closes the channel without exceptionCaught. Only channelInactive follows, and there Netty ends an answer without a length as if the target had closed the connection orderly. Nothing behind the decoder can tell these ends apart; a close by the node itself, as when its event loops stop, had the same effect.

Ruled out: the result of the write. It fails as well when a target ends its whole answer orderly and does not read the rest of the upload, which is a complete answer. Reading on after the failed write: the write takes the error of the socket with it, and a later read gets an end of stream.

Handled before, tests kept: a reset after the whole request, an orderly end during or after the request, a control whose answer is reset while an order is written, and a target that ends an idle connection.

--- a/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,6 +53,41 @@
         }
     }
 
+    @Example
+    void answerWithoutLengthEndsWithItsConnection() {
+        request(HttpMethod.GET);
+        receive("HTTP/1.1 200 OK\r\n\r\nwhole");
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(readAll().getLast()).isInstanceOf(LastHttpContent.class);
+    }
+
+    /** A failed read shuts down the input too; it may be any error, such as a lack of memory. */
+    @Example
+    void answerWithoutLengthHasNoEndAfterFailedRead() {
+        for (Throwable cause : List.of(new IOException("reset"), new OutOfMemoryError("buffers"))) {
+            start();
+            request(HttpMethod.GET);
+            receive("HTTP/1.1 200 OK\r\n\r\nfirst half");
+            channel.pipeline().fireExceptionCaught(cause);
+            channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+
+            assertThat(channel.isOpen()).isFalse();
+            assertThat(readAll()).isEmpty();
+        }
+    }
+
+    @Example
+    void answerWithoutLengthHasNoEndWhenTheConnectionIsClosedHere() {
+        request(HttpMethod.GET);
+        receive("HTTP/1.1 200 OK\r\n\r\nfirst half");
+        channel.close();
+
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(readAll()).isEmpty();
+    }
+
     private void request(HttpMethod method) {
         channel.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"));
         channel.releaseOutbound();
@@ -74,6 +111,10 @@
 
     private List<HttpObject> receive(String bytes) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+        return readAll();
+    }
+
+    private List<HttpObject> readAll() {
         List<HttpObject> parts = new ArrayList<>();
         for (HttpObject part = channel.readInbound(); part != null; part = channel.readInbound()) {
             parts.add(part);
--- a/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
@@ -38,16 +38,18 @@
 
     private final int port;
     private final Script script;
+    private final boolean readsBodies;
     private final List<String> requestHeads = new CopyOnWriteArrayList<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByPeer = new AtomicInteger();
     private volatile ServerSocket serverSocket;
     private volatile boolean closed;
 
-    private ScriptedTarget(ServerSocket listening, Script script) {
+    private ScriptedTarget(ServerSocket listening, Script script, boolean readsBodies) {
         this.port = listening.getLocalPort();
         this.serverSocket = listening;
         this.script = script;
+        this.readsBodies = readsBodies;
     }
 
     /**
@@ -58,7 +60,23 @@
      * @throws IOException if it cannot listen
      */
     public static ScriptedTarget start(Script script) throws IOException {
-        ScriptedTarget target = new ScriptedTarget(listen(0), script);
+        return start(script, true);
+    }
+
+    /**
+     * Starts a target on a free port that answers a request before it has read its body.
+     *
+     * @param script answers its requests, whose bodies it is given as empty; must close the
+     *     connection of a request with a body
+     * @return the running target
+     * @throws IOException if it cannot listen
+     */
+    public static ScriptedTarget startWithoutReadingBodies(Script script) throws IOException {
+        return start(script, false);
+    }
+
+    private static ScriptedTarget start(Script script, boolean readsBodies) throws IOException {
+        ScriptedTarget target = new ScriptedTarget(listen(0), script, readsBodies);
         Thread.ofVirtual().start(target::accept);
         return target;
     }
@@ -127,6 +145,17 @@
                         .formatted(status, body.length(), body));
     }
 
+    /**
+     * Resets a connection.
+     *
+     * @param socket the connection
+     * @throws IOException if it cannot be closed
+     */
+    public static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     /**
      * Returns the address that it listens on.
      *
@@ -199,10 +228,8 @@
                     return;
                 }
                 requestHeads.add(head);
-                script.answer(
-                        head,
-                        new String(in.readNBytes(contentLength(head)), StandardCharsets.ISO_8859_1),
-                        socket);
+                byte[] body = in.readNBytes(readsBodies ? contentLength(head) : 0);
+                script.answer(head, new String(body, StandardCharsets.ISO_8859_1), socket);
             }
         } catch (IOException | InterruptedException connectionLost) {
             closedByPeer.incrementAndGet();
--- a/trial/src/test/java/org/cuminreach/control/command/ControlClientTest.java
+++ b/trial/src/test/java/org/cuminreach/control/command/ControlClientTest.java
@@ -19,12 +19,48 @@
                 (head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
     }
 
+    @Example
+    void orderWhoseAnswerIsResetWhileItIsWrittenIsSentToNextControl() throws IOException {
+        String longOrder = "x".repeat(7_000_000);
+        try (ScriptedTarget first =
+                        ScriptedTarget.startWithoutReadingBodies(
+                                (head, body, socket) -> {
+                                    ScriptedTarget.write(
+                                            socket, "HTTP/1.1 200 OK\r\n\r\nfirst half");
+                                    Thread.sleep(500);
+                                    ScriptedTarget.reset(socket);
+                                });
+                ScriptedTarget second = acceptingControl();
+                ControlClient client =
+                        ControlClient.of(first.address() + "," + second.address()).orElseThrow()) {
+            assertThat(client.post(PATH, Map.of(), longOrder).orElseThrow().getResponseBody())
+                    .isEqualTo("accepted");
+            assertThat(first.requestHeads()).hasSize(1);
+        }
+    }
+
+    @Example
+    void answerWithoutLengthThatEndsOrderlyIsReturned() throws IOException {
+        try (ScriptedTarget control =
+                        ScriptedTarget.start(
+                                (head, body, socket) -> {
+                                    ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\n\r\nwhole");
+                                    socket.close();
+                                });
+                ControlClient client =
+                        ControlClient.of(control.address().toString()).orElseThrow()) {
+            assertThat(client.get(PATH).orElseThrow().getResponseBody()).isEqualTo("whole");
+        }
+    }
+
+    private static ScriptedTarget acceptingControl() throws IOException {
+        return ScriptedTarget.start(
+                (head, body, socket) -> ScriptedTarget.writeAnswer(socket, 200, "accepted"));
+    }
+
     private static void assertIsSentToNextControl(ScriptedTarget.Script faulty) throws IOException {
         try (ScriptedTarget first = ScriptedTarget.start(faulty);
-                ScriptedTarget second =
-                        ScriptedTarget.start(
-                                (head, body, socket) ->
-                                        ScriptedTarget.writeAnswer(socket, 200, "accepted"));
+                ScriptedTarget second = acceptingControl();
                 ControlClient client =
                         ControlClient.of(first.address() + "," + second.address()).orElseThrow()) {
             assertThat(client.get(PATH).orElseThrow().getResponseBody()).isEqualTo("accepted");
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -125,11 +125,7 @@
 
     @Example
     void connectionResetAfterTheRequestIsLost() throws Exception {
-        assertLost(
-                (head, body, socket) -> {
-                    socket.setSoLinger(true, 0);
-                    socket.close();
-                });
+        assertLost((head, body, socket) -> ScriptedTarget.reset(socket));
     }
 
     @Example
--- a/trial/src/test/java/org/cuminreach/trial/once/BrokenAnswersOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/BrokenAnswersOnNodesTest.java
@@ -1,7 +1,6 @@
 package org.cuminreach.trial.once;
 
 import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,13 +12,28 @@
 /** Callers of a mesh whose targets send answers that are broken. */
 class BrokenAnswersOnNodesTest {
     private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int RESET_DELAY_MILLIS = 500;
+    private static final int LONG_BODY_BYTES = 7_000_000;
     private static final int BAD_GATEWAY = 502;
     private static final String BODY = "the whole body 1234";
     private static final HttpHeaders NO_HEADERS = new DefaultHttpHeaders();
 
     @Example
     void answerWithInvalidStatusNeverReachesCallers() throws Exception {
-        assertNeverReachesCallers(answer("HTTP/1.1 000 Trouble", ""));
+        assertNeverReachCallers(List.of(answer("HTTP/1.1 000 Trouble", "")));
+    }
+
+    @Example
+    void answerThatIsResetWhileItsRequestIsWrittenNeverReachesCallers() throws Exception {
+        try (ScriptedTarget target =
+                ScriptedTarget.startWithoutReadingBodies(
+                        (head, body, socket) -> {
+                            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\n\r\nfirst half");
+                            Thread.sleep(RESET_DELAY_MILLIS);
+                            ScriptedTarget.reset(socket);
+                        })) {
+            assertNeverReachesCallers(target, List.of("x".repeat(LONG_BODY_BYTES)));
+        }
     }
 
     private static String answer(String statusLine, String fields) {
@@ -32,27 +46,28 @@
                 + BODY;
     }
 
-    private static void assertNeverReachesCallers(String... answers) throws Exception {
+    /** Sends each answer once, as the answer to a request that has it as its body. */
+    private static void assertNeverReachCallers(List<String> answers) throws Exception {
         try (ScriptedTarget target =
-                        ScriptedTarget.start(
-                                (head, body, socket) ->
-                                        ScriptedTarget.write(
-                                                socket, answers[Integer.parseInt(body)]));
-                InProcessMesh mesh =
-                        InProcessMesh.start(
-                                Files.createTempDirectory("broken-answers"),
-                                List.of(target.address(), target.address()),
-                                TIMEOUT_MILLIS)) {
-            for (int number = 0; number < answers.length; number++) {
-                SendOutcome sent =
-                        mesh.send(0, "POST", "/order", NO_HEADERS, Integer.toString(number)).join();
+                ScriptedTarget.start((head, body, socket) -> ScriptedTarget.write(socket, body))) {
+            assertNeverReachesCallers(target, answers);
+        }
+    }
+
+    private static void assertNeverReachesCallers(ScriptedTarget target, List<String> requests)
+            throws Exception {
+        try (InProcessMesh mesh =
+                InProcessMesh.start(
+                        Files.createTempDirectory("broken-answers"),
+                        List.of(target.address(), target.address()),
+                        TIMEOUT_MILLIS)) {
+            for (String request : requests) {
+                SendOutcome sent = mesh.send(0, "POST", "/order", NO_HEADERS, request).join();
 
                 assertThat(sent).isInstanceOf(SendOutcome.Completed.class);
-                assertWithMessage(answers[number])
-                        .that(((SendOutcome.Completed) sent).answer().status())
-                        .isEqualTo(BAD_GATEWAY);
+                assertThat(((SendOutcome.Completed) sent).answer().status()).isEqualTo(BAD_GATEWAY);
             }
-            assertThat(target.requestHeads()).hasSize(answers.length);
+            assertThat(target.requestHeads()).hasSize(requests.size());
         }
     }
 }
