--- a/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
+++ b/trial/src/main/java/org/cuminreach/trial/once/ScriptedTarget.java
@@ -145,6 +145,22 @@
                         .formatted(status, body.length(), body));
     }
 
+    /**
+     * Writes a part of an answer without changes and resets its connection later.
+     *
+     * @param socket connection to write to
+     * @param text the part
+     * @param delayMillis time until the reset, in milliseconds
+     * @throws IOException if the connection is lost
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public static void writeAndReset(Socket socket, String text, long delayMillis)
+            throws IOException, InterruptedException {
+        write(socket, text);
+        Thread.sleep(delayMillis);
+        reset(socket);
+    }
+
     /**
      * Resets a connection.
      *
