Reject answers with whitespace before or in the name of a field

Cause: for responses Netty takes the name of a field up to the first whitespace and drops the rest up to the colon, and joins a line with leading whitespace to the value before it. RFC 9112, sections 5.1 and 5.2, lets an intermediary reject or repair these lines; the repair makes another field, length or seal of them.

Ruled out: a check of the decoded headers, where nothing is left of the whitespace; HttpRequestDecoder, which is strict about it but does not read answers.

Change: StrictHttpResponseDecoder compares the end of each name with its colon, in trailers too, and rejects heads with a line that begins with whitespace. All four readers of answers have this decoder. It holds for informational and dropped answers: their connection is closed, as the next answer on it can't be told.

Handled before, tests kept: control characters in a name and lines without a name or a colon are rejected by Netty (502).

--- a/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
@@ -4,12 +4,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
@@ -26,8 +31,10 @@
     private static final char MAX_STATUS_CLASS = '5';
 
     private HttpMethod requestMethod = HttpMethod.GET;
-    private boolean failed;
+    private boolean readFailed;
     private boolean endedByPeer;
+    private boolean readsHead = true;
+    private boolean rejected;
 
     StrictHttpResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -46,7 +53,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
-        failed = true;
+        readFailed = true;
         super.exceptionCaught(context, cause);
     }
 
@@ -54,13 +61,72 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
         if (event instanceof ChannelInputShutdownEvent) {
             // A failed read shuts down the input as well, after its exception.
-            endedByPeer = !failed;
+            endedByPeer = !readFailed;
             context.close();
         } else {
             super.userEventTriggered(context, event);
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        if (rejected) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        int start = buffer.readerIndex();
+        int decodedBefore = out.size();
+        super.decode(context, buffer, out);
+        if (readsHead && hasLineWithLeadingWhitespace(buffer, start, buffer.readerIndex())) {
+            reject(out, decodedBefore);
+        } else if (out.size() > decodedBefore) {
+            readsHead = out.getLast() instanceof LastHttpContent;
+        }
+    }
+
+    /**
+     * Returns whether a line of a head begins with whitespace. Netty appends such a line to the
+     * value of the field before it; an intermediary may reject it instead (RFC 9112, section 5.2).
+     */
+    private static boolean hasLineWithLeadingWhitespace(ByteBuf buffer, int start, int end) {
+        int line = start;
+        while (line < end) {
+            byte first = buffer.getByte(line);
+            if (first == HttpConstants.SP || first == HttpConstants.HT) {
+                return true;
+            }
+            int lineEnd = buffer.indexOf(line, end, HttpConstants.LF);
+            line = lineEnd < 0 ? end : lineEnd + 1;
+        }
+        return false;
+    }
+
+    /** Replaces what was decoded from a malformed head and ignores all that follows it. */
+    private void reject(List<Object> out, int decodedBefore) {
+        rejected = true;
+        while (out.size() > decodedBefore) {
+            ReferenceCountUtil.release(out.removeLast());
+        }
+        HttpMessage invalid = createInvalidMessage();
+        invalid.setDecoderResult(
+                DecoderResult.failure(
+                        new IllegalArgumentException("header line begins with whitespace")));
+        out.add(invalid);
+    }
+
+    /**
+     * Rejects names of fields that contain or precede whitespace (RFC 9112, section 5.1), of which
+     * Netty drops all from the whitespace to the colon. It checks the other characters itself.
+     */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != HttpConstants.COLON) {
+            throw new IllegalArgumentException("whitespace in the name of a field");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
             throws Exception {
--- a/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
@@ -41,6 +41,49 @@
                 .isEqualTo(status >= 100 && status <= 599);
     }
 
+    /** Inserts a byte into the line of a field and receives the head in two parts. */
+    @Property
+    void onlyFieldNamesThatAreTokensAreAccepted(
+            @ForAll @IntRange(min = 0, max = 255) int inserted,
+            @ForAll @IntRange(min = 0, max = 4) int position,
+            @ForAll @IntRange(min = 1, max = 50) int split) {
+        char character = (char) inserted;
+        String field = new StringBuilder("Name: v").insert(position, character).toString();
+        String head = "HTTP/1.1 200 OK\r\nSeal: a.1\r\n" + field + "\r\nContent-Length: 0\r\n\r\n";
+        boolean endsName = character == ':' && position > 0;
+        request(HttpMethod.GET);
+
+        List<HttpObject> parts = new ArrayList<>(receive(head.substring(0, split)));
+        parts.addAll(receive(head.substring(split)));
+
+        assertWithMessage(field)
+                .that(isWholeAnswer(parts))
+                .isEqualTo(endsName || isTokenCharacter(character));
+    }
+
+    @Example
+    void nothingIsAcceptedAfterMalformedHead() {
+        request(HttpMethod.GET);
+        receive("HTTP/1.1 200 OK\r\nSeal: a.1\r\n X-Name: v\r\n");
+
+        assertThat(receive("\r\n")).isEmpty();
+        assertThat(receive("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")).isEmpty();
+    }
+
+    @Example
+    void lineOfBodyMayBeginWithWhitespace() {
+        request(HttpMethod.GET);
+
+        assertThat(isAccepted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n \n b\r\n c\r\n"))
+                .isTrue();
+        assertThat(
+                        isAccepted(
+                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        + "5\r\n a\r\n \r\n0\r\n\r\n"))
+                .isTrue();
+        assertThat(isAccepted("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")).isTrue();
+    }
+
     @Example
     void answersToHeadHaveNoBody() {
         String lengthOnly = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
@@ -94,7 +137,16 @@
     }
 
     private boolean isAccepted(String bytes) {
-        List<HttpObject> parts = receive(bytes);
+        return isWholeAnswer(receive(bytes));
+    }
+
+    private static boolean isTokenCharacter(char character) {
+        return character < 128
+                && (Character.isLetterOrDigit(character)
+                        || "!#$%&'*+-.^_`|~".indexOf(character) >= 0);
+    }
+
+    private static boolean isWholeAnswer(List<HttpObject> parts) {
         return parts.getLast() instanceof LastHttpContent
                 && parts.stream().allMatch(part -> part.decoderResult().isSuccess());
     }
--- a/trial/src/test/java/org/cuminreach/control/command/ControlClientTest.java
+++ b/trial/src/test/java/org/cuminreach/control/command/ControlClientTest.java
@@ -22,6 +22,14 @@
                 (head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
     }
 
+    @Example
+    void orderAnsweredWithWhitespaceInFieldNameIsSentToNextControl() throws IOException {
+        assertIsSentToNextControl(
+                (head, body, socket) ->
+                        ScriptedTarget.write(
+                                socket, "HTTP/1.1 200 X\r\nContent-Length : 5\r\n\r\ntrouble"));
+    }
+
     @Example
     void orderWhoseAnswerIsResetWhileItIsWrittenIsSentToNextControl() throws IOException {
         String longOrder = "x".repeat(LONG_ORDER_BYTES);
--- a/trial/src/test/java/org/cuminreach/node/command/StatusCommandTest.java
+++ b/trial/src/test/java/org/cuminreach/node/command/StatusCommandTest.java
@@ -32,6 +32,14 @@
         assertIsNotPrinted((head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
     }
 
+    @Example
+    void answerWithWhitespaceInFieldNameIsNotPrinted() throws IOException {
+        assertIsNotPrinted(
+                (head, body, socket) ->
+                        ScriptedTarget.write(
+                                socket, "HTTP/1.1 200 X\r\nContent-Length : 5\r\n\r\nbroken"));
+    }
+
     private void assertIsNotPrinted(ScriptedTarget.Script faulty) throws IOException {
         assertThat(run(faulty)).isEqualTo(ExitCode.REFUSED);
         assertThat(out.toString(StandardCharsets.UTF_8)).isEmpty();
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -155,6 +155,15 @@
         assertLost((head, body, socket) -> ScriptedTarget.write(socket, INVALID_STATUS));
     }
 
+    @Example
+    void answerWithWhitespaceInFieldNameIsLost() throws Exception {
+        for (String field : List.of("X Name: v", "X-Name : v", " X-Name: v")) {
+            String answer =
+                    "HTTP/1.1 200 X\r\nSeal: a.1\r\n" + field + "\r\nContent-Length: 0\r\n\r\n";
+            assertLost((head, body, socket) -> ScriptedTarget.write(socket, answer));
+        }
+    }
+
     @Example
     void answerShorterThanItsLengthIsLost() throws Exception {
         assertLost(
--- a/trial/src/test/java/org/cuminreach/trial/once/BrokenAnswersOnNodesTest.java
+++ b/trial/src/test/java/org/cuminreach/trial/once/BrokenAnswersOnNodesTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.file.Files;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 import org.cuminreach.node.http.SendOutcome;
@@ -23,6 +24,18 @@
         assertNeverReachCallers(List.of(answer("HTTP/1.1 000 Trouble", "")));
     }
 
+    @Example
+    void answerWithWhitespaceOrControlCharacterInFieldNameNeverReachesCallers() throws Exception {
+        List<String> answers = new ArrayList<>();
+        for (String field :
+                List.of("X Name: v", "X-Name : v", "X-Name\t: v", " X-Name: v", "X\u0001Name: v")) {
+            answers.add(answer("HTTP/1.1 200 OK", field + "\r\n"));
+        }
+        answers.add("HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\n" + BODY);
+
+        assertNeverReachCallers(answers);
+    }
+
     @Example
     void answerThatIsResetWhileItsRequestIsWrittenNeverReachesCallers() throws Exception {
         try (ScriptedTarget target =
