Refuse late calls that may outlast a planned stop

Cause: the time in which calls are taken and the time at which running calls are cut had a bound each; nothing compared the time that a call may take (3 s) with what was left of the stop (2.2 s). Ruled out: a close before the end of the wait for running calls; all six connections are closed at that end.

Change: from 0.3 s before the node stops to listen, which covers the time by which a process notices the signal late, a call is passed on only if its deadline is before the end of the stop. Any other gets 503 at once and is not run. The checks before an attempt move to AttemptChecks, so that one place covers callers, pipelined calls and calls to the home node of a key.

--- a/node/src/main/java/org/cuminreach/node/NodeProcess.java
+++ b/node/src/main/java/org/cuminreach/node/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
+import org.cuminreach.decisions.admission.StopSchedule;
 import org.cuminreach.decisions.configuration.ConfigurationHolder;
 import org.cuminreach.node.caller.CallChecks;
 import org.cuminreach.node.caller.CallDeduplicator;
@@ -64,6 +65,9 @@
     /** Time within which other nodes receive the announcement that the target is gone. */
     private static final long ANNOUNCEMENT_PROPAGATION_MILLIS = 500;
 
+    /** Time by which a stop may begin later than its signal was sent. */
+    private static final long SIGNAL_LATENCY_MILLIS = 300;
+
     private static final long EVENT_LOOP_STOP_TIMEOUT_MILLIS = 3_000;
 
     private final NodeSettings settings;
@@ -97,6 +101,7 @@
     private HttpServer inboundServer;
     private HttpServer administrationServer;
     private volatile boolean stopping;
+    private volatile StopSchedule stopSchedule = StopSchedule.none();
 
     private NodeProcess(NodeSettings settings, NodeProtocolAdapter protocolAdapter) {
         this.settings = settings;
@@ -198,10 +203,15 @@
         LOGGER.info("event=node_stopping running={}", admissionHandler.running());
         long delayMillis =
                 Math.min(settings.shutdownDelayMillis(), settings.shutdownTimeoutMillis());
+        long endMillis = startedMillis + settings.shutdownTimeoutMillis();
+        stopSchedule =
+                StopSchedule.of(
+                        startedMillis + Math.max(0, delayMillis - SIGNAL_LATENCY_MILLIS),
+                        endMillis);
         admissionHandler.drain(
                 startedMillis + Math.min(delayMillis, ANNOUNCEMENT_PROPAGATION_MILLIS));
         ServerRetirement retirement = new ServerRetirement(eventLoops, callerServer, inboundServer);
-        retirement.run(delayMillis, startedMillis + settings.shutdownTimeoutMillis());
+        retirement.run(delayMillis, endMillis);
         LOGGER.info(
                 "event=node_stopped aborted={} processor_ms={} highest_lag_ms={}",
                 retirement.inProgress(),
@@ -243,7 +253,8 @@
                         new CallChecks(
                                 new TenantServices(
                                         TenantAuthenticator.create(keyFreshness), quotas),
-                                poisonFilter),
+                                poisonFilter,
+                                () -> stopSchedule),
                         timer);
         HttpHandler targetHandler =
                 PoisonGuard.create(
--- a/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallAttempts.java
@@ -107,6 +107,16 @@
         return origin.homeRegions();
     }
 
+    /** Time at which the call has arrived, on the monotonic clock. */
+    long startMillis() {
+        return startMillis;
+    }
+
+    /** Time at which the call is given up, on the monotonic clock. */
+    long deadlineMillis() {
+        return deadlineMillis;
+    }
+
     boolean idempotent() {
         return idempotent;
     }
--- a/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
+++ b/node/src/main/java/org/cuminreach/node/caller/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -59,6 +58,7 @@
     private final ServiceRetryBudgets budgets;
     private final SplitSelector splits = new SplitSelector();
     private final PoisonFilter poisonFilter;
+    private final AttemptChecks checks;
     private final RouteTableCache routes;
     private final HedgeScheduler hedges;
 
@@ -83,6 +83,7 @@
         this.evidence = evidence;
         this.deduplicator = deduplicator;
         this.poisonFilter = checks.poisonFilter();
+        this.checks = new AttemptChecks(checks, routeStatistics);
         this.timer = timer;
         this.budgets = ServiceRetryBudgets.create(view::readyCount);
         this.hedges = new HedgeScheduler(routeStatistics, budgets, timer);
@@ -230,17 +231,9 @@
     private CompletableFuture<HttpAnswer> attempt(
             CallAttempts attempts, MeshConfiguration configuration) {
         long nowMillis = ProcessClock.monotonicMillis();
-        OptionalLong refused =
-                poisonFilter.remainingRefusalMillis(attempts.fingerprint(), nowMillis);
+        Optional<CompletableFuture<HttpAnswer>> refused = checks.refuse(attempts, nowMillis);
         if (refused.isPresent()) {
-            return FinalAnswers.refuse(attempts, PoisonFilter.REFUSAL_REASON, refused.getAsLong());
-        }
-        if (attempts.tenant().isPresent() && !authenticator.allowsKeys()) {
-            return FinalAnswers.refuse(attempts, "no_lease", CallEntrance.UNPROVEN_RETRY_MILLIS);
-        }
-        if (!routeStatistics.hasTimeToRun(attempts, nowMillis)) {
-            return FinalAnswers.refuse(
-                    attempts, "deadline_cannot_be_met", attempts.retryAfterMillis(1));
+            return refused.get();
         }
         Service service = configuration.document().service(attempts.service()).orElseThrow();
         PermittedTargets permitted = permissions.forCall(attempts.route(), attempts.homeRegions());
--- a/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/cuminreach/node/settings/NodeSettings.java
@@ -24,7 +24,7 @@
  * @param costlyLinks whether traffic between data centres is costly
  * @param link rate of the VM's link
  * @param shutdownDelayMillis time for which a stopping node still accepts new calls, in
- *     milliseconds
+ *     milliseconds; shortly before it ends, only calls whose deadline is before the end of the stop
  * @param shutdownTimeoutMillis maximum time that a graceful stop waits for calls in progress, in
  *     milliseconds
  * @param bounds bounds that hold for the whole mesh
