Close a connection with bytes behind an answer

The next order on the connection ran and was answered 200, counted as refused, ran on another target again, and its caller got 503, the promise that it has not run.

Cause: a connection was used again whatever its decoder held. A part of a head yields no message, so that nothing was dropped, and the head of the next answer continued it: the status is that of the part, the identity that of the real answer. Ruled out: a whole refusal that is matched to the order; the log has no mismatched answer, and the bytes are no whole head.

Change: a connection to a target is closed when there is input behind an answer, with it or while it is idle. Bytes may also arrive once the next call is written; StrictHttpResponseDecoder rejects a head with a status line within a line, which is what remains of the real answer wherever a head is cut. This holds for all readers of answers. A whole answer that arrives on an idle connection closes it as well, where it was dropped before.

--- a/node/src/main/java/org/cuminreach/node/target/TargetClient.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetClient.java
@@ -217,14 +217,15 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                StrictHttpClientCodec codec =
+                        StrictHttpClientCodec.create(
+                                new HttpDecoderConfig()
+                                        .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                                        .setMaxChunkSize(MAX_CHUNK_BYTES));
                 channel.pipeline()
-                        .addLast(
-                                StrictHttpClientCodec.create(
-                                        new HttpDecoderConfig()
-                                                .setMaxInitialLineLength(MAX_LINE_BYTES)
-                                                .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                                .setMaxChunkSize(MAX_CHUNK_BYTES)))
-                        .addLast(new TargetConnection(TargetClient.this, address, channel));
+                        .addLast(codec)
+                        .addLast(new TargetConnection(TargetClient.this, address, channel, codec));
             }
         };
     }
--- a/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
+++ b/node/src/main/java/org/cuminreach/node/target/TargetConnection.java
@@ -28,6 +28,7 @@
 import org.cuminreach.runtime.ProcessClock;
 import org.cuminreach.runtime.http.HttpAnswer;
 import org.cuminreach.runtime.http.HttpServer;
+import org.cuminreach.runtime.http.StrictHttpClientCodec;
 import org.cuminreach.settings.Address;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -71,6 +72,7 @@
     private final TargetClient client;
     private final Address address;
     private final Channel channel;
+    private final StrictHttpClientCodec codec;
     private final Set<String> refusedCalls = ConcurrentHashMap.newKeySet();
     private TargetExchange exchange;
     private HttpResponse answer;
@@ -85,10 +87,12 @@
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private volatile long usableUntilMillis = Long.MAX_VALUE;
 
-    TargetConnection(TargetClient client, Address address, Channel channel) {
+    TargetConnection(
+            TargetClient client, Address address, Channel channel, StrictHttpClientCodec codec) {
         this.client = client;
         this.address = address;
         this.channel = channel;
+        this.codec = codec;
     }
 
     boolean isUsable(long nowMillis) {
@@ -164,6 +168,10 @@
             fail("malformed_answer");
             return;
         }
+        if (exchange == null) {
+            closeAfterUnexpectedInput();
+            return;
+        }
         if (part instanceof HttpResponse response) {
             beginAnswer(response);
         }
@@ -178,13 +186,12 @@
             drop();
             return;
         }
-        discarding = exchange == null || !exchange.expected().matches().test(response.headers());
+        discarding = !exchange.expected().matches().test(response.headers());
         if (discarding) {
             LOGGER.info(
-                    "event=mismatched_answer_dropped address={} status={} busy={}",
+                    "event=mismatched_answer_dropped address={} status={}",
                     address,
-                    response.status().code(),
-                    exchange != null);
+                    response.status().code());
             drop();
             return;
         }
@@ -241,6 +248,8 @@
         }
         if (!hasLength && !chunked || refusedCalls.size() >= MAX_REFUSED_CALLS) {
             channel.close();
+        } else if (!codec.isBetweenResponses()) {
+            closeAfterUnexpectedInput();
         } else if (writeFuture.isDone()) {
             release();
         } else {
@@ -251,6 +260,25 @@
                         new HttpAnswer(complete.status().code(), complete.headers(), bytes)));
     }
 
+    /**
+     * Closes the connection after input that belongs to no call. The next answer could not be told
+     * from it.
+     */
+    private void closeAfterUnexpectedInput() {
+        if (channel.isOpen()) {
+            LOGGER.info("event=unexpected_input_from_target address={}", address);
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (exchange == null && !codec.isBetweenResponses()) {
+            closeAfterUnexpectedInput();
+        }
+        context.fireChannelReadComplete();
+    }
+
     /** Makes the connection available to later calls. */
     private void release() {
         if (channel.isActive()) {
--- a/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpClientCodec.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpClientCodec.java
@@ -30,6 +30,16 @@
         return new StrictHttpClientCodec(new StrictHttpResponseDecoder(config));
     }
 
+    /**
+     * Returns whether all input so far belongs to complete responses. Otherwise the connection
+     * cannot be used for another request, as its response could not be told from that input.
+     *
+     * @return false while a part of a response, or of anything else, has been received
+     */
+    public boolean isBetweenResponses() {
+        return inboundHandler().isBetweenResponses();
+    }
+
     /**
      * Replaces the codec that a client library has added to a connection, with default limits.
      *
--- a/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decodes responses and rejects malformed ones that Netty tolerates. A rejected response is passed
@@ -26,6 +28,9 @@
  * content, like a response that is shorter than its length.
  */
 final class StrictHttpResponseDecoder extends HttpResponseDecoder {
+    /** Start of a status line, up to the minor version, a space and the status. */
+    private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+
     private static final int STATUS_DIGITS = 3;
     private static final char MIN_STATUS_CLASS = '1';
     private static final char MAX_STATUS_CLASS = '5';
@@ -34,6 +39,7 @@
     private boolean readFailed;
     private boolean endedByPeer;
     private boolean readsHead = true;
+    private boolean betweenResponses = true;
     private boolean rejected;
 
     StrictHttpResponseDecoder(HttpDecoderConfig config) {
@@ -45,6 +51,11 @@
         requestMethod = method;
     }
 
+    /** Returns whether all input so far belongs to complete responses. */
+    boolean isBetweenResponses() {
+        return betweenResponses && actualReadableBytes() == 0;
+    }
+
     /** Makes the channel tell the end of the peer's stream from all other reasons to close. */
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
@@ -78,11 +89,26 @@
         int start = buffer.readerIndex();
         int decodedBefore = out.size();
         super.decode(context, buffer, out);
-        if (readsHead && hasLineWithLeadingWhitespace(buffer, start, buffer.readerIndex())) {
-            reject(out, decodedBefore);
+        Optional<String> fault =
+                readsHead ? findFault(buffer, start, buffer.readerIndex()) : Optional.empty();
+        if (fault.isPresent()) {
+            reject(out, decodedBefore, fault.get());
         } else if (out.size() > decodedBefore) {
             readsHead = out.getLast() instanceof LastHttpContent;
+            betweenResponses = readsHead;
+        } else if (buffer.readerIndex() > start) {
+            betweenResponses = false;
+        }
+    }
+
+    /** Returns what is wrong with lines of a head that Netty accepts. */
+    private static Optional<String> findFault(ByteBuf buffer, int start, int end) {
+        if (hasLineWithLeadingWhitespace(buffer, start, end)) {
+            return Optional.of("header line begins with whitespace");
         }
+        return hasStatusLineWithinLine(buffer, start, end)
+                ? Optional.of("status line within a line of a head")
+                : Optional.empty();
     }
 
     /**
@@ -102,16 +128,50 @@
         return false;
     }
 
+    /**
+     * Returns whether a status line begins within another line. A peer that sends a part of a
+     * response and then a whole one would have its parts taken for a single head.
+     */
+    private static boolean hasStatusLineWithinLine(ByteBuf buffer, int start, int end) {
+        int version = buffer.indexOf(start, end, STATUS_LINE_START[0]);
+        while (version >= 0) {
+            boolean withinLine = version > start && buffer.getByte(version - 1) != HttpConstants.LF;
+            if (withinLine && isStatusLine(buffer, version, end)) {
+                return true;
+            }
+            version = buffer.indexOf(version + 1, end, STATUS_LINE_START[0]);
+        }
+        return false;
+    }
+
+    private static boolean isStatusLine(ByteBuf buffer, int start, int end) {
+        int status = start + STATUS_LINE_START.length + 2;
+        if (status + STATUS_DIGITS >= end) {
+            return false;
+        }
+        for (int offset = 0; offset < STATUS_LINE_START.length; offset++) {
+            if (buffer.getByte(start + offset) != STATUS_LINE_START[offset]) {
+                return false;
+            }
+        }
+        for (int offset = 0; offset < STATUS_DIGITS; offset++) {
+            if (!isDigit((char) buffer.getByte(status + offset))) {
+                return false;
+            }
+        }
+        return isDigit((char) buffer.getByte(status - 2))
+                && buffer.getByte(status - 1) == HttpConstants.SP;
+    }
+
     /** Replaces what was decoded from a malformed head and ignores all that follows it. */
-    private void reject(List<Object> out, int decodedBefore) {
+    private void reject(List<Object> out, int decodedBefore, String reason) {
         rejected = true;
+        betweenResponses = false;
         while (out.size() > decodedBefore) {
             ReferenceCountUtil.release(out.removeLast());
         }
         HttpMessage invalid = createInvalidMessage();
-        invalid.setDecoderResult(
-                DecoderResult.failure(
-                        new IllegalArgumentException("header line begins with whitespace")));
+        invalid.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(reason)));
         out.add(invalid);
     }
 
--- a/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
+++ b/runtime/src/test/java/org/cuminreach/runtime/http/StrictHttpClientCodecTest.java
@@ -63,6 +63,41 @@
         assertWithMessage(field).that(isWholeAnswer(parts)).isEqualTo(valid);
     }
 
+    @Property(generation = GenerationMode.EXHAUSTIVE)
+    void headBehindPartOfAnotherHeadIsNotAcceptedAsOne(
+            @ForAll @IntRange(min = 1, max = 60) int length) {
+        String part = "HTTP/1.1 503 Unavailable\r\nSeal: a.1\r\nServer: yard\r\nContent-L";
+        String whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        request(HttpMethod.GET);
+
+        assertThat(isAccepted(part.substring(0, length) + whole)).isFalse();
+    }
+
+    @Example
+    void versionWithoutStatusMayStandInFields() {
+        request(HttpMethod.GET);
+
+        assertThat(
+                        isAccepted(
+                                "HTTP/1.1 200 HTTP/1.1\r\nVia: HTTP/1.1 proxy, HTTP/1.1 20\r\n"
+                                        + "Upgrade: HTTP/2.0\r\nContent-Length: 0\r\n\r\n"))
+                .isTrue();
+    }
+
+    @Example
+    void codecIsBetweenResponsesOnceResponseHasEnded() {
+        StrictHttpClientCodec codec = channel.pipeline().get(StrictHttpClientCodec.class);
+        request(HttpMethod.GET);
+        for (String part :
+                List.of("H", "TTP/1.1 200 OK\r\n", "Content-Length: 2\r\n", "\r\n", "o")) {
+            receive(part);
+            assertWithMessage(part).that(codec.isBetweenResponses()).isFalse();
+        }
+        receive("k");
+
+        assertThat(codec.isBetweenResponses()).isTrue();
+    }
+
     @Example
     void nothingIsAcceptedAfterMalformedHead() {
         request(HttpMethod.GET);
--- a/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
+++ b/trial/src/test/java/org/cuminreach/node/http/HttpSenderTest.java
@@ -231,6 +231,30 @@
         }
     }
 
+    @Example
+    void partOfAnAnswerBehindAnswerIsNeverTakenForTheNextAnswer() throws Exception {
+        String part = "HTTP/1.1 503 X\r\nContent-Type: text/plain\r\nServer: n";
+        for (int length = 1; length <= part.length(); length++) {
+            String additional = part.substring(0, length);
+            try (ScriptedTarget target =
+                    ScriptedTarget.start(
+                            (head, body, socket) ->
+                                    ScriptedTarget.write(
+                                            socket,
+                                            "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok"
+                                                    + additional))) {
+                assertThat(body(send(target.address(), call(), TEST_TIMEOUT_MILLIS)))
+                        .isEqualTo("ok");
+                switch (send(target.address(), call(), TEST_TIMEOUT_MILLIS)) {
+                    case SendOutcome.Completed completed ->
+                            assertThat(completed.answer().status()).isEqualTo(200);
+                    case SendOutcome other ->
+                            assertThat(other).isInstanceOf(SendOutcome.Lost.class);
+                }
+            }
+        }
+    }
+
     @Example
     void cookieIsNotSentWithTheNextCall() throws Exception {
         try (ScriptedTarget target =
