--- a/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
+++ b/runtime/src/main/java/org/cuminreach/runtime/http/StrictHttpResponseDecoder.java
@@ -28,9 +28,11 @@
  * content, like a response that is shorter than its length.
  */
 final class StrictHttpResponseDecoder extends HttpResponseDecoder {
-    /** Start of a status line, up to the minor version, a space and the status. */
+    /** Start of a status line; the minor version, a space and the status follow. */
     private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int VERSION_LENGTH = STATUS_LINE_START.length + 1;
+
     private static final int STATUS_DIGITS = 3;
     private static final char MIN_STATUS_CLASS = '1';
     private static final char MAX_STATUS_CLASS = '5';
@@ -145,7 +147,8 @@
     }
 
     private static boolean isStatusLine(ByteBuf buffer, int start, int end) {
-        int status = start + STATUS_LINE_START.length + 2;
+        int space = start + VERSION_LENGTH;
+        int status = space + 1;
         if (status + STATUS_DIGITS >= end) {
             return false;
         }
@@ -159,8 +162,8 @@
                 return false;
             }
         }
-        return isDigit((char) buffer.getByte(status - 2))
-                && buffer.getByte(status - 1) == HttpConstants.SP;
+        return isDigit((char) buffer.getByte(space - 1))
+                && buffer.getByte(space) == HttpConstants.SP;
     }
 
     /** Replaces what was decoded from a malformed head and ignores all that follows it. */
