--- a/trial/src/test/java/org/cuminreach/node/target/BytesBehindAnswersTest.java
+++ b/trial/src/test/java/org/cuminreach/node/target/BytesBehindAnswersTest.java
@@ -53,8 +53,7 @@
         EventLoops.stop(eventLoops);
     }
 
-    // Guards against TWICE: the answer behind such bytes counted as a refusal, and the call ran
-    // again.
+    // Guards against TWICE: the next answer counted as a refusal, and its call ran again.
     @Example
     void callBehindRefusalWithAdditionalBytesGetsItsOwnAnswer() throws Exception {
         for (int length = 1; length <= REFUSAL.length(); length++) {
