--- a/review/standins-3/src/Pipelined.java
+++ b/review/standins-3/src/Pipelined.java
@@ -47,6 +47,7 @@
     }
 
     private static void send(Kit.Proc node, String prefix, int count, Set<String> gotAnswer) {
+        int sent = 0;
         try (Socket socket = new Socket()) {
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(node.host, Kit.port + 10), 1000);
@@ -56,6 +57,7 @@
                 output.write(Kit.request("GET", "/safe/price-" + i, "", Map.of("Host", "shop.example",
                         "Cuminreach-Attempt-Id", prefix + i, "Cuminreach-Deadline-Ms", "8000"), new byte[0]));
                 output.flush();
+                sent++;
                 Kit.sleep(2);
             }
             Kit.log(prefix + "0 to " + prefix + (count - 1) + " sent on one connection");
@@ -68,7 +70,7 @@
                 }
             }
         } catch (IOException closed) {
-            Kit.log("connection of " + prefix + " ends: " + closed.getMessage());
+            Kit.log("connection of " + prefix + " ends after " + sent + " were sent: " + closed.getMessage());
         }
     }
 }
